--- /dev/null
+++ b/src/api/resources.c
@@ -0,0 +1,310 @@
+/* List, get, create, replace and delete resources. */
+#include "api_internal.h"
+#include "corianderstair/errors.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+json_t *
+resource_view(const cs_record *record)
+{
+    json_t *view = json_pack(
+        "{s:s,s:s,s:I,s:o}", "kind", cs_kind_name(record->resource.kind),
+        "scope", record->scope, "version", (json_int_t)record->version,
+        "resource", cs_resource_write(&record->resource));
+
+    if (record->resource.kind == CS_KIND_JOB)
+        json_object_set_new(view, "status", cs_job_status_write(&record->job));
+    else if (record->status)
+        json_object_set(view, "status", record->status);
+    return view;
+}
+
+struct list {
+    json_t *items;
+    const char *zone; /* NULL for all */
+};
+
+static const char *
+zone_of(const cs_record *record)
+{
+    switch (record->resource.kind) {
+    case CS_KIND_WORKER:
+        return record->resource.u.worker.zone;
+    case CS_KIND_JOB:
+        return record->resource.u.job.zone;
+    case CS_KIND_CONFIG:
+    case CS_KIND_ZONE:
+    case CS_KIND_ORGANISATION:
+    case CS_KIND_SERVICE:
+    case CS_KIND_COUNT:
+        break;
+    }
+    return NULL;
+}
+
+static void
+add_view(void *data, const cs_record *record)
+{
+    struct list *list = data;
+    const char *zone = zone_of(record);
+
+    if (list->zone && zone && strcmp(list->zone, zone) != 0)
+        return;
+    json_array_append_new(list->items, resource_view(record));
+}
+
+static void
+reply_list(cs_api *api, cs_http_request *request, cs_kind kind)
+{
+    char zone[CS_NAME_BYTES];
+    struct list list = {json_array(), NULL};
+    cs_board *board = cs_process_board(api->process);
+    const char *scope = CS_SCOPE_CONFIG;
+
+    if (cs_http_request_argument(zone, sizeof(zone), request, "zone") == 0)
+        list.zone = zone;
+    if (kind == CS_KIND_JOB)
+        scope = list.zone ? list.zone : "";
+    cs_board_each(board, kind, add_view, &list);
+    reply_json(request, 200,
+               json_pack("{s:s,s:I,s:o}", "scope", scope, "version",
+                         (json_int_t)cs_board_version(board, scope), "items",
+                         list.items));
+}
+
+static void
+reply_one(cs_api *api, cs_http_request *request, const struct route *route)
+{
+    const cs_record *record = cs_board_find(cs_process_board(api->process),
+                                            route->kind, route->parts[2]);
+
+    if (!record) {
+        cs_error_set(CS_E_NOT_FOUND, "%s/%s does not exist",
+                     cs_kind_name(route->kind), route->parts[2]);
+        reply_last_error(api, request, CS_E_NOT_FOUND);
+        return;
+    }
+    reply_json(request, 200, resource_view(record));
+}
+
+struct change_reply {
+    cs_api *api;
+    cs_http_request *request;
+    cs_kind kind;
+    char name[CS_NAME_BYTES];
+    bool created;
+};
+
+static void
+on_committed(void *data, int code, uint64_t version)
+{
+    struct change_reply *reply = data;
+
+    if (code)
+        reply_last_error(reply->api, reply->request, code);
+    else
+        reply_json(reply->request, reply->created ? 201 : 200,
+                   json_pack("{s:s,s:s,s:I}", "kind",
+                             cs_kind_name(reply->kind), "name", reply->name,
+                             "version", (json_int_t)version));
+    g_free(reply);
+}
+
+static void
+submit(cs_api *api, cs_http_request *request, cs_change *change, int64_t match)
+{
+    struct change_reply *reply = g_new0(struct change_reply, 1);
+    int64_t deadline_us =
+        cs_outbox_now(cs_process_outbox(api->process)).boot_us +
+        WRITE_TIMEOUT_US;
+    int rc;
+
+    reply->api = api;
+    reply->request = request;
+    reply->kind = change->kind;
+    reply->created = change->op == CS_OP_PUT &&
+                     !cs_board_find(cs_process_board(api->process),
+                                    change->kind, change->name);
+    g_strlcpy(reply->name, change->name, sizeof(reply->name));
+    rc = cs_journal_submit(cs_process_journal(api->process), change, match,
+                           deadline_us, on_committed, reply);
+    if (!rc)
+        return;
+    g_free(reply);
+    reply_last_error(api, request, rc);
+}
+
+static int
+read_match(int64_t *match, cs_http_request *request)
+{
+    const char *text = cs_http_request_if_match(request);
+    char *end;
+
+    *match = CS_MATCH_ANY;
+    if (!*text || strcmp(text, "*") == 0)
+        return 0;
+    *match = strtoll(text, &end, 10);
+    if (*end || end == text || *match < 0)
+        return cs_error_set(CS_E_INVALID, "If-Match '%s' is not a version",
+                            text);
+    return 0;
+}
+
+static int
+read_body(json_t **out, cs_http_request *request)
+{
+    size_t size;
+    const char *body = cs_http_request_body(request, &size);
+    json_error_t error;
+
+    *out = json_loadb(body, size, JSON_REJECT_DUPLICATES, &error);
+    if (*out)
+        return 0;
+    return cs_error_set(CS_E_JSON, "line %d column %d: %s", error.line,
+                        error.column, error.text);
+}
+
+static const char *
+scope_of(const cs_resource *resource)
+{
+    return resource->kind == CS_KIND_JOB ? resource->u.job.zone
+                                         : CS_SCOPE_CONFIG;
+}
+
+/* Reads the body as a change. The name in the path, if any, must agree. */
+static int
+read_change(cs_change **out, cs_http_request *request,
+            const struct route *route)
+{
+    cs_resource resource;
+    json_t *body = NULL;
+    int rc = read_body(&body, request);
+
+    if (!rc)
+        rc = cs_resource_read(&resource, route->kind, body);
+    json_decref(body);
+    if (rc)
+        return rc;
+    if (route->count > 2 &&
+        strcmp(route->parts[2], cs_resource_name(&resource)) != 0)
+        rc =
+            cs_error_set(CS_E_INVALID, "the path names '%s' and the body '%s'",
+                         route->parts[2], cs_resource_name(&resource));
+    else
+        *out = cs_change_create(scope_of(&resource), CS_OP_PUT, route->kind,
+                                cs_resource_name(&resource),
+                                cs_resource_write(&resource));
+    cs_resource_clear(&resource);
+    return rc;
+}
+
+static void
+handle_put(cs_api *api, cs_http_request *request, const struct route *route)
+{
+    cs_change *change;
+    int64_t match;
+    int rc = read_match(&match, request);
+
+    if (!rc)
+        rc = read_change(&change, request, route);
+    if (rc) {
+        reply_last_error(api, request, rc);
+        return;
+    }
+    if (route->count == 2)
+        match = 0; /* POST to the collection creates */
+    submit(api, request, change, match);
+}
+
+static void
+handle_delete(cs_api *api, cs_http_request *request, const struct route *route)
+{
+    const cs_record *record = cs_board_find(cs_process_board(api->process),
+                                            route->kind, route->parts[2]);
+    int64_t match;
+    int rc = read_match(&match, request);
+
+    if (!rc && !record)
+        rc = cs_error_set(CS_E_NOT_FOUND, "%s/%s does not exist",
+                          cs_kind_name(route->kind), route->parts[2]);
+    if (rc) {
+        reply_last_error(api, request, rc);
+        return;
+    }
+    submit(api, request,
+           cs_change_create(record->scope, CS_OP_DELETE, route->kind,
+                            route->parts[2], NULL),
+           match);
+}
+
+static void
+handle_cancel(cs_api *api, cs_http_request *request, const char *name)
+{
+    const cs_record *record =
+        cs_board_find(cs_process_board(api->process), CS_KIND_JOB, name);
+    json_t *value;
+
+    if (!record) {
+        cs_error_set(CS_E_NOT_FOUND, "jobs/%s does not exist", name);
+        reply_last_error(api, request, CS_E_NOT_FOUND);
+        return;
+    }
+    value = cs_resource_write(&record->resource);
+    json_object_set_new(value, "cancelled", json_true());
+    submit(
+        api, request,
+        cs_change_create(record->scope, CS_OP_PUT, CS_KIND_JOB, name, value),
+        CS_MATCH_ANY);
+}
+
+static void
+handle_get(cs_api *api, cs_http_request *request, const struct route *route)
+{
+    char watch[8];
+
+    if (route->count > 2)
+        reply_one(api, request, route);
+    else if (cs_http_request_argument(watch, sizeof(watch), request,
+                                      "watch") == 0)
+        watch_start(api, request, route->kind);
+    else
+        reply_list(api, request, route->kind);
+}
+
+static bool
+is_action(const struct route *route, const char *action)
+{
+    return route->kind == CS_KIND_JOB && route->count == 4 &&
+           strcmp(route->parts[3], action) == 0;
+}
+
+void
+resources_handle(cs_api *api, cs_http_request *request,
+                 const struct route *route)
+{
+    const char *method = cs_http_request_method(request);
+    bool get = strcmp(method, "GET") == 0;
+    bool post = strcmp(method, "POST") == 0;
+
+    if (is_action(route, "explain") && get)
+        explain_handle(api, request, route->parts[2]);
+    else if (is_action(route, "cancel") && post)
+        handle_cancel(api, request, route->parts[2]);
+    else if (route->count == 4) {
+        cs_error_set(CS_E_NOT_FOUND, "no such path");
+        reply_last_error(api, request, CS_E_NOT_FOUND);
+    }
+    else if (get)
+        handle_get(api, request, route);
+    else if ((post && route->count == 2) ||
+             (strcmp(method, "PUT") == 0 && route->count == 3))
+        handle_put(api, request, route);
+    else if (strcmp(method, "DELETE") == 0 && route->count == 3)
+        handle_delete(api, request, route);
+    else {
+        cs_error_set(CS_E_METHOD, "%s is not allowed here", method);
+        reply_last_error(api, request, CS_E_METHOD);
+    }
+}
--- /dev/null
+++ b/src/api/watch.c
@@ -0,0 +1,169 @@
+/* Streams of changes as JSON lines. */
+#include "api_internal.h"
+#include "corianderstair/errors.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* An empty line shows that a quiet watch is alive. */
+#define ALIVE_US (10 * CS_SEC_US)
+
+struct watch {
+    cs_api *api;
+    cs_http_request *request;
+    cs_kind kind;
+    char zone[CS_NAME_BYTES]; /* "" for all */
+    uint32_t listener;
+    int64_t alive_us;
+    bool ended;
+};
+
+static void
+write_line(struct watch *watch, json_t *line)
+{
+    char *text = json_dumps(line, JSON_COMPACT);
+    size_t size = strlen(text);
+
+    text[size] = '\n';
+    /* A caller that reads too slowly is cut and has to list again. */
+    if (!watch->ended &&
+        cs_http_stream_write(watch->request, text, size + 1)) {
+        watch->ended = true;
+        cs_http_stream_end(watch->request);
+    }
+    free(text);
+    json_decref(line);
+}
+
+static void
+send_change(void *data, const cs_change *change)
+{
+    struct watch *watch = data;
+    const cs_record *record;
+    json_t *line;
+
+    if (change->kind != watch->kind)
+        return;
+    if (watch->zone[0] && change->kind == CS_KIND_JOB &&
+        strcmp(change->scope, watch->zone) != 0)
+        return;
+    line = cs_change_write(change);
+    record = cs_board_find(cs_process_board(watch->api->process), change->kind,
+                           change->name);
+    if (record && change->op != CS_OP_DELETE)
+        json_object_set_new(line, "now", resource_view(record));
+    write_line(watch, line);
+}
+
+static void
+on_closed(void *data)
+{
+    struct watch *watch = data;
+
+    if (watch->listener)
+        cs_board_unlisten(cs_process_board(watch->api->process),
+                          watch->listener);
+    g_ptr_array_remove(watch->api->watches, watch);
+    g_free(watch);
+}
+
+static int
+read_from(cs_http_request *request, uint64_t *from, bool *given)
+{
+    char text[32];
+    char *end;
+
+    *given =
+        cs_http_request_argument(text, sizeof(text), request, "from") == 0;
+    if (!*given)
+        return 0;
+    *from = strtoull(text, &end, 10);
+    if (*end || end == text)
+        return cs_error_set(CS_E_INVALID, "'from' is not a version");
+    return 0;
+}
+
+static int
+replay(struct watch *watch, const char *scope, uint64_t from)
+{
+    return cs_board_history(cs_process_board(watch->api->process), scope, from,
+                            send_change, watch);
+}
+
+static int
+check(cs_api *api, cs_kind kind, const char *zone, bool from_given)
+{
+    cs_board *board = cs_process_board(api->process);
+
+    if (api->draining)
+        return cs_error_set(CS_E_DRAINING, "this process is shutting down");
+    if (zone[0] && !cs_board_find(board, CS_KIND_ZONE, zone))
+        return cs_error_set(CS_E_NOT_FOUND, "zones/%s does not exist", zone);
+    if (kind == CS_KIND_JOB && from_given && !zone[0])
+        return cs_error_set(CS_E_INVALID,
+                            "jobs have a version in each zone: 'from' goes "
+                            "with 'zone'");
+    return 0;
+}
+
+void
+watch_start(cs_api *api, cs_http_request *request, cs_kind kind)
+{
+    struct watch *watch = g_new0(struct watch, 1);
+    cs_board *board = cs_process_board(api->process);
+    const char *scope;
+    uint64_t from = 0;
+    bool given;
+    int rc;
+
+    watch->api = api;
+    watch->request = request;
+    watch->kind = kind;
+    cs_http_request_argument(watch->zone, sizeof(watch->zone), request,
+                             "zone");
+    rc = read_from(request, &from, &given);
+    if (!rc)
+        rc = check(api, kind, watch->zone, given);
+    scope = kind == CS_KIND_JOB ? watch->zone : CS_SCOPE_CONFIG;
+    if (!rc && given)
+        rc = replay(watch, scope, from);
+    if (rc) {
+        g_free(watch);
+        reply_last_error(api, request, rc);
+        return;
+    }
+    cs_http_stream_begin(request, "application/json", on_closed, watch);
+    g_ptr_array_add(api->watches, watch);
+    watch->listener = cs_board_listen(board, send_change, watch);
+    watch->alive_us = cs_clock_boot_us() + ALIVE_US;
+}
+
+void
+watch_tick(cs_api *api)
+{
+    int64_t now_us = cs_clock_boot_us();
+    guint i;
+
+    for (i = 0; i < api->watches->len; i++) {
+        struct watch *watch = g_ptr_array_index(api->watches, i);
+
+        if (watch->ended || now_us < watch->alive_us)
+            continue;
+        watch->alive_us = now_us + ALIVE_US;
+        cs_http_stream_write(watch->request, "\n", 1);
+    }
+}
+
+void
+watch_end_all(cs_api *api)
+{
+    guint i;
+
+    for (i = 0; i < api->watches->len; i++) {
+        struct watch *watch = g_ptr_array_index(api->watches, i);
+
+        watch->ended = true;
+        cs_http_stream_end(watch->request);
+    }
+}
--- /dev/null
+++ b/src/control/journal_follow.c
@@ -0,0 +1,212 @@
+/* Reading: listing a scope once, then polling counters and changes. */
+#include "journal_internal.h"
+#include "corianderstair/errors.h"
+#include "corianderstair/log.h"
+
+#include <string.h>
+
+#define LIST_LIMIT 500
+#define CHANGE_LIMIT 200
+#define COUNTER_LIMIT 1000
+
+static void
+push_read(cs_journal *journal, json_t *read, cs_call_done done, void *data)
+{
+    (*journal->polls)++;
+    cs_outbox_push(journal->outbox, CS_CALL_STORE_READ, NULL,
+                   CS_STORE_READ_PATH, read,
+                   journal_now_us(journal) + CALL_TIMEOUT_US, done, data);
+}
+
+static void
+range_of_scope(char *from, char *to, const char *prefix, const char *scope)
+{
+    g_snprintf(from, CS_STORE_KEY_BYTES, "%s/%s/", prefix, scope);
+    g_snprintf(to, CS_STORE_KEY_BYTES, "%s/%s0", prefix, scope);
+}
+
+static int
+apply_row(struct journal_scope *scope, const json_t *row)
+{
+    cs_change *change;
+    int rc = cs_change_read(&change, json_object_get(row, "value"));
+
+    if (rc)
+        return rc;
+    rc = cs_board_apply(scope->journal->board, change);
+    if (!rc)
+        journal_commit_saw(scope, change);
+    cs_change_destroy(change);
+    return rc;
+}
+
+static void
+on_changes(void *data, int code, const json_t *reply)
+{
+    struct journal_scope *scope = data;
+    const json_t *rows = cs_store_reply_rows(reply, 0);
+    const json_t *row;
+    size_t i;
+
+    scope->reading = false;
+    if (code)
+        return;
+    json_array_foreach(rows, i, row)
+    {
+        if (apply_row(scope, row)) {
+            cs_log_event("change-refused", "%s: %s", scope->name,
+                         cs_error_last());
+            return;
+        }
+    }
+    if (json_array_size(rows) == CHANGE_LIMIT) {
+        scope->poll_now = true;
+        return;
+    }
+    scope->loaded = true;
+    journal_commit_settle(scope);
+}
+
+static void
+read_changes(struct journal_scope *scope)
+{
+    char from[CS_STORE_KEY_BYTES];
+    char to[CS_STORE_KEY_BYTES];
+    json_t *read = cs_store_read();
+
+    range_of_scope(from, to, "c", scope->name);
+    cs_store_key_change(from, scope->name,
+                        cs_board_version(scope->journal->board, scope->name) +
+                            1);
+    cs_store_read_range(read, from, to, CHANGE_LIMIT);
+    scope->reading = true;
+    scope->poll_now = false;
+    push_read(scope->journal, read, on_changes, scope);
+}
+
+static void
+load_row(struct journal_scope *scope, const char *key, const json_t *value)
+{
+    char word[CS_NAME_BYTES];
+    const char *start = key + strlen("r//") + strlen(scope->name);
+    const char *end = strchr(start, '/');
+    cs_kind kind;
+
+    if (!end || (size_t)(end - start) >= sizeof(word))
+        return;
+    memcpy(word, start, (size_t)(end - start));
+    word[end - start] = '\0';
+    if (cs_kind_find(&kind, word) ||
+        cs_board_load(scope->journal->board, scope->name, kind, value))
+        cs_log_event("row-refused", "%s: %s", key, cs_error_last());
+}
+
+static void
+on_list(void *data, int code, const json_t *reply)
+{
+    struct journal_scope *scope = data;
+    const json_t *counter = cs_store_reply_rows(reply, 0);
+    const json_t *rows = cs_store_reply_rows(reply, 1);
+    const json_t *row;
+    size_t i;
+
+    scope->reading = false;
+    if (code || scope->listed)
+        return;
+    /* The counter of the first page: later changes are read after it. */
+    if (!scope->cursor[0])
+        scope->list_version = (uint64_t)json_integer_value(json_object_get(
+            json_object_get(json_array_get(counter, 0), "value"), "version"));
+    json_array_foreach(rows, i, row)
+    {
+        const char *key = json_string_value(json_object_get(row, "key"));
+
+        load_row(scope, key, json_object_get(row, "value"));
+        g_snprintf(scope->cursor, sizeof(scope->cursor), "%s!", key);
+    }
+    scope->poll_now = true;
+    if (json_array_size(rows) == LIST_LIMIT)
+        return;
+    scope->listed = true;
+    cs_board_set_version(scope->journal->board, scope->name,
+                         scope->list_version);
+}
+
+static void
+read_list(struct journal_scope *scope)
+{
+    char key[CS_STORE_KEY_BYTES];
+    char from[CS_STORE_KEY_BYTES];
+    char to[CS_STORE_KEY_BYTES];
+    json_t *read = cs_store_read();
+
+    cs_store_key_counter(key, scope->name);
+    cs_store_read_key(read, key);
+    range_of_scope(from, to, "r", scope->name);
+    cs_store_read_range(read, scope->cursor[0] ? scope->cursor : from, to,
+                        LIST_LIMIT);
+    scope->reading = true;
+    scope->poll_now = false;
+    push_read(scope->journal, read, on_list, scope);
+}
+
+static void
+read_scope(struct journal_scope *scope)
+{
+    if (scope->reading)
+        return;
+    if (scope->listed)
+        read_changes(scope);
+    else
+        read_list(scope);
+}
+
+static void
+on_counters(void *data, int code, const json_t *reply)
+{
+    cs_journal *journal = data;
+    const json_t *row;
+    size_t i;
+
+    journal->polling = false;
+    if (code)
+        return;
+    journal->last_poll_us = journal->poll_sent_us;
+    json_array_foreach(cs_store_reply_rows(reply, 0), i, row)
+    {
+        const char *key = json_string_value(json_object_get(row, "key"));
+        json_int_t version = json_integer_value(
+            json_object_get(json_object_get(row, "value"), "version"));
+
+        cs_journal_hint(journal, key + strlen("v/"), (uint64_t)version);
+    }
+}
+
+/* One read shows the counters of all scopes. */
+static void
+poll_counters(cs_journal *journal)
+{
+    json_t *read = cs_store_read();
+
+    cs_store_read_range(read, "v/", "v0", COUNTER_LIMIT);
+    journal->polling = true;
+    journal->poll_sent_us = journal_now_us(journal);
+    journal->next_poll_us = journal_now_us(journal) + journal->poll_us;
+    push_read(journal, read, on_counters, journal);
+}
+
+void
+journal_follow_tick(cs_journal *journal)
+{
+    bool due = journal_now_us(journal) >= journal->next_poll_us;
+    guint i;
+
+    for (i = 0; i < journal->scopes->len; i++) {
+        struct journal_scope *scope = g_ptr_array_index(journal->scopes, i);
+
+        if (scope->poll_now || (due && !scope->loaded))
+            read_scope(scope);
+    }
+    if (due && !journal->polling)
+        poll_counters(journal);
+}
--- /dev/null
+++ b/src/http/client.c
@@ -0,0 +1,430 @@
+#include "corianderstair/http_client.h"
+#include "corianderstair/clock.h"
+#include "corianderstair/errors.h"
+#include "corianderstair/settings.h"
+
+#include <libwebsockets.h>
+#include <string.h>
+
+#define MAX_LANES 64
+#define ANSWER_MAX_BYTES ((size_t)64 << 20)
+#define KEEP_WARM_S 60
+#define QUEUE_MAX 20000
+
+/*
+ * libwebsockets queues calls of one virtual host and address on a single
+ * connection. Each lane is a virtual host, so that concurrent calls get a
+ * connection each and no answer waits behind another.
+ */
+struct lane {
+    struct lws_vhost *vhost;
+    char name[16];
+};
+
+struct cs_http_client {
+    struct lws_context *context;
+    struct lws_protocols protocols[2];
+    struct lane lanes[MAX_LANES];
+    uint32_t lane_count;
+    GHashTable *targets;
+    uint32_t open_calls;
+    uint32_t queued;
+};
+
+struct target {
+    char ip[32];
+    uint16_t port;
+    char address[48];
+    uint64_t busy; /* a bit for each lane with a call on it */
+    GQueue waiting;
+};
+
+struct call {
+    cs_http_client *client;
+    struct target *target;
+    struct lws *wsi;
+    int32_t lane; /* -1 while waiting */
+    char method[8];
+    char path[512];
+    char if_match[64];
+    GString *body;
+    GString *answer;
+    int status;
+    cs_http_piece piece;
+    cs_http_done done;
+    void *data;
+    int64_t deadline_us;
+    lws_sorted_usec_list_t timer;
+    bool sent;
+    bool ended;
+    bool connecting;
+};
+
+static void
+start_waiting(cs_http_client *client, struct target *target);
+
+static void
+call_destroy(struct call *call)
+{
+    lws_sul_cancel(&call->timer);
+    g_string_free(call->body, TRUE);
+    g_string_free(call->answer, TRUE);
+    g_free(call);
+}
+
+static void
+tell_end(struct call *call, int code)
+{
+    cs_http_answer answer = {code, call->status, call->answer->str,
+                             call->answer->len};
+
+    if (call->ended)
+        return;
+    call->ended = true;
+    lws_sul_cancel(&call->timer);
+    call->client->open_calls--;
+    call->done(call->data, &answer);
+}
+
+/* Gives the lane back once the connection is idle or gone. */
+static void
+release(struct call *call)
+{
+    struct target *target = call->target;
+    cs_http_client *client = call->client;
+
+    if (call->lane >= 0)
+        target->busy &= ~(UINT64_C(1) << call->lane);
+    call_destroy(call);
+    start_waiting(client, target);
+}
+
+static int
+append_headers(struct call *call, struct lws *wsi, unsigned char **p,
+               unsigned char *end)
+{
+    char length[24];
+    int size;
+
+    call->sent = true;
+    if (call->if_match[0] &&
+        lws_add_http_header_by_token(wsi, WSI_TOKEN_HTTP_IF_MATCH,
+                                     (const unsigned char *)call->if_match,
+                                     (int)strlen(call->if_match), p, end))
+        return -1;
+    if (call->body->len == 0 && strcmp(call->method, "POST") != 0 &&
+        strcmp(call->method, "PUT") != 0)
+        return 0;
+    size = g_snprintf(length, sizeof(length), "%zu", call->body->len);
+    if (lws_add_http_header_by_token(wsi, WSI_TOKEN_HTTP_CONTENT_LENGTH,
+                                     (unsigned char *)length, size, p, end))
+        return -1;
+    if (call->body->len > 0) {
+        lws_client_http_body_pending(wsi, 1);
+        lws_callback_on_writable(wsi);
+    }
+    return 0;
+}
+
+static int
+write_body(struct call *call, struct lws *wsi)
+{
+    unsigned char *buffer;
+    int written;
+
+    if (call->body->len == 0)
+        return 0;
+    buffer = g_malloc(LWS_PRE + call->body->len);
+    memcpy(buffer + LWS_PRE, call->body->str, call->body->len);
+    lws_client_http_body_pending(wsi, 0);
+    written = lws_write(wsi, buffer + LWS_PRE, call->body->len,
+                        LWS_WRITE_HTTP_FINAL);
+    g_free(buffer);
+    return written < 0 ? -1 : 0;
+}
+
+static int
+read_more(struct lws *wsi)
+{
+    char buffer[LWS_PRE + 16384];
+    char *start = buffer + LWS_PRE;
+    int size = (int)(sizeof(buffer) - LWS_PRE);
+
+    return lws_http_client_read(wsi, &start, &size) < 0 ? -1 : 0;
+}
+
+static int
+keep_answer(struct call *call, const char *bytes, size_t size)
+{
+    if (call->piece) {
+        call->piece(call->data, bytes, size);
+        return 0;
+    }
+    if (call->answer->len + size > ANSWER_MAX_BYTES) {
+        tell_end(call, CS_E_TOO_LARGE);
+        return -1;
+    }
+    g_string_append_len(call->answer, bytes, (gssize)size);
+    return 0;
+}
+
+static void
+on_gone(struct call *call, struct lws *wsi)
+{
+    lws_set_opaque_user_data(wsi, NULL);
+    call->wsi = NULL;
+    tell_end(call, call->sent ? CS_E_CUT : CS_E_CONNECT);
+    if (!call->connecting)
+        release(call);
+}
+
+static void
+on_idle(lws_sorted_usec_list_t *timer)
+{
+    release(lws_container_of(timer, struct call, timer));
+}
+
+/* The connection becomes idle, and so reusable, after this callback. */
+static int
+on_completed(struct call *call, struct lws *wsi)
+{
+    lws_set_opaque_user_data(wsi, NULL);
+    call->wsi = NULL;
+    tell_end(call, 0);
+    lws_sul_schedule(call->client->context, 0, &call->timer, on_idle, 1);
+    return 0;
+}
+
+static int
+client_callback(struct lws *wsi, enum lws_callback_reasons reason, void *user,
+                void *in, size_t len)
+{
+    struct call *call = lws_get_opaque_user_data(wsi);
+
+    if (!call)
+        return lws_callback_http_dummy(wsi, reason, user, in, len);
+    switch (reason) {
+    case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER:
+        return append_headers(call, wsi, in, *(unsigned char **)in + len);
+    case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE:
+        return write_body(call, wsi);
+    case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
+        call->status = (int)lws_http_client_http_response(wsi);
+        return 0;
+    case LWS_CALLBACK_RECEIVE_CLIENT_HTTP:
+        return read_more(wsi);
+    case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ:
+        return keep_answer(call, in, len);
+    case LWS_CALLBACK_COMPLETED_CLIENT_HTTP:
+        return on_completed(call, wsi);
+    case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
+    case LWS_CALLBACK_CLOSED_CLIENT_HTTP:
+        on_gone(call, wsi);
+        return 0;
+    default:
+        return lws_callback_http_dummy(wsi, reason, user, in, len);
+    }
+}
+
+static void
+on_deadline(lws_sorted_usec_list_t *timer)
+{
+    struct call *call = lws_container_of(timer, struct call, timer);
+
+    if (call->lane < 0) {
+        g_queue_remove(&call->target->waiting, call);
+        call->client->queued--;
+        tell_end(call, CS_E_OVERLOAD);
+        call_destroy(call);
+        return;
+    }
+    tell_end(call, call->sent ? CS_E_TIMEOUT : CS_E_CONNECT);
+    if (call->wsi)
+        lws_set_timeout(call->wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+}
+
+static void
+connect_call(struct call *call)
+{
+    struct lws_client_connect_info info = {0};
+    struct target *target = call->target;
+    cs_http_client *client = call->client;
+
+    info.context = client->context;
+    info.vhost = client->lanes[call->lane].vhost;
+    info.address = target->ip;
+    /* An idle connection is found by comparing the address with the host. */
+    info.host = target->ip;
+    info.origin = target->ip;
+    info.port = target->port;
+    info.path = call->path;
+    info.method = call->method;
+    info.protocol = "client";
+    info.local_protocol_name = "client";
+    info.ssl_connection = LCCSCF_PIPELINE;
+    info.keep_warm_secs = KEEP_WARM_S;
+    info.opaque_user_data = call;
+    info.pwsi = &call->wsi;
+    call->connecting = true;
+    if (!lws_client_connect_via_info(&info)) {
+        call->wsi = NULL;
+        tell_end(call, CS_E_CONNECT);
+    }
+    call->connecting = false;
+    if (call->ended && !call->wsi)
+        release(call);
+}
+
+static int32_t
+free_lane(const cs_http_client *client, const struct target *target)
+{
+    uint32_t i;
+
+    for (i = 0; i < client->lane_count; i++) {
+        if (!(target->busy & (UINT64_C(1) << i)))
+            return (int32_t)i;
+    }
+    return -1;
+}
+
+static void
+start_waiting(cs_http_client *client, struct target *target)
+{
+    struct call *call;
+    int32_t lane;
+
+    while (!g_queue_is_empty(&target->waiting)) {
+        lane = free_lane(client, target);
+        if (lane < 0)
+            return;
+        call = g_queue_pop_head(&target->waiting);
+        client->queued--;
+        call->lane = lane;
+        target->busy |= UINT64_C(1) << lane;
+        connect_call(call);
+    }
+}
+
+static void
+target_destroy(gpointer data)
+{
+    struct target *target = data;
+
+    g_queue_clear(&target->waiting);
+    g_free(target);
+}
+
+static int
+find_target(struct target **out, cs_http_client *client, const char *address)
+{
+    struct target *target = g_hash_table_lookup(client->targets, address);
+    int rc;
+
+    if (!target) {
+        target = g_new0(struct target, 1);
+        rc = cs_address_split(target->ip, sizeof(target->ip), &target->port,
+                              address);
+        if (rc) {
+            g_free(target);
+            return rc;
+        }
+        g_queue_init(&target->waiting);
+        g_strlcpy(target->address, address, sizeof(target->address));
+        g_hash_table_insert(client->targets, target->address, target);
+    }
+    *out = target;
+    return 0;
+}
+
+static int
+create_lanes(cs_http_client *client)
+{
+    uint32_t i;
+
+    for (i = 0; i < client->lane_count; i++) {
+        struct lws_context_creation_info info = {0};
+        struct lane *lane = &client->lanes[i];
+
+        g_snprintf(lane->name, sizeof(lane->name), "lane%u", i);
+        info.port = CONTEXT_PORT_NO_LISTEN;
+        info.protocols = client->protocols;
+        info.vhost_name = lane->name;
+        lane->vhost = lws_create_vhost(client->context, &info);
+        if (!lane->vhost)
+            return cs_error_set(CS_E_SYSTEM, "no virtual host for a client");
+    }
+    return 0;
+}
+
+int
+cs_http_client_create(cs_http_client **out, cs_net *net, uint32_t connections)
+{
+    cs_http_client *client = g_new0(cs_http_client, 1);
+    int rc;
+
+    client->context = cs_net_context(net);
+    client->lane_count = MIN(connections, (uint32_t)MAX_LANES);
+    client->protocols[0].name = "client";
+    client->protocols[0].callback = client_callback;
+    client->targets =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, target_destroy);
+    rc = create_lanes(client);
+    if (rc) {
+        cs_http_client_destroy(client);
+        return rc;
+    }
+    *out = client;
+    return 0;
+}
+
+void
+cs_http_client_destroy(cs_http_client *client)
+{
+    if (!client)
+        return;
+    g_hash_table_destroy(client->targets);
+    g_free(client);
+}
+
+int
+cs_http_client_start(cs_http_client *client, const cs_http_call *params)
+{
+    struct target *target;
+    struct call *call;
+    int64_t left_us;
+    int rc;
+
+    rc = find_target(&target, client, params->address);
+    if (rc)
+        return rc;
+    if (client->queued >= QUEUE_MAX)
+        return cs_error_set(CS_E_OVERLOAD, "too many calls wait for %s",
+                            params->address);
+    call = g_new0(struct call, 1);
+    call->client = client;
+    call->target = target;
+    call->lane = -1;
+    g_strlcpy(call->method, params->method, sizeof(call->method));
+    g_strlcpy(call->path, params->path, sizeof(call->path));
+    if (params->if_match)
+        g_strlcpy(call->if_match, params->if_match, sizeof(call->if_match));
+    call->body = g_string_new_len(params->body, (gssize)params->size_bytes);
+    call->answer = g_string_new(NULL);
+    call->piece = params->piece;
+    call->done = params->done;
+    call->data = params->data;
+    call->deadline_us = params->deadline_us;
+    client->open_calls++;
+    client->queued++;
+    left_us = MAX(params->deadline_us - cs_clock_boot_us(), CS_MS_US);
+    lws_sul_schedule(client->context, 0, &call->timer, on_deadline, left_us);
+    g_queue_push_tail(&target->waiting, call);
+    start_waiting(client, target);
+    return 0;
+}
+
+uint32_t
+cs_http_client_open(const cs_http_client *client)
+{
+    return client->open_calls;
+}
--- /dev/null
+++ b/src/http/server.c
@@ -0,0 +1,475 @@
+#include "corianderstair/http_server.h"
+#include "corianderstair/errors.h"
+
+#include <libwebsockets.h>
+#include <string.h>
+
+#define HEADER_ROOM_BYTES 1024
+#define WRITE_PIECE_BYTES 32768
+#define STREAM_QUEUE_MAX_BYTES ((size_t)4 << 20)
+#define REQUEST_READ_S 20
+#define KEEPALIVE_S 75
+
+struct cs_http_server {
+    struct lws_vhost *vhost;
+    struct lws_protocols protocols[2];
+    cs_http_handler handler;
+    void *data;
+    uint32_t open_requests;
+    bool stopping;
+};
+
+typedef enum {
+    REQUEST_READING,
+    REQUEST_HANDLED,
+    REQUEST_WRITING,
+    REQUEST_STREAMING
+} request_state;
+
+struct cs_http_request {
+    cs_http_server *server;
+    struct lws *wsi; /* NULL once the caller left */
+    request_state state;
+    const char *method;
+    char path[512];
+    char query[512];
+    char if_match[64];
+    GString *body;
+    bool too_large;
+    int status;
+    char type[64];
+    GString *out;
+    size_t written;
+    bool headers_sent;
+    bool ending;
+    cs_http_closed closed;
+    void *closed_data;
+};
+
+struct session {
+    cs_http_request *request;
+};
+
+static const struct {
+    enum lws_token_indexes token;
+    const char *method;
+} methods[] = {
+    {WSI_TOKEN_GET_URI, "GET"},         {WSI_TOKEN_POST_URI, "POST"},
+    {WSI_TOKEN_PUT_URI, "PUT"},         {WSI_TOKEN_DELETE_URI, "DELETE"},
+    {WSI_TOKEN_HEAD_URI, "HEAD"},       {WSI_TOKEN_PATCH_URI, "PATCH"},
+    {WSI_TOKEN_OPTIONS_URI, "OPTIONS"},
+};
+
+static const char *
+find_method(struct lws *wsi)
+{
+    size_t i;
+
+    for (i = 0; i < sizeof(methods) / sizeof(methods[0]); i++) {
+        if (lws_hdr_total_length(wsi, methods[i].token) > 0)
+            return methods[i].method;
+    }
+    return "OTHER";
+}
+
+static void
+read_if_match(cs_http_request *request, struct lws *wsi)
+{
+    char text[64] = "";
+    char *start = text;
+    size_t length;
+
+    if (lws_hdr_copy(wsi, text, sizeof(text), WSI_TOKEN_HTTP_IF_MATCH) <= 0)
+        return;
+    if (*start == '"')
+        start++;
+    length = strlen(start);
+    if (length > 0 && start[length - 1] == '"')
+        start[length - 1] = '\0';
+    g_strlcpy(request->if_match, start, sizeof(request->if_match));
+}
+
+static void
+read_query(cs_http_request *request, struct lws *wsi)
+{
+    char piece[256];
+    int i;
+
+    for (i = 0; lws_hdr_copy_fragment(wsi, piece, sizeof(piece),
+                                      WSI_TOKEN_HTTP_URI_ARGS, i) >= 0;
+         i++) {
+        if (i)
+            g_strlcat(request->query, "&", sizeof(request->query));
+        g_strlcat(request->query, piece, sizeof(request->query));
+    }
+}
+
+static cs_http_request *
+request_create(cs_http_server *server, struct lws *wsi, const char *path)
+{
+    cs_http_request *request = g_new0(cs_http_request, 1);
+
+    request->server = server;
+    request->wsi = wsi;
+    request->method = find_method(wsi);
+    request->body = g_string_new(NULL);
+    request->out = g_string_new(NULL);
+    g_strlcpy(request->path, path, sizeof(request->path));
+    read_query(request, wsi);
+    read_if_match(request, wsi);
+    server->open_requests++;
+    return request;
+}
+
+static void
+request_destroy(cs_http_request *request)
+{
+    request->server->open_requests--;
+    g_string_free(request->body, TRUE);
+    g_string_free(request->out, TRUE);
+    g_free(request);
+}
+
+static void
+dispatch(cs_http_request *request)
+{
+    static const char too_large[] =
+        "{\"code\":-103,\"name\":\"too-large\",\"message\":\"the body is "
+        "larger than 1048576 bytes\",\"run\":\"not-run\"}\n";
+
+    if (request->state != REQUEST_READING)
+        return;
+    request->state = REQUEST_HANDLED;
+    lws_set_timeout(request->wsi, NO_PENDING_TIMEOUT, 0);
+    if (request->too_large) {
+        cs_http_reply(request, 413, "application/json", too_large,
+                      sizeof(too_large) - 1);
+        return;
+    }
+    request->server->handler(request, request->server->data);
+}
+
+static bool
+expects_body(struct lws *wsi, const char *method)
+{
+    char length[24] = "";
+
+    if (strcmp(method, "POST") != 0 && strcmp(method, "PUT") != 0 &&
+        strcmp(method, "PATCH") != 0)
+        return false;
+    lws_hdr_copy(wsi, length, sizeof(length), WSI_TOKEN_HTTP_CONTENT_LENGTH);
+    return length[0] && strcmp(length, "0") != 0;
+}
+
+static void
+on_body(cs_http_request *request, const char *bytes, size_t size)
+{
+    if (request->body->len + size > CS_HTTP_BODY_MAX_BYTES) {
+        request->too_large = true;
+        return;
+    }
+    g_string_append_len(request->body, bytes, (gssize)size);
+}
+
+static int
+write_headers(cs_http_request *request)
+{
+    unsigned char buffer[LWS_PRE + HEADER_ROOM_BYTES];
+    unsigned char *start = buffer + LWS_PRE;
+    unsigned char *p = start;
+    unsigned char *end = buffer + sizeof(buffer) - 1;
+    lws_filepos_t length = LWS_ILLEGAL_HTTP_CONTENT_LEN;
+
+    if (request->state == REQUEST_WRITING)
+        length = request->out->len;
+    if (lws_add_http_common_headers(request->wsi,
+                                    (unsigned int)request->status,
+                                    request->type, length, &p, end))
+        return -1;
+    if (lws_finalize_write_http_header(request->wsi, start, &p, end))
+        return -1;
+    request->headers_sent = true;
+    return 0;
+}
+
+static int
+write_piece(cs_http_request *request)
+{
+    unsigned char buffer[LWS_PRE + WRITE_PIECE_BYTES];
+    size_t left = request->out->len - request->written;
+    size_t size = MIN(left, (size_t)WRITE_PIECE_BYTES);
+    bool last =
+        size == left && (request->state == REQUEST_WRITING || request->ending);
+
+    memcpy(buffer + LWS_PRE, request->out->str + request->written, size);
+    if (lws_write(request->wsi, buffer + LWS_PRE, size,
+                  last ? LWS_WRITE_HTTP_FINAL : LWS_WRITE_HTTP) < 0)
+        return -1;
+    request->written += size;
+    return 0;
+}
+
+static int
+finish_answer(struct session *session)
+{
+    cs_http_request *request = session->request;
+    struct lws *wsi = request->wsi;
+    bool stopping = request->server->stopping;
+    bool whole = !request->too_large;
+
+    session->request = NULL;
+    request_destroy(request);
+    if (stopping || !whole)
+        return -1;
+    return lws_http_transaction_completed(wsi) ? -1 : 0;
+}
+
+static int
+on_writeable(struct session *session)
+{
+    cs_http_request *request = session->request;
+
+    if (!request || request->state < REQUEST_WRITING)
+        return 0;
+    if (!request->headers_sent) {
+        if (write_headers(request))
+            return -1;
+        lws_callback_on_writable(request->wsi);
+        return 0;
+    }
+    if (request->written < request->out->len && write_piece(request))
+        return -1;
+    if (request->written < request->out->len) {
+        lws_callback_on_writable(request->wsi);
+        return 0;
+    }
+    if (request->state == REQUEST_WRITING)
+        return finish_answer(session);
+    g_string_truncate(request->out, 0);
+    request->written = 0;
+    return request->ending ? -1 : 0;
+}
+
+static void
+on_closed(struct session *session)
+{
+    cs_http_request *request = session->request;
+
+    if (!request)
+        return;
+    session->request = NULL;
+    request->wsi = NULL;
+    switch (request->state) {
+    case REQUEST_HANDLED:
+        /* The handler still owns it and will reply to nobody. */
+        return;
+    case REQUEST_STREAMING:
+        request->closed(request->closed_data);
+        break;
+    case REQUEST_READING:
+    case REQUEST_WRITING:
+        break;
+    }
+    request_destroy(request);
+}
+
+static int
+on_request(cs_http_server *server, struct session *session, struct lws *wsi,
+           const char *path)
+{
+    if (session->request)
+        return -1;
+    session->request = request_create(server, wsi, path);
+    if (!expects_body(wsi, session->request->method))
+        dispatch(session->request);
+    else
+        lws_set_timeout(wsi, PENDING_TIMEOUT_HTTP_CONTENT, REQUEST_READ_S);
+    return 0;
+}
+
+static int
+server_callback(struct lws *wsi, enum lws_callback_reasons reason, void *user,
+                void *in, size_t len)
+{
+    struct session *session = user;
+    const struct lws_protocols *protocol = lws_get_protocol(wsi);
+
+    switch (reason) {
+    case LWS_CALLBACK_HTTP:
+        return on_request(protocol->user, session, wsi, in);
+    case LWS_CALLBACK_HTTP_BODY:
+        if (session->request && session->request->state == REQUEST_READING)
+            on_body(session->request, in, len);
+        return 0;
+    case LWS_CALLBACK_HTTP_BODY_COMPLETION:
+        if (session->request)
+            dispatch(session->request);
+        return 0;
+    case LWS_CALLBACK_HTTP_WRITEABLE:
+        return on_writeable(session);
+    case LWS_CALLBACK_CLOSED_HTTP:
+        if (session)
+            on_closed(session);
+        return 0;
+    default:
+        return lws_callback_http_dummy(wsi, reason, user, in, len);
+    }
+}
+
+int
+cs_http_server_create(cs_http_server **out, cs_net *net, const char *ip,
+                      uint16_t port, cs_http_handler handler, void *data)
+{
+    struct lws_context_creation_info info = {0};
+    cs_http_server *server = g_new0(cs_http_server, 1);
+
+    server->handler = handler;
+    server->data = data;
+    server->protocols[0].name = "http";
+    server->protocols[0].callback = server_callback;
+    server->protocols[0].per_session_data_size = sizeof(struct session);
+    server->protocols[0].user = server;
+    info.protocols = server->protocols;
+    info.port = port;
+    info.iface = ip;
+    info.vhost_name = "server";
+    info.timeout_secs = REQUEST_READ_S;
+    info.keepalive_timeout = KEEPALIVE_S;
+    server->vhost = lws_create_vhost(cs_net_context(net), &info);
+    if (!server->vhost || lws_get_vhost_listen_port(server->vhost) <= 0) {
+        g_free(server);
+        return cs_error_set(CS_E_SYSTEM, "cannot listen on %s:%u", ip, port);
+    }
+    *out = server;
+    return 0;
+}
+
+void
+cs_http_server_destroy(cs_http_server *server)
+{
+    g_free(server);
+}
+
+uint16_t
+cs_http_server_port(const cs_http_server *server)
+{
+    return (uint16_t)lws_get_vhost_listen_port(server->vhost);
+}
+
+uint32_t
+cs_http_server_open(const cs_http_server *server)
+{
+    return server->open_requests;
+}
+
+void
+cs_http_server_stop_accepting(cs_http_server *server)
+{
+    server->stopping = true;
+}
+
+const char *
+cs_http_request_method(const cs_http_request *request)
+{
+    return request->method;
+}
+
+const char *
+cs_http_request_path(const cs_http_request *request)
+{
+    return request->path;
+}
+
+const char *
+cs_http_request_if_match(const cs_http_request *request)
+{
+    return request->if_match;
+}
+
+const char *
+cs_http_request_body(const cs_http_request *request, size_t *size_bytes)
+{
+    *size_bytes = request->body->len;
+    return request->body->str;
+}
+
+bool
+cs_http_request_is_open(const cs_http_request *request)
+{
+    return request->wsi != NULL;
+}
+
+int
+cs_http_request_argument(char *out, size_t size,
+                         const cs_http_request *request, const char *name)
+{
+    size_t length = strlen(name);
+    const char *p = request->query;
+
+    while (*p) {
+        size_t span = strcspn(p, "&");
+
+        if (span > length && strncmp(p, name, length) == 0 &&
+            p[length] == '=') {
+            size_t value = span - length - 1;
+
+            if (value >= size)
+                return CS_E_NOT_FOUND;
+            memcpy(out, p + length + 1, value);
+            out[value] = '\0';
+            return 0;
+        }
+        p += span;
+        if (*p)
+            p++;
+    }
+    return CS_E_NOT_FOUND;
+}
+
+void
+cs_http_reply(cs_http_request *request, int status, const char *type,
+              const char *body, size_t size_bytes)
+{
+    if (!request->wsi) {
+        request_destroy(request);
+        return;
+    }
+    request->state = REQUEST_WRITING;
+    request->status = status;
+    g_strlcpy(request->type, type, sizeof(request->type));
+    g_string_append_len(request->out, body, (gssize)size_bytes);
+    lws_callback_on_writable(request->wsi);
+}
+
+void
+cs_http_stream_begin(cs_http_request *request, const char *type,
+                     cs_http_closed closed, void *data)
+{
+    request->state = REQUEST_STREAMING;
+    request->status = 200;
+    request->closed = closed;
+    request->closed_data = data;
+    g_strlcpy(request->type, type, sizeof(request->type));
+    if (request->wsi)
+        lws_callback_on_writable(request->wsi);
+}
+
+int
+cs_http_stream_write(cs_http_request *request, const char *text,
+                     size_t size_bytes)
+{
+    if (request->out->len + size_bytes > STREAM_QUEUE_MAX_BYTES)
+        return CS_E_OVERLOAD;
+    g_string_append_len(request->out, text, (gssize)size_bytes);
+    if (request->wsi)
+        lws_callback_on_writable(request->wsi);
+    return 0;
+}
+
+void
+cs_http_stream_end(cs_http_request *request)
+{
+    request->ending = true;
+    if (request->wsi)
+        lws_callback_on_writable(request->wsi);
+}
--- /dev/null
+++ b/src/process/process.c
@@ -0,0 +1,394 @@
+#include "corianderstair/process.h"
+#include "corianderstair/admission.h"
+#include "corianderstair/errors.h"
+#include "corianderstair/log.h"
+#include "corianderstair/settings.h"
+
+#include "snapshot.h"
+
+#include <glib-unix.h>
+#include <inttypes.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/resource.h>
+
+#define TICK_MS 20
+#define EXIT_CUT 3 /* work was left when the drain deadline passed */
+
+struct cs_process {
+    cs_process_settings settings;
+    cs_process_hooks hooks;
+    GMainLoop *loop;
+    cs_net *net;
+    cs_http_server *server;
+    cs_http_client *client;
+    cs_counters *counters;
+    cs_outbox *outbox;
+    cs_carrier *carrier;
+    cs_board *board;
+    cs_journal *journal;
+    cs_peers *peers;
+    char incarnation[32];
+    char api[64];
+    struct snapshot_state snapshot;
+    guint wake_source;
+    int64_t next_heartbeat_us;
+    int64_t drain_us; /* boot clock; 0 not draining */
+    int status;
+    int64_t *cpu_us;
+    int64_t *rss_bytes;
+};
+
+static void
+make_incarnation(cs_process *process)
+{
+    /* The instant of the start tells runs of one name apart. */
+    g_snprintf(process->incarnation, sizeof(process->incarnation),
+               "%.12s-%" PRIx64, process->settings.name,
+               (uint64_t)cs_clock_wall_us());
+}
+
+static void
+send_hint(void *data, const cs_change *change)
+{
+    cs_process *process = data;
+    cs_message message = {.type = CS_MSG_HINT};
+
+    if (strcmp(change->writer, process->settings.name) != 0)
+        return;
+    message.deadline_us = cs_clock_wall_us() + CS_SEC_US;
+    g_strlcpy(message.from, process->settings.name, sizeof(message.from));
+    g_strlcpy(message.u.hint.scope, change->scope,
+              sizeof(message.u.hint.scope));
+    message.u.hint.version = change->version;
+    cs_peers_broadcast(process->peers, &message);
+}
+
+static void
+send_heartbeat(cs_process *process)
+{
+    cs_message message = {.type = CS_MSG_HEARTBEAT};
+    cs_heartbeat *h = &message.u.heartbeat;
+
+    message.deadline_us = cs_clock_wall_us() + CS_PEER_SILENCE_US;
+    g_strlcpy(message.from, process->settings.name, sizeof(message.from));
+    g_strlcpy(h->role, process->settings.role, sizeof(h->role));
+    g_strlcpy(h->zone, process->settings.zone, sizeof(h->zone));
+    g_strlcpy(h->api, process->api, sizeof(h->api));
+    h->config_version = cs_board_version(process->board, CS_SCOPE_CONFIG);
+    h->draining = process->drain_us != 0;
+    if (process->hooks.heartbeat)
+        process->hooks.heartbeat(process->hooks.data, h);
+    cs_peers_broadcast(process->peers, &message);
+    cs_message_clear(&message);
+}
+
+static void
+on_message(void *data, const cs_message *message)
+{
+    cs_process *process = data;
+
+    cs_outbox_set_now(process->outbox, cs_now_read());
+    if (message->type == CS_MSG_HINT)
+        cs_journal_hint(process->journal, message->u.hint.scope,
+                        message->u.hint.version);
+    else if (process->hooks.message)
+        process->hooks.message(process->hooks.data, message);
+    cs_process_wake(process);
+}
+
+static void
+finish_drain(cs_process *process)
+{
+    int64_t now_us = cs_clock_boot_us();
+    bool done = process->hooks.is_drained(process->hooks.data) &&
+                cs_http_server_open(process->server) == 0;
+
+    if (!done && now_us < process->drain_us)
+        return;
+    process->status = done ? 0 : EXIT_CUT;
+    cs_log_event("stopped",
+                 done ? "nothing was left" : "the drain deadline passed");
+    g_main_loop_quit(process->loop);
+}
+
+static void
+tick(cs_process *process)
+{
+    cs_now now = cs_now_read();
+
+    cs_outbox_set_now(process->outbox, now);
+    cs_journal_tick(process->journal);
+    process->hooks.tick(process->hooks.data);
+    snapshot_tick(&process->snapshot, process);
+    if (now.boot_us >= process->next_heartbeat_us) {
+        process->next_heartbeat_us = now.boot_us + CS_PEER_HEARTBEAT_US;
+        send_heartbeat(process);
+    }
+    cs_carrier_run(process->carrier);
+    if (process->drain_us)
+        finish_drain(process);
+}
+
+static gboolean
+on_timer(gpointer data)
+{
+    tick(data);
+    return G_SOURCE_CONTINUE;
+}
+
+static gboolean
+on_wake(gpointer data)
+{
+    cs_process *process = data;
+
+    process->wake_source = 0;
+    tick(process);
+    return G_SOURCE_REMOVE;
+}
+
+void
+cs_process_wake(cs_process *process)
+{
+    if (!process->wake_source)
+        process->wake_source =
+            g_idle_add_full(G_PRIORITY_DEFAULT, on_wake, process, NULL);
+}
+
+static void
+wake(void *data)
+{
+    cs_process_wake(data);
+}
+
+static gboolean
+on_stop_signal(gpointer data)
+{
+    cs_process *process = data;
+
+    if (process->drain_us)
+        return G_SOURCE_CONTINUE;
+    process->drain_us =
+        cs_clock_boot_us() + process->settings.drain_ms * CS_MS_US;
+    cs_log_event("draining", "within %" PRId64 " ms",
+                 process->settings.drain_ms);
+    cs_http_server_stop_accepting(process->server);
+    cs_outbox_set_now(process->outbox, cs_now_read());
+    process->hooks.drain(process->hooks.data);
+    send_heartbeat(process);
+    return G_SOURCE_CONTINUE;
+}
+
+static int64_t
+read_rss_bytes(void)
+{
+    FILE *file = fopen("/proc/self/statm", "r");
+    long pages = 0;
+
+    if (!file)
+        return 0;
+    if (fscanf(file, "%*d %ld", &pages) != 1)
+        pages = 0;
+    fclose(file);
+    return (int64_t)pages * 4096;
+}
+
+static void
+reply_metrics(cs_process *process, cs_http_request *request)
+{
+    GString *text = g_string_new(NULL);
+    struct rusage usage;
+
+    getrusage(RUSAGE_SELF, &usage);
+    *process->cpu_us =
+        (usage.ru_utime.tv_sec + usage.ru_stime.tv_sec) * CS_SEC_US +
+        usage.ru_utime.tv_usec + usage.ru_stime.tv_usec;
+    *process->rss_bytes = read_rss_bytes();
+    cs_counters_print(process->counters, text);
+    cs_http_reply(request, 200, "text/plain; version=0.0.4", text->str,
+                  text->len);
+    g_string_free(text, TRUE);
+}
+
+static void
+reply_text(cs_http_request *request, int status, const char *text)
+{
+    cs_http_reply(request, status, "text/plain", text, strlen(text));
+}
+
+static void
+on_request(cs_http_request *request, void *data)
+{
+    cs_process *process = data;
+    const char *path = cs_http_request_path(request);
+
+    cs_outbox_set_now(process->outbox, cs_now_read());
+    if (strcmp(path, "/metrics") == 0)
+        reply_metrics(process, request);
+    else if (strcmp(path, "/healthz") == 0)
+        reply_text(request, 200, "ok\n");
+    else if (strcmp(path, "/readyz") == 0) {
+        bool ready =
+            !process->drain_us && process->hooks.is_ready(process->hooks.data);
+
+        reply_text(request, ready ? 200 : 503,
+                   ready ? "ready\n" : "not ready\n");
+    }
+    else
+        process->hooks.request(request, process->hooks.data);
+    cs_process_wake(process);
+}
+
+static int
+create_http(cs_process *process)
+{
+    char ip[32];
+    uint16_t port;
+    int rc = cs_address_split(ip, sizeof(ip), &port, process->settings.listen);
+
+    if (!rc)
+        rc = cs_net_create(&process->net, process->loop);
+    if (!rc)
+        rc = cs_http_server_create(&process->server, process->net, ip, port,
+                                   on_request, process);
+    if (!rc)
+        rc = cs_http_client_create(&process->client, process->net,
+                                   process->settings.connections);
+    if (!rc)
+        g_snprintf(process->api, sizeof(process->api), "%s:%u", ip,
+                   cs_http_server_port(process->server));
+    return rc;
+}
+
+static void
+create_state(cs_process *process)
+{
+    const cs_process_settings *settings = &process->settings;
+
+    process->outbox = cs_outbox_create();
+    cs_outbox_set_now(process->outbox, cs_now_read());
+    process->board = cs_board_create();
+    process->journal = cs_journal_create(
+        process->board, process->outbox, process->counters, settings->name,
+        process->incarnation, cs_admission_check);
+    cs_journal_set_poll_us(process->journal, settings->poll_ms * CS_MS_US);
+    process->carrier =
+        cs_carrier_create(process->outbox, process->client, process->counters,
+                          settings->store, wake, process);
+}
+
+int
+cs_process_create(cs_process **out, const cs_process_settings *settings)
+{
+    cs_process *process = g_new0(cs_process, 1);
+    int rc;
+
+    signal(SIGPIPE, SIG_IGN);
+    cs_log_init(settings->name);
+    process->settings = *settings;
+    process->loop = g_main_loop_new(NULL, FALSE);
+    process->counters = cs_counters_create();
+    process->cpu_us =
+        cs_counters_get(process->counters, "cs_process_cpu_us_total");
+    process->rss_bytes =
+        cs_counters_get(process->counters, "cs_process_rss_bytes");
+    make_incarnation(process);
+    rc = create_http(process);
+    if (!rc)
+        rc = cs_peers_create(&process->peers, process->counters,
+                             settings->name, settings->peer_listen,
+                             settings->peers, on_message, process);
+    if (rc) {
+        cs_process_destroy(process);
+        return rc;
+    }
+    create_state(process);
+    cs_board_listen(process->board, send_hint, process);
+    *out = process;
+    return 0;
+}
+
+void
+cs_process_set_hooks(cs_process *process, const cs_process_hooks *hooks)
+{
+    process->hooks = *hooks;
+}
+
+int
+cs_process_run(cs_process *process)
+{
+    g_unix_signal_add(SIGTERM, on_stop_signal, process);
+    g_unix_signal_add(SIGINT, on_stop_signal, process);
+    g_timeout_add(TICK_MS, on_timer, process);
+    cs_log_event("started", "%s in %s on %s", process->settings.role,
+                 process->settings.zone, process->api);
+    g_main_loop_run(process->loop);
+    return process->status;
+}
+
+void
+cs_process_destroy(cs_process *process)
+{
+    if (!process)
+        return;
+    cs_peers_destroy(process->peers);
+    cs_net_destroy(process->net);
+    cs_http_client_destroy(process->client);
+    cs_http_server_destroy(process->server);
+    cs_carrier_destroy(process->carrier);
+    cs_journal_destroy(process->journal);
+    cs_board_destroy(process->board);
+    cs_outbox_destroy(process->outbox);
+    cs_counters_destroy(process->counters);
+    g_main_loop_unref(process->loop);
+    g_free(process);
+}
+
+cs_board *
+cs_process_board(cs_process *process)
+{
+    return process->board;
+}
+
+cs_outbox *
+cs_process_outbox(cs_process *process)
+{
+    return process->outbox;
+}
+
+cs_journal *
+cs_process_journal(cs_process *process)
+{
+    return process->journal;
+}
+
+cs_counters *
+cs_process_counters(cs_process *process)
+{
+    return process->counters;
+}
+
+cs_http_client *
+cs_process_client(cs_process *process)
+{
+    return process->client;
+}
+
+cs_peers *
+cs_process_peers(cs_process *process)
+{
+    return process->peers;
+}
+
+const char *
+cs_process_incarnation(const cs_process *process)
+{
+    return process->incarnation;
+}
+
+bool
+cs_process_is_draining(const cs_process *process)
+{
+    return process->drain_us != 0;
+}
--- /dev/null
+++ b/src/route/intent.c
@@ -0,0 +1,218 @@
+/*
+ * Ids of requests that may run only once. Each is inserted into the table on
+ * the condition that it is absent, many in one transaction, before the
+ * request is sent anywhere. A transaction whose answer was lost is settled by
+ * reading the rows back.
+ */
+#include "router_internal.h"
+#include "corianderstair/errors.h"
+#include "corianderstair/store.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#define BATCH_MAX 64
+#define CALL_TIMEOUT_US CS_SEC_US
+
+struct batch {
+    cs_router *router;
+    GPtrArray *keys; /* ids of open requests, as service/id */
+    char txn[80];
+};
+
+static void
+batch_destroy(struct batch *batch)
+{
+    g_ptr_array_free(batch->keys, TRUE);
+    g_free(batch);
+}
+
+void
+intent_add(struct request *request)
+{
+    request->state = REQUEST_INTENT;
+    g_ptr_array_add(request->router->intents, request);
+}
+
+static struct request *
+find_open(const struct batch *batch, guint i)
+{
+    return g_hash_table_lookup(batch->router->open,
+                               g_ptr_array_index(batch->keys, i));
+}
+
+static void
+written(struct request *request)
+{
+    request->intent_written = true;
+    router_enqueue(request);
+}
+
+static void
+refuse(struct request *request, int code, cs_run run, const char *text)
+{
+    router_finish(request, code, code == CS_E_DUPLICATE ? 409 : 503, run, text,
+                  strlen(text));
+}
+
+static void
+taken(struct request *request)
+{
+    static const char text[] =
+        "this request id was used before; its outcome is held elsewhere";
+
+    (*request->router->duplicates)++;
+    refuse(request, CS_E_DUPLICATE, CS_RUN_UNKNOWN, text);
+}
+
+static bool
+row_is_ours(const struct batch *batch, const json_t *row)
+{
+    const char *txn = json_string_value(
+        json_object_get(json_object_get(row, "value"), "txn"));
+
+    return g_strcmp0(txn, batch->txn) == 0;
+}
+
+static void
+on_read_back(void *data, int code, const json_t *reply)
+{
+    struct batch *batch = data;
+    cs_router *router = batch->router;
+    guint i;
+
+    router->intent_busy = false;
+    for (i = 0; i < batch->keys->len; i++) {
+        struct request *request = find_open(batch, i);
+        const json_t *row = json_array_get(cs_store_reply_rows(reply, i), 0);
+
+        if (!request || request->state != REQUEST_INTENT)
+            continue;
+        /* Nothing was sent to an endpoint, whatever became of the row. */
+        if (code || !row)
+            refuse(request, CS_E_STORE, CS_RUN_NOT,
+                   "the store is out of reach; the request did not run");
+        else if (row_is_ours(batch, row))
+            written(request);
+        else
+            taken(request);
+    }
+    batch_destroy(batch);
+    router_pump(router);
+}
+
+static void
+read_back(struct batch *batch)
+{
+    cs_router *router = batch->router;
+    json_t *read = cs_store_read();
+    guint i;
+
+    for (i = 0; i < batch->keys->len; i++) {
+        char key[CS_STORE_KEY_BYTES];
+
+        g_snprintf(key, sizeof(key), "q/%s",
+                   (const char *)g_ptr_array_index(batch->keys, i));
+        cs_store_read_key(read, key);
+    }
+    cs_outbox_push(
+        router->outbox, CS_CALL_STORE_READ, NULL, CS_STORE_READ_PATH, read,
+        router_now_us(router) + CALL_TIMEOUT_US, on_read_back, batch);
+}
+
+/* Refuses the ids that are taken and writes the others again. */
+static void
+on_conflict(struct batch *batch, const json_t *reply)
+{
+    guint i;
+
+    for (i = 0; i < batch->keys->len; i++) {
+        struct request *request = find_open(batch, i);
+        char key[CS_STORE_KEY_BYTES];
+
+        if (!request || request->state != REQUEST_INTENT)
+            continue;
+        g_snprintf(key, sizeof(key), "q/%s",
+                   (const char *)g_ptr_array_index(batch->keys, i));
+        if (cs_store_reply_conflicts(reply, key))
+            taken(request);
+        else
+            intent_add(request);
+    }
+}
+
+static void
+on_txn(void *data, int code, const json_t *reply)
+{
+    struct batch *batch = data;
+    cs_router *router = batch->router;
+    guint i;
+
+    if (code == CS_E_UNKNOWN) {
+        read_back(batch);
+        return;
+    }
+    router->intent_busy = false;
+    if (code == CS_E_CONFLICT)
+        on_conflict(batch, reply);
+    for (i = 0; code != CS_E_CONFLICT && i < batch->keys->len; i++) {
+        struct request *request = find_open(batch, i);
+
+        if (!request || request->state != REQUEST_INTENT)
+            continue;
+        if (code == 0)
+            written(request);
+        else
+            refuse(request, CS_E_STORE, CS_RUN_NOT,
+                   "the store is out of reach; the request did not run");
+    }
+    batch_destroy(batch);
+    router_pump(router);
+}
+
+static json_t *
+build_txn(struct batch *batch, uint32_t count)
+{
+    cs_router *router = batch->router;
+    json_t *txn;
+    guint i;
+
+    g_snprintf(batch->txn, sizeof(batch->txn), "%s.q%" PRIu64,
+               router->incarnation, ++router->next_txn);
+    txn = cs_store_txn(batch->txn);
+    for (i = 0; i < count; i++) {
+        struct request *request = g_ptr_array_index(router->intents, i);
+        char key[CS_STORE_KEY_BYTES];
+
+        g_ptr_array_add(batch->keys, g_strdup_printf("%s/%s", request->service,
+                                                     request->id));
+        cs_store_key_request(key, request->service, request->id);
+        cs_store_txn_check(txn, key, 0);
+        cs_store_txn_put(
+            txn, key,
+            json_pack("{s:s,s:I}", "txn", batch->txn, "at_us",
+                      (json_int_t)cs_outbox_now(router->outbox).wall_us));
+    }
+    g_ptr_array_remove_range(router->intents, 0, count);
+    return txn;
+}
+
+void
+intent_tick(cs_router *router)
+{
+    uint32_t count = MIN(router->intents->len, BATCH_MAX);
+    struct batch *batch;
+    json_t *txn;
+
+    if (router->intent_busy || count == 0)
+        return;
+    batch = g_new0(struct batch, 1);
+    batch->router = router;
+    batch->keys = g_ptr_array_new_with_free_func(g_free);
+    txn = build_txn(batch, count);
+    router->intent_busy = true;
+    (*router->intent_writes)++;
+    cs_outbox_push(router->outbox, CS_CALL_STORE_TXN, NULL, CS_STORE_TXN_PATH,
+                   txn, router_now_us(router) + CALL_TIMEOUT_US, on_txn,
+                   batch);
+}
