--- a/src/policy/explain.c
+++ b/src/policy/explain.c
@@ -193,20 +193,12 @@
     const struct worker *w = topology_worker(&sched->topology, index);
     uint64_t used = 0;
     guint i;
-    uint32_t k;
 
-    for (i = 0; i < w->jobs->len; i++) {
-        const cs_sched_job *job = g_ptr_array_index(w->jobs, i);
-
-        for (k = 0; k < job->member_count; k++) {
-            if (job->members[k].worker != index)
-                continue;
-            if (used & job->members[k].mask)
-                return cs_error_set(CS_E_INVALID,
-                                    "worker %u gives an accelerator twice",
-                                    index);
-            used |= job->members[k].mask;
-        }
+    for (i = 0; i < w->tenants->len; i++) {
+        if (used & worker_tenant(w, i)->mask)
+            return cs_error_set(CS_E_INVALID,
+                                "worker %u gives an accelerator twice", index);
+        used |= worker_tenant(w, i)->mask;
     }
     if (used != w->used || (used & ~w->all))
         return cs_error_set(CS_E_INVALID, "worker %u has a wrong mask", index);
--- a/src/policy/policy_internal.h
+++ b/src/policy/policy_internal.h
@@ -14,6 +14,12 @@
 /* Workers under suspicion that a job keeps away from. */
 #define JOB_AVOIDS_MAX 8
 
+/* A started job's part of a worker. */
+struct tenant {
+    cs_sched_job *job;
+    uint64_t mask;
+};
+
 struct worker {
     uint32_t rack;
     uint32_t accelerators;
@@ -33,7 +39,7 @@
     bool whole;          /* usable and wholly free */
     uint32_t free;       /* counted in the topology's sum */
     bool counted;        /* among the topology's accelerators */
-    GPtrArray *jobs;     /* started here */
+    GArray *tenants;     /* of struct tenant */
 };
 
 struct rack {
@@ -101,10 +107,11 @@
     int64_t weight;
     GArray *guarantees; /* of struct guarantee, smallest first */
     GSequence *queues[TIER_COUNT][CLASS_COUNT];
-    uint32_t nonempty[TIER_COUNT]; /* a bit for each class */
-    uint32_t running;              /* accelerators outside guarantees */
-    double usage;                  /* decayed accelerator-seconds */
-    int64_t usage_us;              /* instant of usage */
+    cs_sched_job *heads[TIER_COUNT][CLASS_COUNT]; /* first of each queue */
+    uint32_t nonempty[TIER_COUNT];                /* a bit for each class */
+    uint32_t running; /* accelerators outside guarantees */
+    double usage;     /* decayed accelerator-seconds */
+    int64_t usage_us; /* instant of usage */
 };
 
 struct estimate {
@@ -132,6 +139,7 @@
     uint32_t started;
     uint32_t aside;         /* workers set aside */
     int64_t suspend_us;     /* last search for a long job to suspend */
+    int64_t reserve_us;     /* last search for a place to reserve */
     uint32_t opportunistic; /* started jobs of that tier */
     cs_sched_job *reserved; /* the job that the reservation is for */
 };
@@ -141,6 +149,7 @@
 void topology_dispose(struct topology *t);
 uint32_t topology_add(struct topology *t, uint32_t rack,
                       uint32_t accelerators);
+struct tenant *worker_tenant(const struct worker *w, uint32_t i);
 struct worker *topology_worker(const struct topology *t, uint32_t index);
 struct rack *topology_rack(const struct topology *t, uint32_t index);
 /* Brings the sums of the worker's rack up to date after a change. */
--- a/src/policy/queue.c
+++ b/src/policy/queue.c
@@ -93,6 +93,17 @@
     queue_organisation(sched, organisation)->weight = MAX(weight, 1);
 }
 
+static void
+note_head(struct organisation *o, cs_tier tier, uint32_t size_class)
+{
+    GSequence *queue = o->queues[tier][size_class];
+
+    o->heads[tier][size_class] =
+        g_sequence_is_empty(queue)
+            ? NULL
+            : g_sequence_get(g_sequence_get_begin_iter(queue));
+}
+
 void
 queue_push(cs_sched *sched, cs_sched_job *job)
 {
@@ -112,6 +123,7 @@
     job->key.sequence = job->sequence;
     job->by_length = g_sequence_insert_sorted(o->queues[tier][size_class], job,
                                               compare_keys, NULL);
+    note_head(o, tier, size_class);
     o->nonempty[tier] |= UINT32_C(1) << size_class;
     /* A job that is queued again goes back to its place by age. */
     while (link && ((cs_sched_job *)link->data)->sequence > job->sequence)
@@ -136,6 +148,7 @@
     g_queue_delete_link(&sched->ages[tier][size_class], job->by_age);
     job->by_length = NULL;
     job->by_age = NULL;
+    note_head(o, tier, size_class);
     if (g_sequence_is_empty(o->queues[tier][size_class]))
         o->nonempty[tier] &= ~(UINT32_C(1) << size_class);
     sched->queued--;
--- a/src/policy/reclaim.c
+++ b/src/policy/reclaim.c
@@ -65,16 +65,10 @@
 
     if (!w->usable || (w->claimed & mask))
         return INFINITY;
-    for (i = 0; i < w->jobs->len && (w->used & mask); i++) {
-        cs_sched_job *victim = g_ptr_array_index(w->jobs, i);
-        uint64_t theirs = 0;
-        uint32_t k;
-
-        for (k = 0; k < victim->member_count; k++) {
-            if (victim->members[k].worker == index)
-                theirs |= victim->members[k].mask;
-        }
-        if (!(theirs & mask))
+    for (i = 0; i < w->tenants->len && (w->used & mask); i++) {
+        cs_sched_job *victim = worker_tenant(w, i)->job;
+
+        if (!(worker_tenant(w, i)->mask & mask))
             continue;
         if (!may_preempt(sched, job, victim))
             return INFINITY;
--- a/src/policy/reserve.c
+++ b/src/policy/reserve.c
@@ -13,8 +13,8 @@
 
     if (!w->usable || w->accelerators == 0)
         return INT64_MAX;
-    for (i = 0; i < w->jobs->len; i++) {
-        const cs_sched_job *job = g_ptr_array_index(w->jobs, i);
+    for (i = 0; i < w->tenants->len; i++) {
+        const cs_sched_job *job = worker_tenant(w, i)->job;
         int64_t end_us = job_end_us(sched, job);
 
         /* A job that has overrun is expected to go on for a while. */
@@ -125,35 +125,97 @@
     return MIN((n + rack_max - 1) / rack_max, sched->topology.racks->len);
 }
 
-void
-reserve_make(cs_sched *sched, cs_sched_job *job, int64_t now_us)
+/* When every usable worker of each rack is free. */
+static int64_t *
+rack_times(const cs_sched *sched, int64_t now_us)
 {
-    uint32_t n = job->request.accelerators;
-    uint32_t span = racks_spanned(sched, n);
+    uint32_t count = sched->topology.racks->len;
+    int64_t *times = g_new(int64_t, MAX(count, 1));
+    uint32_t i;
+    guint k;
+
+    for (i = 0; i < count; i++) {
+        const struct rack *r = topology_rack(&sched->topology, i);
+
+        times[i] = now_us;
+        for (k = 0; k < r->workers->len; k++) {
+            const struct worker *w = topology_worker(
+                &sched->topology, g_array_index(r->workers, uint32_t, k));
+            int64_t at_us = worker_free_at(sched, w, now_us);
+
+            if (at_us != INT64_MAX)
+                times[i] = MAX(times[i], at_us);
+        }
+    }
+    return times;
+}
+
+/* The run of racks that is free first. */
+static uint32_t
+best_run(const cs_sched *sched, uint32_t span, int64_t now_us)
+{
+    int64_t *times = rack_times(sched, now_us);
     int64_t best_us = INT64_MAX;
     uint32_t best = 0;
-    GArray *list;
-    guint count = 0;
     uint32_t i;
+    uint32_t k;
 
-    reserve_clear(sched);
     for (i = 0; i + span <= sched->topology.racks->len; i++) {
-        int64_t at_us;
+        int64_t at_us = 0;
+
+        for (k = i; k < i + span; k++)
+            at_us = MAX(at_us, times[k]);
+        if (at_us < best_us) {
+            best_us = at_us;
+            best = i;
+        }
+    }
+    g_free(times);
+    return best;
+}
+
+/* The rack in which n accelerators are free first. */
+static uint32_t
+best_rack(const cs_sched *sched, uint32_t n, int64_t now_us)
+{
+    int64_t best_us = INT64_MAX;
+    uint32_t best = 0;
+    uint32_t i;
+
+    for (i = 0; i < sched->topology.racks->len; i++) {
+        GArray *list = rank_free(sched, i, i, now_us);
+        guint count = 0;
+        int64_t at_us = instant_for(list, n, &count);
 
-        list = rank_free(sched, i, i + span - 1, now_us);
-        at_us = instant_for(list, n, &count);
         g_array_free(list, TRUE);
         if (at_us < best_us) {
             best_us = at_us;
             best = i;
         }
     }
-    if (best_us == INT64_MAX)
-        return;
-    list = rank_free(sched, best, best + span - 1, now_us);
-    best_us = MAX(instant_for(list, n, &count), now_us + 1);
-    mark_reserved(sched, list, count, best_us);
+    return best;
+}
+
+void
+reserve_make(cs_sched *sched, cs_sched_job *job, int64_t now_us)
+{
+    uint32_t n = job->request.accelerators;
+    uint32_t span = racks_spanned(sched, n);
+    uint32_t first;
+    GArray *list;
+    guint count = 0;
+    int64_t at_us;
+
+    reserve_clear(sched);
+    first =
+        span > 1 ? best_run(sched, span, now_us) : best_rack(sched, n, now_us);
+    list = rank_free(sched, first, first + span - 1, now_us);
+    at_us = instant_for(list, n, &count);
+    if (at_us != INT64_MAX) {
+        at_us = MAX(at_us, now_us + 1);
+        mark_reserved(sched, list, count, at_us);
+        sched->reserved = job;
+        job->expected_us = at_us;
+    }
     g_array_free(list, TRUE);
-    sched->reserved = job;
-    job->expected_us = best_us;
 }
--- a/src/policy/sched.c
+++ b/src/policy/sched.c
@@ -193,13 +193,14 @@
 
     for (i = 0; i < job->member_count; i++) {
         const cs_sched_member *m = &job->members[i];
+        struct tenant tenant = {job, m->mask};
         struct worker *w = topology_worker(&sched->topology, m->worker);
 
         w->claimed &= ~m->mask;
         w->used |= m->mask;
         if (is_guaranteed(job))
             w->held |= m->mask;
-        g_ptr_array_add(w->jobs, job);
+        g_array_append_val(w->tenants, tenant);
         topology_update(&sched->topology, m->worker);
     }
     queue_charge(o, now_us);
@@ -213,6 +214,19 @@
     sched->last_us = MAX(sched->last_us, now_us);
 }
 
+static void
+remove_tenant(struct worker *w, const cs_sched_job *job)
+{
+    guint i;
+
+    for (i = 0; i < w->tenants->len; i++) {
+        if (worker_tenant(w, i)->job == job) {
+            g_array_remove_index(w->tenants, i);
+            return;
+        }
+    }
+}
+
 static void
 vacate(cs_sched *sched, cs_sched_job *job)
 {
@@ -227,7 +241,7 @@
         w->used &= ~m->mask;
         if (is_guaranteed(job))
             w->held &= ~m->mask;
-        g_ptr_array_remove_fast(w->jobs, job);
+        remove_tenant(w, job);
         topology_update(&sched->topology, m->worker);
     }
     queue_charge(o, sched->last_us);
--- a/src/policy/suspend.c
+++ b/src/policy/suspend.c
@@ -11,7 +11,6 @@
 #define RUN_MIN_US (INT64_C(30) * 1000000)
 /* The job that waits has done so for this long. */
 #define WAIT_MIN_US (INT64_C(1) * 1000000)
-#define SEARCH_GAP_US INT64_C(200000)
 
 static int64_t
 remaining_us(const cs_sched *sched, const cs_sched_job *job, int64_t now_us)
@@ -27,7 +26,7 @@
     uint32_t most = class_of(MAX(sched->topology.worker_max, 1));
     uint32_t i;
 
-    for (i = 0; i <= most; i++)
+    for (i = 0; i <= most && i < CLASS_COUNT; i++)
         demand += (uint64_t)sched->ages[CS_TIER_NORMAL][i].length << i;
     return demand;
 }
@@ -59,8 +58,8 @@
     for (i = 0; i < sched->topology.workers->len; i++) {
         const struct worker *w = topology_worker(&sched->topology, i);
 
-        for (k = 0; k < w->jobs->len; k++) {
-            cs_sched_job *job = g_ptr_array_index(w->jobs, k);
+        for (k = 0; k < w->tenants->len; k++) {
+            cs_sched_job *job = worker_tenant(w, k)->job;
             double area;
 
             if (job->members[0].worker != i)
@@ -86,10 +85,8 @@
     uint64_t stopping = 0;
     cs_sched_job *victim;
 
-    if (now_us - waiting->request.submitted_us < WAIT_MIN_US ||
-        now_us - sched->suspend_us < SEARCH_GAP_US)
+    if (now_us - waiting->request.submitted_us < WAIT_MIN_US)
         return NULL;
-    sched->suspend_us = now_us;
     victim = find_victim(sched, waiting, now_us, &stopping);
     if (!victim ||
         short_demand(sched) < stopping + victim->request.accelerators)
--- a/src/policy/topology.c
+++ b/src/policy/topology.c
@@ -10,11 +10,9 @@
 uint32_t
 order_for(uint32_t accelerators)
 {
-    uint32_t order = 0;
-
-    while ((UINT32_C(1) << order) < accelerators)
-        order++;
-    return order;
+    if (accelerators <= 1)
+        return 0;
+    return 32 - (uint32_t)__builtin_clz(accelerators - 1);
 }
 
 /* Starts of aligned blocks of 2^order free accelerators. */
@@ -82,13 +80,19 @@
     guint i;
 
     for (i = 0; i < t->workers->len; i++)
-        g_ptr_array_free(topology_worker(t, i)->jobs, TRUE);
+        g_array_free(topology_worker(t, i)->tenants, TRUE);
     for (i = 0; i < t->racks->len; i++)
         g_array_free(topology_rack(t, i)->workers, TRUE);
     g_array_free(t->workers, TRUE);
     g_array_free(t->racks, TRUE);
 }
 
+struct tenant *
+worker_tenant(const struct worker *w, uint32_t i)
+{
+    return &g_array_index(w->tenants, struct tenant, i);
+}
+
 struct worker *
 topology_worker(const struct topology *t, uint32_t index)
 {
@@ -104,11 +108,12 @@
 uint32_t
 topology_add(struct topology *t, uint32_t rack, uint32_t accelerators)
 {
-    struct worker worker = {.rack = rack,
-                            .accelerators = accelerators,
-                            .all = low_bits(accelerators),
-                            .order = -1,
-                            .jobs = g_ptr_array_new()};
+    struct worker worker = {
+        .rack = rack,
+        .accelerators = accelerators,
+        .all = low_bits(accelerators),
+        .order = -1,
+        .tenants = g_array_new(FALSE, FALSE, sizeof(struct tenant))};
     uint32_t index = t->workers->len;
     struct rack *r;
 
--- a/src/policy/turn.c
+++ b/src/policy/turn.c
@@ -3,14 +3,13 @@
  * urgent work, normal work by fair share and expected length with one
  * reservation, opportunistic work.
  */
-#include "policy_internal.h"
+#include "choose.h"
 #include "sched_internal.h"
 
-#include <math.h>
-
-/* Shares that differ by less than this part of the cell count as equal. */
-#define SHARE_STEP 0.04
 #define WAIT_MIN_US (60 * INT64_C(1000000))
+/* Searches over the whole cell are made no more often. */
+#define SUSPEND_GAP_US (INT64_C(200) * 1000)
+#define RESERVE_GAP_US (INT64_C(1000) * 1000)
 #define URGENT_TRIES 64
 /* A move must save this many times what it costs. */
 #define MOVE_GAIN 2.0
@@ -138,18 +137,11 @@
         const cs_sched_member *m = &job->members[i];
         struct worker *w = topology_worker(&sched->topology, m->worker);
 
-        for (k = 0; k < w->jobs->len; k++) {
-            cs_sched_job *victim = g_ptr_array_index(w->jobs, k);
-            uint32_t j;
+        for (k = 0; k < w->tenants->len; k++) {
+            cs_sched_job *victim = worker_tenant(w, k)->job;
 
-            if (victim->state != JOB_STARTED)
-                continue;
-            for (j = 0; j < victim->member_count; j++) {
-                if (victim->members[j].worker == m->worker &&
-                    (victim->members[j].mask & m->mask))
-                    break;
-            }
-            if (j == victim->member_count)
+            if (victim->state != JOB_STARTED ||
+                !(worker_tenant(w, k)->mask & m->mask))
                 continue;
             victim->state = JOB_STOPPING;
             victim->stop_us = deadline_us;
@@ -210,12 +202,19 @@
 {
     bool blocked;
 
+    /* What no smaller job found in this turn it cannot find either. */
+    if (job->request.accelerators >= turn->smallest_failed) {
+        job->wait = WAIT_NO_SPACE;
+        return;
+    }
     if (find_free(turn, job, INT64_MIN, &blocked)) {
         start(turn, job, turn->members);
         return;
     }
-    if (!reclaim(turn, job))
-        job->wait = WAIT_NO_SPACE;
+    if (reclaim(turn, job))
+        return;
+    job->wait = WAIT_NO_SPACE;
+    turn->smallest_failed = job->request.accelerators;
 }
 
 /* Visits the jobs of a tier, oldest first in each size. */
@@ -238,62 +237,6 @@
     }
 }
 
-static double
-area_of(const cs_sched_job *job)
-{
-    return (double)job->key.remaining_us * job->request.accelerators;
-}
-
-/* The job of least work in an organisation, among sizes not given up. */
-static cs_sched_job *
-shortest(const struct organisation *o, cs_tier tier, uint32_t skip)
-{
-    uint32_t classes = o->nonempty[tier] & ~skip;
-    cs_sched_job *best = NULL;
-
-    while (classes) {
-        uint32_t size_class = (uint32_t)__builtin_ctz(classes);
-        cs_sched_job *job = g_sequence_get(
-            g_sequence_get_begin_iter(o->queues[tier][size_class]));
-
-        if (!best || area_of(job) < area_of(best))
-            best = job;
-        classes &= classes - 1;
-    }
-    return best;
-}
-
-/* The next job by share, and by least work among nearly equal shares. */
-static cs_sched_job *
-next_job(struct turn *turn, cs_tier tier, const uint32_t *skips)
-{
-    cs_sched *sched = turn->sched;
-    double step = MAX(SHARE_STEP * sched->topology.accelerators, 1.0);
-    cs_sched_job *best = NULL;
-    double best_step = INFINITY;
-    guint i;
-
-    for (i = 0; i < sched->organisations->len; i++) {
-        struct organisation *o = queue_organisation(sched, i);
-        cs_sched_job *job;
-        double steps;
-
-        if (!(o->nonempty[tier] & ~skips[i]))
-            continue;
-        steps = floor(queue_share(o, turn->now_us) / step);
-        if (steps > best_step)
-            continue;
-        job = shortest(o, tier, skips[i]);
-        if (!job)
-            continue;
-        if (steps < best_step || (best && area_of(job) < area_of(best))) {
-            best = job;
-            best_step = steps;
-        }
-    }
-    return best;
-}
-
 static int64_t
 end_if_started(const struct turn *turn, const cs_sched_job *job)
 {
@@ -325,24 +268,23 @@
 static void
 run_shared(struct turn *turn, cs_tier tier)
 {
-    cs_sched *sched = turn->sched;
-    uint32_t *skips = g_new0(uint32_t, MAX(sched->organisations->len, 1));
+    struct chooser chooser;
     cs_sched_job *job;
-    guint i;
 
+    /* A full cell has no place for anything. */
+    if (turn->sched->topology.free == 0)
+        return;
+    chooser_init(&chooser, turn->sched, tier, turn->now_us);
     turn->smallest_failed = UINT32_MAX;
-    while (!is_full(turn) && (job = next_job(turn, tier, skips)) != NULL) {
-        uint32_t size_class = class_of(job->request.accelerators);
+    while (!is_full(turn) && (job = chooser_next(&chooser)) != NULL) {
+        uint32_t organisation = job->request.organisation;
 
         if (try_normal(turn, job))
-            continue;
-        skips[job->request.organisation] |= UINT32_C(1) << size_class;
-        /* What is larger cannot fit either, whoever owns it. */
-        for (i = 0;
-             job->wait == WAIT_NO_SPACE && i < sched->organisations->len; i++)
-            skips[i] |= ~UINT32_C(0) << (size_class + 1);
+            chooser_started(&chooser, organisation);
+        else
+            chooser_failed(&chooser, job);
     }
-    g_free(skips);
+    chooser_dispose(&chooser);
 }
 
 static cs_sched_job *
@@ -443,8 +385,8 @@
             &g_array_index(turn->members, cs_sched_member, i);
         const struct worker *w = topology_worker(&sched->topology, m->worker);
 
-        for (k = 0; k < w->jobs->len; k++) {
-            cs_sched_job *victim = g_ptr_array_index(w->jobs, k);
+        for (k = 0; k < w->tenants->len; k++) {
+            cs_sched_job *victim = worker_tenant(w, k)->job;
 
             if (victim->mark == sched->mark)
                 continue;
@@ -467,12 +409,10 @@
     bool stale =
         sched->reserved && sched->reserved->expected_us <= turn->now_us;
 
-    if (!job || !has_waited(turn, job))
-        return;
-    if (sched->reserved == job && !stale)
-        return;
-    if (sched->reserved && !stale)
+    if (!job || !has_waited(turn, job) || (sched->reserved && !stale) ||
+        turn->now_us - sched->reserve_us < RESERVE_GAP_US)
         return;
+    sched->reserve_us = turn->now_us;
     reserve_make(sched, job, turn->now_us);
     if (sched->reserved == job && !is_full(turn))
         try_move(turn, job);
@@ -506,16 +446,19 @@
 run_suspend(struct turn *turn)
 {
     cs_sched *sched = turn->sched;
-    uint32_t *skips;
+    struct chooser chooser;
     cs_sched_job *waiting;
     cs_sched_job *victim;
     int64_t deadline_us = turn->now_us + sched->settings.grace_us;
 
     if (is_full(turn) || sched->queued == 0)
         return;
-    skips = g_new0(uint32_t, MAX(sched->organisations->len, 1));
-    waiting = next_job(turn, CS_TIER_NORMAL, skips);
-    g_free(skips);
+    if (turn->now_us - sched->suspend_us < SUSPEND_GAP_US)
+        return;
+    sched->suspend_us = turn->now_us;
+    chooser_init(&chooser, sched, CS_TIER_NORMAL, turn->now_us);
+    waiting = chooser_next(&chooser);
+    chooser_dispose(&chooser);
     if (!waiting)
         return;
     victim = suspend_find(sched, waiting, turn->now_us);
