--- a/include/corianderstair/http_client.h
+++ b/include/corianderstair/http_client.h
@@ -53,7 +53,10 @@
 int cs_http_client_create(cs_http_client **out, cs_net *net,
                           uint32_t connections);
 
-/** Ends every call with CS_E_CUT and frees the client; NULL is allowed. */
+/** Starts no further call; to be called before the net is destroyed. */
+void cs_http_client_close(cs_http_client *client);
+
+/** Frees the client after the net, which ends its calls; NULL is allowed. */
 void cs_http_client_destroy(cs_http_client *client);
 
 /** Starts a call. @return 0, CS_E_INVALID or CS_E_OVERLOAD (not started) */
--- a/include/corianderstair/journal.h
+++ b/include/corianderstair/journal.h
@@ -46,6 +46,7 @@
 cs_journal *cs_journal_create(cs_board *board, cs_outbox *outbox,
                               cs_counters *counters, const char *writer,
                               const char *incarnation, cs_journal_check check);
+/** Ends what is pending with CS_E_UNKNOWN and frees the journal. */
 void cs_journal_destroy(cs_journal *journal);
 
 /** Sets the time between polls. */
--- a/include/corianderstair/process.h
+++ b/include/corianderstair/process.h
@@ -56,6 +56,10 @@
 
 /** Runs until a drain has ended. @return the exit status of the program */
 int cs_process_run(cs_process *process);
+/** Closes all connections; calls in flight end before it returns. */
+void cs_process_close(cs_process *process);
+/** Ends what waits in the journal, while those who wait still live. */
+void cs_process_end_journal(cs_process *process);
 void cs_process_destroy(cs_process *process);
 
 /** Asks for a tick soon. */
--- a/src/control/gang.c
+++ b/src/control/gang.c
@@ -196,7 +196,8 @@
 {
     gang->status.state = CS_JOB_STARTING;
     copy_members_to_status(gang);
-    gang->dirty = true;
+    gang_set_condition(gang, "Starting", "attempt-recorded",
+                       "the attempt is written and its members may start");
     set_state(gang, GANG_RECORDING);
     gang_write(gang);
 }
@@ -273,14 +274,46 @@
     gang_end(gang, gang->stop == STOP_LOST ? CS_JOB_UNKNOWN : CS_JOB_FAILED);
 }
 
+static bool
+all_done(const struct gang *gang)
+{
+    guint i;
+
+    for (i = 0; i < gang->members->len; i++) {
+        const struct member *m =
+            &g_array_index(gang->members, struct member, i);
+
+        if (m->phase != PHASE_EXITED || m->exit_code != 0)
+            return false;
+    }
+    return gang->members->len > 0;
+}
+
+/* An attempt is recorded before any member starts, so a job without that
+   condition surely never ran. */
+static const char *
+how_far(const struct gang *gang)
+{
+    uint32_t i;
+
+    for (i = 0; i < gang->status.condition_count; i++) {
+        if (strcmp(gang->status.conditions[i].type, "Starting") == 0)
+            return "an attempt had been started";
+    }
+    return "it never started";
+}
+
 static void
 finish_stop(struct gang *gang)
 {
+    /* It was done before the stop reached any member. */
+    if (all_done(gang)) {
+        succeed(gang);
+        return;
+    }
     switch (gang->stop) {
     case STOP_CANCELLED:
-        gang_set_condition(gang, "Ended", "cancelled",
-                           any_ran(gang) ? "stopped after it had started"
-                                         : "it never started");
+        gang_set_condition(gang, "Ended", "cancelled", how_far(gang));
         gang_end(gang, CS_JOB_CANCELLED);
         return;
     case STOP_FAILED:
@@ -452,7 +485,7 @@
 {
     switch (gang->state) {
     case GANG_QUEUED:
-        gang_set_condition(gang, "Ended", "cancelled", "it never started");
+        gang_set_condition(gang, "Ended", "cancelled", how_far(gang));
         gang_end(gang, CS_JOB_CANCELLED);
         return;
     case GANG_FINAL:
--- a/src/control/journal_commit.c
+++ b/src/control/journal_commit.c
@@ -37,9 +37,9 @@
     guint i;
 
     while ((pending = g_queue_pop_head(&scope->queue)) != NULL)
-        pending_destroy(pending);
+        finish(pending, CS_E_UNKNOWN, 0);
     for (i = 0; i < scope->batch->len; i++)
-        pending_destroy(g_ptr_array_index(scope->batch, i));
+        finish(g_ptr_array_index(scope->batch, i), CS_E_UNKNOWN, 0);
     g_ptr_array_free(scope->batch, TRUE);
     json_decref(scope->txn);
 }
--- a/src/control/link.c
+++ b/src/control/link.c
@@ -182,6 +182,9 @@
     if (gang)
         make_token(ours, gang);
     if (!m || strcmp(ours, token) != 0) {
+        /* A later holder needs this record until the end is written. */
+        if (phase == PHASE_EXITED && gang && (gang->dirty || gang->writing))
+            return;
         note_orphan(link, job, token, phase);
         return;
     }
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -29,6 +29,7 @@
     GHashTable *targets;
     uint32_t open_calls;
     uint32_t queued;
+    bool closing;
 };
 
 struct target {
@@ -95,7 +96,8 @@
     if (call->lane >= 0)
         target->busy &= ~(UINT64_C(1) << call->lane);
     call_destroy(call);
-    start_waiting(client, target);
+    if (!client->closing)
+        start_waiting(client, target);
 }
 
 static int
@@ -376,6 +378,29 @@
     return 0;
 }
 
+static void
+end_waiting(struct target *target)
+{
+    struct call *call;
+
+    while ((call = g_queue_pop_head(&target->waiting)) != NULL) {
+        tell_end(call, CS_E_CONNECT);
+        call_destroy(call);
+    }
+}
+
+void
+cs_http_client_close(cs_http_client *client)
+{
+    GHashTableIter iter;
+    gpointer target;
+
+    client->closing = true;
+    g_hash_table_iter_init(&iter, client->targets);
+    while (g_hash_table_iter_next(&iter, NULL, &target))
+        end_waiting(target);
+}
+
 void
 cs_http_client_destroy(cs_http_client *client)
 {
@@ -396,6 +421,8 @@
     rc = find_target(&target, client, params->address);
     if (rc)
         return rc;
+    if (client->closing)
+        return cs_error_set(CS_E_DRAINING, "the client is closed");
     if (client->queued >= QUEUE_MAX)
         return cs_error_set(CS_E_OVERLOAD, "too many calls wait for %s",
                             params->address);
--- a/src/process/process.c
+++ b/src/process/process.c
@@ -327,17 +327,37 @@
     return process->status;
 }
 
+void
+cs_process_close(cs_process *process)
+{
+    cs_peers_destroy(process->peers);
+    process->peers = NULL;
+    if (process->client)
+        cs_http_client_close(process->client);
+    cs_net_destroy(process->net);
+    process->net = NULL;
+    if (process->wake_source)
+        g_source_remove(process->wake_source);
+    process->wake_source = 0;
+}
+
+void
+cs_process_end_journal(cs_process *process)
+{
+    cs_journal_destroy(process->journal);
+    process->journal = NULL;
+}
+
 void
 cs_process_destroy(cs_process *process)
 {
     if (!process)
         return;
-    cs_peers_destroy(process->peers);
-    cs_net_destroy(process->net);
+    cs_process_close(process);
     cs_http_client_destroy(process->client);
     cs_http_server_destroy(process->server);
     cs_carrier_destroy(process->carrier);
-    cs_journal_destroy(process->journal);
+    cs_process_end_journal(process);
     cs_board_destroy(process->board);
     cs_outbox_destroy(process->outbox);
     cs_counters_destroy(process->counters);
--- a/src/programs/cs_entryd.c
+++ b/src/programs/cs_entryd.c
@@ -155,7 +155,11 @@
     cs_journal_follow(cs_process_journal(entry.process), CS_SCOPE_CONFIG);
     cs_process_set_hooks(entry.process, &hooks);
     status = cs_process_run(entry.process);
-    /* What is open is given up here; the exit status says so. */
+    cs_process_close(entry.process);
+    cs_process_end_journal(entry.process);
+    cs_api_destroy(entry.api);
+    cs_router_destroy(entry.router);
+    cs_process_destroy(entry.process);
     return status;
 }
 
--- a/src/programs/cs_schedd.c
+++ b/src/programs/cs_schedd.c
@@ -109,6 +109,7 @@
                               .is_drained = is_drained,
                               .is_ready = is_ready,
                               .data = &schedd};
+    int status;
 
     if (cs_process_create(&schedd.process, settings)) {
         fprintf(stderr, "cs-schedd: %s\n", cs_error_last());
@@ -120,7 +121,12 @@
         cs_process_journal(schedd.process),
         cs_process_counters(schedd.process), &scheduler);
     cs_process_set_hooks(schedd.process, &hooks);
-    return cs_process_run(schedd.process);
+    status = cs_process_run(schedd.process);
+    cs_process_close(schedd.process);
+    cs_process_end_journal(schedd.process);
+    cs_scheduler_destroy(schedd.scheduler);
+    cs_process_destroy(schedd.process);
+    return status;
 }
 
 int
--- a/src/programs/csctl_call.c
+++ b/src/programs/csctl_call.c
@@ -31,6 +31,7 @@
 ctl_close(struct ctl *ctl)
 {
     json_decref(ctl->body);
+    cs_http_client_close(ctl->client);
     cs_net_destroy(ctl->net);
     cs_http_client_destroy(ctl->client);
     g_strfreev(ctl->addresses);
