Work of the scheduler in proportion to what changed

Cause: every answer of a worker made the scheduler walk all gangs and links; renewals and answers listed every lease, task by task. Change: gangs and links that want attention are kept in lists, every link is looked at ten times a second; one field renews a worker's leases and the list comes back only when it has changed; normal work stops opportunistic work after 3 s.

--- a/src/control/gang.c
+++ b/src/control/gang.c
@@ -38,11 +38,36 @@
         struct member *m = &g_array_index(gang->members, struct member, i);
 
         g_ptr_array_remove(m->link->gangs, gang);
-        m->link->dirty = true;
+        link_touch(m->link);
     }
     g_array_set_size(gang->members, 0);
 }
 
+void
+gang_touch(struct gang *gang)
+{
+    if (gang->active)
+        return;
+    gang->active = true;
+    g_ptr_array_add(gang->s->active, gang);
+}
+
+void
+gang_mark(struct gang *gang)
+{
+    gang->dirty = true;
+    gang_touch(gang);
+}
+
+bool
+gang_is_idle(const struct gang *gang)
+{
+    bool resting =
+        gang->state == GANG_QUEUED || gang->state == GANG_RUNNING;
+
+    return resting && !gang->dirty && !gang->writing;
+}
+
 void
 gang_destroy(struct gang *gang)
 {
@@ -57,7 +82,7 @@
 {
     cs_job_status_set_condition(&gang->status, type, reason, message,
                                 sched_now(gang->s).wall_us);
-    gang->dirty = true;
+    gang_mark(gang);
 }
 
 struct member *
@@ -81,7 +106,7 @@
 
     g_array_append_val(gang->members, m);
     g_ptr_array_add(link->gangs, gang);
-    link->dirty = true;
+    link_touch(link);
 }
 
 static void
@@ -90,8 +115,9 @@
     guint i;
 
     gang->state = state;
+    gang_touch(gang);
     for (i = 0; i < gang->members->len; i++)
-        g_array_index(gang->members, struct member, i).link->dirty = true;
+        link_touch(g_array_index(gang->members, struct member, i).link);
 }
 
 static void
@@ -566,7 +592,7 @@
     if (gang->stop == STOP_PREEMPTED)
         (*s->preempted)++;
     gang->state = GANG_QUEUED;
-    gang->dirty = true;
+    gang_mark(gang);
     cs_sched_requeue(s->sched, gang->job, progress_ms * CS_MS_US);
     s->decide = true;
 }
@@ -580,7 +606,7 @@
     gang->status.state = state;
     gang->status.ended_us = sched_now(s).wall_us;
     gang->state = GANG_FINAL;
-    gang->dirty = true;
+    gang_mark(gang);
     if (gang->job)
         cs_sched_release(s->sched, gang->job);
     gang->job = NULL;
--- a/src/control/gang_status.c
+++ b/src/control/gang_status.c
@@ -25,12 +25,13 @@
     if (!gang || gang->serial != serial)
         return;
     gang->writing = false;
+    gang_touch(gang);
     if (code == CS_E_FENCED) {
         cs_cell_fenced(s->cell, cs_cell_epoch(s->cell) + 1);
         return;
     }
     if (code) {
-        gang->dirty = true;
+        gang_mark(gang);
         return;
     }
     /* The attempt is durable now, so its members may start. */
@@ -39,7 +40,7 @@
 
         gang->state = GANG_STARTING;
         for (i = 0; i < gang->members->len; i++)
-            g_array_index(gang->members, struct member, i).link->dirty = true;
+            link_touch(g_array_index(gang->members, struct member, i).link);
     }
 }
 
@@ -63,7 +64,7 @@
     if (cs_journal_submit(s->journal, change, CS_MATCH_ANY,
                           sched_now(s).boot_us + WRITE_DEADLINE_US, on_written,
                           write)) {
-        gang->dirty = true;
+        gang_mark(gang);
         gang->writing = false;
         g_free(write);
     }
--- a/src/control/link.c
+++ b/src/control/link.c
@@ -1,7 +1,10 @@
 /*
  * The conversation with one worker. Each call carries every order that the
  * gangs want there and the worker has not confirmed; all orders are
- * idempotent, so a lost answer is repaired by the next call.
+ * idempotent, so a lost answer is repaired by the next call. One field renews
+ * all leases of the worker, and the answer lists them only when they are not
+ * as they were last seen, so that a quiet worker costs a short call whatever
+ * runs on it.
  */
 #include "scheduler_internal.h"
 #include "corianderstair/errors.h"
@@ -10,6 +13,9 @@
 #include <inttypes.h>
 #include <string.h>
 
+/* No list of leases was seen, or a new one is wanted. */
+#define SEEN_NONE INT64_C(-1)
+
 struct link *
 link_create(cs_scheduler *s, const cs_worker *worker, uint32_t index)
 {
@@ -24,6 +30,16 @@
     return link;
 }
 
+void
+link_touch(struct link *link)
+{
+    link->dirty = true;
+    if (link->touched)
+        return;
+    link->touched = true;
+    g_ptr_array_add(link->s->touched, link);
+}
+
 void
 link_destroy(struct link *link)
 {
@@ -49,7 +65,8 @@
     link->state = LINK_UNKNOWN;
     link->heard_us = sched_now(link->s).boot_us;
     link->next_us = 0;
-    link->dirty = true;
+    link_touch(link);
+    link->seen = SEEN_NONE;
     g_array_set_size(link->orphans, 0);
     health_apply(link);
 }
@@ -80,23 +97,21 @@
         (json_int_t)gang->status.progress_ms, "checkpoint", gang->checkpoint);
 }
 
-/* What the gang wants of this member now; NULL for nothing. */
+/* What the gang wants changed of this member now; NULL for nothing. */
 static const char *
 wanted_op(const struct gang *gang, const struct member *m)
 {
     switch (gang->state) {
     case GANG_RESERVING:
-        return m->phase == PHASE_NONE && !m->refused ? "reserve" : "renew";
-    case GANG_RECORDING:
-    case GANG_ADOPTING:
-        return "renew";
+        return m->phase == PHASE_NONE && !m->refused ? "reserve" : NULL;
     case GANG_STARTING:
-        return m->phase == PHASE_RESERVED && !m->refused ? "start" : "renew";
-    case GANG_RUNNING:
-        return m->phase == PHASE_EXITED ? NULL : "renew";
+        return m->phase == PHASE_RESERVED && !m->refused ? "start" : NULL;
     case GANG_STOPPING:
         return m->phase == PHASE_EXITED ? NULL : "stop";
     case GANG_QUEUED:
+    case GANG_RECORDING:
+    case GANG_RUNNING:
+    case GANG_ADOPTING:
     case GANG_FINAL:
         break;
     }
@@ -131,10 +146,10 @@
         struct member *m = gang_member(gang, link);
         const char *op = wanted_op(gang, m);
 
-        if (!op)
-            continue;
         if (extends_lease(gang))
             m->lease_us = link->sent_lease_us;
+        if (!op)
+            continue;
         json_array_append_new(
             orders, order_for_member(gang, m, op,
                                      extends_lease(gang) ? lease_wall_us : 0));
@@ -183,8 +198,11 @@
         make_token(ours, gang);
     if (!m || strcmp(ours, token) != 0) {
         /* A later holder needs this record until the end is written. */
-        if (phase == PHASE_EXITED && gang && (gang->dirty || gang->writing))
+        if (phase == PHASE_EXITED && gang &&
+            (gang->dirty || gang->writing)) {
+            link->seen = SEEN_NONE;
             return;
+        }
         note_orphan(link, job, token, phase);
         return;
     }
@@ -198,22 +216,29 @@
 static void
 read_leases(struct link *link, const json_t *reply)
 {
+    const json_t *leases = json_object_get(reply, "leases");
     const json_t *lease;
     size_t k;
     guint i;
 
-    g_array_set_size(link->orphans, 0);
     for (i = 0; i < link->gangs->len; i++) {
         struct gang *gang = g_ptr_array_index(link->gangs, i);
         struct member *m = gang_member(gang, link);
 
         /* What the worker does not list it does not have. */
-        if (m->phase != PHASE_EXITED)
+        if (leases && m->phase != PHASE_EXITED)
             m->phase = PHASE_NONE;
         m->reported = true;
     }
-    json_array_foreach(json_object_get(reply, "leases"), k, lease)
+    if (!leases)
+        return;
+    g_array_set_size(link->orphans, 0);
+    link->seen = json_integer_value(json_object_get(reply, "state"));
+    json_array_foreach(leases, k, lease)
         read_lease(link, lease);
+    /* The call that listed them did not renew them. */
+    if (link->gangs->len > 0)
+        link_touch(link);
 }
 
 static void
@@ -257,8 +282,6 @@
 heard(struct link *link, const json_t *reply)
 {
     link->heard_us = sched_now(link->s).boot_us;
-    link->incarnation =
-        (uint64_t)json_integer_value(json_object_get(reply, "incarnation"));
     if (link->state == LINK_UNKNOWN || link->state == LINK_LOST) {
         if (link->state == LINK_LOST)
             cs_log_event("worker-back", "%s", link->name);
@@ -269,7 +292,7 @@
     read_leases(link, reply);
     read_results(link, reply);
     if (link->orphans->len > 0)
-        link->dirty = true;
+        link_touch(link);
     step_gangs(link);
 }
 
@@ -287,6 +310,9 @@
                        json_integer_value(json_object_get(reply, "epoch")));
     json_decref(link->sent);
     link->sent = NULL;
+    /* What was wanted while the call was open goes out now. */
+    if (link->dirty)
+        link_touch(link);
 }
 
 static void
@@ -307,11 +333,12 @@
     *s->orders += (int64_t)json_array_size(link->sent);
     (*s->worker_calls)++;
     g_snprintf(path, sizeof(path), "/v1/workers/%s/orders", link->name);
-    body = json_pack("{s:I,s:s,s:I,s:O}", "epoch",
-                     (json_int_t)cs_cell_epoch(s->cell), "cell", s->zone,
-                     "deadline_us",
+    body = json_pack("{s:I,s:I,s:I,s:I,s:O}", "epoch",
+                     (json_int_t)cs_cell_epoch(s->cell), "deadline_us",
                      (json_int_t)(now.wall_us + deadline_us - now.boot_us),
-                     "ops", link->sent);
+                     "renew_us",
+                     (json_int_t)(now.wall_us + s->worker_lease_us), "seen",
+                     (json_int_t)link->seen, "ops", link->sent);
     cs_outbox_push(s->outbox, CS_CALL_WORKER, link->address, path, body,
                    deadline_us, on_answer, link);
 }
--- a/src/control/mirror.c
+++ b/src/control/mirror.c
@@ -173,7 +173,7 @@
     if (!gang) {
         gang = gang_create(s, record);
         g_hash_table_insert(s->gangs, gang->name, gang);
-        g_ptr_array_add(s->gang_list, gang);
+        gang_touch(gang);
         if (record->job.state == CS_JOB_QUEUED)
             submit(s, record, gang);
         else
@@ -197,13 +197,17 @@
 void
 mirror_clear(cs_scheduler *s)
 {
+    GHashTableIter iter;
+    gpointer gang;
     guint i;
 
-    for (i = 0; i < s->gang_list->len; i++)
-        gang_destroy(g_ptr_array_index(s->gang_list, i));
+    g_hash_table_iter_init(&iter, s->gangs);
+    while (g_hash_table_iter_next(&iter, NULL, &gang))
+        gang_destroy(gang);
     for (i = 0; i < s->links->len; i++)
         link_destroy(g_ptr_array_index(s->links, i));
-    g_ptr_array_set_size(s->gang_list, 0);
+    g_ptr_array_set_size(s->active, 0);
+    g_ptr_array_set_size(s->touched, 0);
     g_ptr_array_set_size(s->links, 0);
     g_hash_table_remove_all(s->gangs);
     g_hash_table_remove_all(s->links_by_name);
--- a/src/control/scheduler.c
+++ b/src/control/scheduler.c
@@ -7,6 +7,8 @@
 
 /* A turn is made at least this often, for waits that time alone ends. */
 #define TURN_US (500 * CS_MS_US)
+/* Every worker is looked at this often, for heartbeats and lost leases. */
+#define SCAN_US (100 * CS_MS_US)
 
 cs_now
 sched_now(const cs_scheduler *s)
@@ -72,7 +74,8 @@
     s->links = g_ptr_array_new();
     s->links_by_name = g_hash_table_new(g_str_hash, g_str_equal);
     s->gangs = g_hash_table_new(g_str_hash, g_str_equal);
-    s->gang_list = g_ptr_array_new();
+    s->active = g_ptr_array_new();
+    s->touched = g_ptr_array_new();
     s->organisations =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     s->classes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -91,7 +94,8 @@
     cs_board_unlisten(s->board, s->listener);
     mirror_clear(s);
     g_ptr_array_free(s->links, TRUE);
-    g_ptr_array_free(s->gang_list, TRUE);
+    g_ptr_array_free(s->active, TRUE);
+    g_ptr_array_free(s->touched, TRUE);
     g_hash_table_destroy(s->links_by_name);
     g_hash_table_destroy(s->gangs);
     g_hash_table_destroy(s->organisations);
@@ -135,7 +139,7 @@
     set_fence(s);
     mirror_build(s);
     cs_log_event("cell-leading", "%s with %u workers and %u jobs", s->zone,
-                 s->links->len, s->gang_list->len);
+                 s->links->len, g_hash_table_size(s->gangs));
 }
 
 static void
@@ -187,33 +191,66 @@
 static void
 step_gangs(cs_scheduler *s)
 {
-    guint i = 0;
+    GPtrArray *gangs = s->active;
+    guint i;
 
-    while (i < s->gang_list->len) {
-        struct gang *gang = g_ptr_array_index(s->gang_list, i);
+    s->active = g_ptr_array_new();
+    for (i = 0; i < gangs->len; i++)
+        ((struct gang *)g_ptr_array_index(gangs, i))->active = false;
+    for (i = 0; i < gangs->len; i++) {
+        struct gang *gang = g_ptr_array_index(gangs, i);
 
         gang_step(gang);
         gang_write(gang);
         if (gang->state == GANG_FINAL && !gang->dirty && !gang->writing) {
+            g_ptr_array_remove(s->active, gang);
             g_hash_table_remove(s->gangs, gang->name);
-            g_ptr_array_remove_index(s->gang_list, i);
             gang_destroy(gang);
-            continue;
         }
-        i++;
+        else if (!gang_is_idle(gang)) {
+            gang_touch(gang);
+        }
     }
+    g_ptr_array_free(gangs, TRUE);
 }
 
 static void
-lead(cs_scheduler *s)
+tick_touched(cs_scheduler *s)
+{
+    GPtrArray *links = s->touched;
+    guint i;
+
+    s->touched = g_ptr_array_new();
+    for (i = 0; i < links->len; i++) {
+        struct link *link = g_ptr_array_index(links, i);
+
+        link->touched = false;
+        link_tick(link);
+    }
+    g_ptr_array_free(links, TRUE);
+}
+
+static void
+tick_all(cs_scheduler *s)
 {
+    int64_t now_us = sched_now(s).boot_us;
     guint i;
 
+    if (now_us < s->next_scan_us)
+        return;
+    s->next_scan_us = now_us + SCAN_US;
+    for (i = 0; i < s->links->len; i++)
+        link_tick(g_ptr_array_index(s->links, i));
+}
+
+static void
+lead(cs_scheduler *s)
+{
     if (!s->draining)
         decide(s);
     step_gangs(s);
-    for (i = 0; i < s->links->len; i++)
-        link_tick(g_ptr_array_index(s->links, i));
+    tick_all(s);
+    tick_touched(s);
 }
 
 /* The table must be read after the take, so that nothing written before
--- a/src/control/scheduler_internal.h
+++ b/src/control/scheduler_internal.h
@@ -65,6 +65,7 @@
     GArray *members;   /* of struct member */
     cs_job_status status;
     bool dirty; /* status differs from the one written */
+    bool active; /* in the list of the scheduler */
     bool writing;
     int64_t run_ms;
     bool restartable;
@@ -94,9 +95,10 @@
     link_state state;
     bool busy;
     bool dirty;
+    bool touched; /* in the scheduler's list */
     int64_t next_us;
     int64_t heard_us;
-    uint64_t incarnation;
+    int64_t seen; /* state of the worker's leases as last listed */
     GPtrArray *gangs;      /* with a member here */
     GArray *orphans;       /* of struct orphan */
     json_t *sent;          /* orders in flight */
@@ -132,7 +134,9 @@
     GPtrArray *links; /* by index in the policy */
     GHashTable *links_by_name;
     GHashTable *gangs;         /* by name */
-    GPtrArray *gang_list;      /* in order of arrival, for a stable order */
+    GPtrArray *active;    /* gangs that want attention, oldest first */
+    GPtrArray *touched;   /* links that want a call */
+    int64_t next_scan_us; /* of every link */
     GHashTable *organisations; /* name to number + 1 */
     GHashTable *classes;       /* name to number */
     int64_t *started;
@@ -152,6 +156,12 @@
 /* gang.c */
 struct gang *gang_create(cs_scheduler *s, const cs_record *record);
 void gang_destroy(struct gang *gang);
+/* Puts it on the list of gangs that want attention. */
+void gang_touch(struct gang *gang);
+/* Its status must be written. */
+void gang_mark(struct gang *gang);
+/* Nothing but news of its members or a decision moves it. */
+bool gang_is_idle(const struct gang *gang);
 void gang_place(struct gang *gang);
 void gang_stop(struct gang *gang, stop_reason reason, int64_t grace_us);
 void gang_cancel(struct gang *gang);
@@ -171,6 +181,7 @@
 struct link *link_create(cs_scheduler *s, const cs_worker *worker,
                          uint32_t index);
 void link_destroy(struct link *link);
+void link_touch(struct link *link);
 void link_tick(struct link *link);
 void link_update(struct link *link, const cs_worker *worker);
 void link_forget_epoch(struct link *link);
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -256,7 +256,6 @@
     info.address = target->ip;
     /* An idle connection is found by comparing the address with the host. */
     info.host = target->ip;
-    info.origin = target->ip;
     info.port = target->port;
     info.path = call->path;
     info.method = call->method;
--- a/src/peer/peers.c
+++ b/src/peer/peers.c
@@ -25,6 +25,7 @@
     int64_t *sent;
     int64_t *received;
     int64_t *sent_bytes;
+    int64_t *received_bytes;
     int64_t *refused;
 };
 
@@ -82,6 +83,7 @@
         return;
     }
     (*peers->received)++;
+    *peers->received_bytes += (int64_t)size;
     if (message.deadline_us < cs_clock_wall_us())
         (*peers->refused)++;
     else if (message.type == CS_MSG_HEARTBEAT)
@@ -214,6 +216,8 @@
     peers->sent = cs_counters_get(counters, "cs_peer_sent_total");
     peers->received = cs_counters_get(counters, "cs_peer_received_total");
     peers->sent_bytes = cs_counters_get(counters, "cs_peer_sent_bytes_total");
+    peers->received_bytes =
+        cs_counters_get(counters, "cs_peer_received_bytes_total");
     peers->refused = cs_counters_get(counters, "cs_peer_refused_total");
     rc = bind_inbox(peers, listen);
     if (!rc)
--- a/src/policy/turn.c
+++ b/src/policy/turn.c
@@ -10,6 +10,8 @@
 /* Searches over the whole cell are made no more often. */
 #define SUSPEND_GAP_US (INT64_C(200) * 1000)
 #define RESERVE_GAP_US (INT64_C(1000) * 1000)
+/* Normal work stops opportunistic work after this wait. */
+#define RECLAIM_WAIT_US (INT64_C(3) * 1000000)
 #define URGENT_TRIES 64
 /* A move must save this many times what it costs. */
 #define MOVE_GAIN 2.0
@@ -436,7 +438,7 @@
     cs_sched_job *job = oldest(turn->sched, CS_TIER_NORMAL);
 
     if (!job || is_full(turn) || turn->sched->opportunistic == 0 ||
-        waited_us(turn, job) < WAIT_MIN_US)
+        waited_us(turn, job) < RECLAIM_WAIT_US)
         return;
     reclaim(turn, job);
 }
--- a/standins/fake_worker.c
+++ b/standins/fake_worker.c
@@ -25,8 +25,8 @@
 struct fake_worker {
     char name[64];
     uint64_t all;
-    uint64_t incarnation;
     int64_t epoch;
+    int64_t state; /* grows with every change of the leases */
     GPtrArray *leases;
     GArray *record;
     fake_worker_faults faults;
@@ -40,7 +40,7 @@
     g_strlcpy(worker->name, name, sizeof(worker->name));
     worker->all =
         accelerators >= 64 ? UINT64_MAX : (UINT64_C(1) << accelerators) - 1;
-    worker->incarnation = 1;
+    worker->state = 1;
     worker->leases = g_ptr_array_new_with_free_func(g_free);
     worker->record = g_array_new(FALSE, TRUE, sizeof(fake_worker_event));
     return worker;
@@ -83,6 +83,7 @@
     if (lease->checkpoint || code == 0)
         lease->progress_ms += (at_us - lease->started_us) / CS_MS_US;
     lease->phase = EXITED;
+    worker->state++;
     lease->exit_code = code;
     note(worker, lease, FAKE_ENDED, at_us);
 }
@@ -100,7 +101,7 @@
             end_task(worker, lease, 1, now.boot_us);
     }
     g_ptr_array_set_size(worker->leases, 0);
-    worker->incarnation++;
+    worker->state++;
 }
 
 static void
@@ -125,8 +126,10 @@
 
         if (lease->phase == RUNNING)
             tick_running(worker, lease, now.boot_us);
-        if (lease->phase == RESERVED && lease->lease_us <= now.boot_us)
+        if (lease->phase == RESERVED && lease->lease_us <= now.boot_us) {
             g_ptr_array_remove_index(worker->leases, i);
+            worker->state++;
+        }
         else
             i++;
     }
@@ -219,6 +222,7 @@
     lease->mask = order->mask;
     lease->lease_us = order->lease_us;
     g_ptr_array_add(worker->leases, lease);
+    worker->state++;
     return 0;
 }
 
@@ -233,6 +237,7 @@
     if (lease->phase != RESERVED)
         return 0;
     lease->phase = RUNNING;
+    worker->state++;
     lease->epoch = epoch;
     lease->started_us = now_us;
     lease->progress_ms = order->progress_ms;
@@ -255,6 +260,7 @@
         return 0;
     if (lease->phase == RESERVED) {
         g_ptr_array_remove(worker->leases, lease);
+        worker->state++;
         return 0;
     }
     if (lease->phase == EXITED || lease->stop_us)
@@ -268,24 +274,15 @@
     return 0;
 }
 
-static int
-do_renew(fake_worker *worker, const struct order *order)
-{
-    struct lease *lease = find_lease(worker, order->job, order->token);
-
-    if (!lease)
-        return 1;
-    lease->lease_us = MAX(lease->lease_us, order->lease_us);
-    return 0;
-}
-
 static int
 do_forget(fake_worker *worker, const struct order *order)
 {
     struct lease *lease = find_lease(worker, order->job, order->token);
 
-    if (lease && lease->phase == EXITED)
+    if (lease && lease->phase == EXITED) {
         g_ptr_array_remove(worker->leases, lease);
+        worker->state++;
+    }
     return 0;
 }
 
@@ -301,8 +298,6 @@
         return do_start(worker, order, epoch, now.boot_us);
     if (strcmp(order->op, "stop") == 0)
         return do_stop(worker, order, now.boot_us);
-    if (strcmp(order->op, "renew") == 0)
-        return do_renew(worker, order);
     if (strcmp(order->op, "forget") == 0)
         return do_forget(worker, order);
     return 2;
@@ -327,20 +322,20 @@
     return list;
 }
 
-/* Renewing needs no epoch: a gang's token is its job and attempt. */
-static bool
-only_renews(const json_t *ops)
+/* Renews every lease of a holder that knows them all. */
+static void
+renew_all(fake_worker *worker, const json_t *body, cs_now now)
 {
-    const json_t *item;
-    size_t i;
+    int64_t renew_us = to_boot(
+        json_integer_value(json_object_get(body, "renew_us")), now);
+    guint i;
 
-    json_array_foreach(ops, i, item)
-    {
-        if (g_strcmp0(json_string_value(json_object_get(item, "op")),
-                      "renew") != 0)
-            return false;
+    for (i = 0; i < worker->leases->len; i++) {
+        struct lease *lease = g_ptr_array_index(worker->leases, i);
+
+        if (lease->phase != EXITED && !lease->stop_us)
+            lease->lease_us = MAX(lease->lease_us, renew_us);
     }
-    return true;
 }
 
 int
@@ -348,6 +343,7 @@
                  cs_now now)
 {
     json_int_t epoch = json_integer_value(json_object_get(body, "epoch"));
+    json_int_t seen = json_integer_value(json_object_get(body, "seen"));
     json_int_t deadline =
         json_integer_value(json_object_get(body, "deadline_us"));
     const json_t *ops = json_object_get(body, "ops");
@@ -356,8 +352,7 @@
     size_t i;
 
     fake_worker_tick(worker, now);
-    if ((epoch < worker->epoch && !worker->faults.ignore_epochs &&
-         !(epoch == 0 && only_renews(ops))) ||
+    if ((epoch < worker->epoch && !worker->faults.ignore_epochs) ||
         deadline < now.wall_us) {
         json_decref(results);
         *reply = json_pack("{s:I}", "epoch", (json_int_t)worker->epoch);
@@ -371,9 +366,13 @@
         json_array_append_new(
             results, json_integer(execute(worker, &order, epoch, now)));
     }
-    *reply = json_pack("{s:I,s:I,s:o,s:o}", "epoch", (json_int_t)worker->epoch,
-                       "incarnation", (json_int_t)worker->incarnation,
-                       "results", results, "leases", list_leases(worker));
+    if (seen == worker->state)
+        renew_all(worker, body, now);
+    *reply = json_pack("{s:I,s:I,s:o}", "epoch", (json_int_t)worker->epoch,
+                       "state", (json_int_t)worker->state, "results",
+                       results);
+    if (seen != worker->state)
+        json_object_set_new(*reply, "leases", list_leases(worker));
     return 200;
 }
 
