--- a/include/corianderstair/resource.h
+++ b/include/corianderstair/resource.h
@@ -31,6 +31,7 @@
     int64_t wait_bound_s;         /**< the longest wait before reservation */
     int64_t completion_weight;    /**< parts in 100 of the objective */
     int64_t fragmentation_weight; /**< parts in 100 of the objective */
+    int64_t retention_s;          /**< how long ended jobs are kept */
 } cs_config;
 
 typedef struct {
--- a/src/api/api_internal.h
+++ b/src/api/api_internal.h
@@ -40,6 +40,9 @@
                       const struct route *route);
 json_t *resource_view(const cs_record *record);
 
+/* remote.c: a job of a zone that is not followed here */
+void remote_get_job(cs_api *api, cs_http_request *request, const char *name);
+
 /* watch.c */
 void watch_start(cs_api *api, cs_http_request *request, cs_kind kind);
 void watch_tick(cs_api *api);
--- a/src/api/resources.c
+++ b/src/api/resources.c
@@ -80,13 +80,17 @@
     const cs_record *record = cs_board_find(cs_process_board(api->process),
                                             route->kind, route->parts[2]);
 
-    if (!record) {
-        cs_error_set(CS_E_NOT_FOUND, "%s/%s does not exist",
-                     cs_kind_name(route->kind), route->parts[2]);
-        reply_last_error(api, request, CS_E_NOT_FOUND);
+    if (record) {
+        reply_json(request, 200, resource_view(record));
+        return;
+    }
+    if (route->kind == CS_KIND_JOB) {
+        remote_get_job(api, request, route->parts[2]);
         return;
     }
-    reply_json(request, 200, resource_view(record));
+    cs_error_set(CS_E_NOT_FOUND, "%s/%s does not exist",
+                 cs_kind_name(route->kind), route->parts[2]);
+    reply_last_error(api, request, CS_E_NOT_FOUND);
 }
 
 struct change_reply {
--- a/src/board/resource.c
+++ b/src/board/resource.c
@@ -46,6 +46,7 @@
     NUMBER(cs_config, wait_bound_s, 1, 604800, false),
     NUMBER(cs_config, completion_weight, 0, 100, false),
     NUMBER(cs_config, fragmentation_weight, 0, 100, false),
+    NUMBER(cs_config, retention_s, 60, 31536000, false),
     END};
 
 static const cs_field zone_fields[] = {
@@ -163,6 +164,7 @@
         r->u.config.wait_bound_s = 3600;
         r->u.config.completion_weight = 50;
         r->u.config.fragmentation_weight = 50;
+        r->u.config.retention_s = 86400;
         break;
     case CS_KIND_WORKER:
         r->u.worker.cores = 64;
--- a/src/control/gang.c
+++ b/src/control/gang.c
@@ -62,8 +62,7 @@
 bool
 gang_is_idle(const struct gang *gang)
 {
-    bool resting =
-        gang->state == GANG_QUEUED || gang->state == GANG_RUNNING;
+    bool resting = gang->state == GANG_QUEUED || gang->state == GANG_RUNNING;
 
     return resting && !gang->dirty && !gang->writing;
 }
--- a/src/control/link.c
+++ b/src/control/link.c
@@ -198,8 +198,7 @@
         make_token(ours, gang);
     if (!m || strcmp(ours, token) != 0) {
         /* A later holder needs this record until the end is written. */
-        if (phase == PHASE_EXITED && gang &&
-            (gang->dirty || gang->writing)) {
+        if (phase == PHASE_EXITED && gang && (gang->dirty || gang->writing)) {
             link->seen = SEEN_NONE;
             return;
         }
@@ -234,8 +233,7 @@
         return;
     g_array_set_size(link->orphans, 0);
     link->seen = json_integer_value(json_object_get(reply, "state"));
-    json_array_foreach(leases, k, lease)
-        read_lease(link, lease);
+    json_array_foreach(leases, k, lease) read_lease(link, lease);
     /* The call that listed them did not renew them. */
     if (link->gangs->len > 0)
         link_touch(link);
@@ -333,12 +331,11 @@
     *s->orders += (int64_t)json_array_size(link->sent);
     (*s->worker_calls)++;
     g_snprintf(path, sizeof(path), "/v1/workers/%s/orders", link->name);
-    body = json_pack("{s:I,s:I,s:I,s:I,s:O}", "epoch",
-                     (json_int_t)cs_cell_epoch(s->cell), "deadline_us",
-                     (json_int_t)(now.wall_us + deadline_us - now.boot_us),
-                     "renew_us",
-                     (json_int_t)(now.wall_us + s->worker_lease_us), "seen",
-                     (json_int_t)link->seen, "ops", link->sent);
+    body = json_pack(
+        "{s:I,s:I,s:I,s:I,s:O}", "epoch", (json_int_t)cs_cell_epoch(s->cell),
+        "deadline_us", (json_int_t)(now.wall_us + deadline_us - now.boot_us),
+        "renew_us", (json_int_t)(now.wall_us + s->worker_lease_us), "seen",
+        (json_int_t)link->seen, "ops", link->sent);
     cs_outbox_push(s->outbox, CS_CALL_WORKER, link->address, path, body,
                    deadline_us, on_answer, link);
 }
--- a/src/control/mirror.c
+++ b/src/control/mirror.c
@@ -13,7 +13,8 @@
                         .grace_ms = 1000,
                         .wait_bound_s = 3600,
                         .completion_weight = 50,
-                        .fragmentation_weight = 50};
+                        .fragmentation_weight = 50,
+                        .retention_s = 86400};
 
     return record ? record->resource.u.config : config;
 }
@@ -30,6 +31,7 @@
         .fragmentation_weight = config.fragmentation_weight};
 
     s->worker_lease_us = config.worker_lease_ms * CS_MS_US;
+    s->retention_us = config.retention_s * CS_SEC_US;
     return settings;
 }
 
--- a/src/control/scheduler.c
+++ b/src/control/scheduler.c
@@ -251,6 +251,7 @@
     step_gangs(s);
     tick_all(s);
     tick_touched(s);
+    retention_tick(s);
 }
 
 /* The table must be read after the take, so that nothing written before
--- a/src/control/scheduler_internal.h
+++ b/src/control/scheduler_internal.h
@@ -64,7 +64,7 @@
     cs_sched_job *job; /* NULL when final */
     GArray *members;   /* of struct member */
     cs_job_status status;
-    bool dirty; /* status differs from the one written */
+    bool dirty;  /* status differs from the one written */
     bool active; /* in the list of the scheduler */
     bool writing;
     int64_t run_ms;
@@ -98,7 +98,7 @@
     bool touched; /* in the scheduler's list */
     int64_t next_us;
     int64_t heard_us;
-    int64_t seen; /* state of the worker's leases as last listed */
+    int64_t seen;          /* state of the worker's leases as last listed */
     GPtrArray *gangs;      /* with a member here */
     GArray *orphans;       /* of struct orphan */
     json_t *sent;          /* orders in flight */
@@ -130,13 +130,15 @@
     uint32_t listener;
     uint64_t next_serial;
     int64_t worker_lease_us;
+    int64_t retention_us;
     int64_t next_turn_us;
+    int64_t next_sweep_us;
     GPtrArray *links; /* by index in the policy */
     GHashTable *links_by_name;
     GHashTable *gangs;         /* by name */
-    GPtrArray *active;    /* gangs that want attention, oldest first */
-    GPtrArray *touched;   /* links that want a call */
-    int64_t next_scan_us; /* of every link */
+    GPtrArray *active;         /* gangs that want attention, oldest first */
+    GPtrArray *touched;        /* links that want a call */
+    int64_t next_scan_us;      /* of every link */
     GHashTable *organisations; /* name to number + 1 */
     GHashTable *classes;       /* name to number */
     int64_t *started;
@@ -191,6 +193,9 @@
 /* Logs a change of the health of the worker. */
 void health_watch(struct link *link);
 
+/* retention.c */
+void retention_tick(cs_scheduler *s);
+
 /* mirror.c: the policy's copy of the board */
 void mirror_build(cs_scheduler *s);
 void mirror_clear(cs_scheduler *s);
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -41,6 +41,7 @@
     GString *out;
     size_t written;
     bool headers_sent;
+    bool closing; /* the caller was told that the connection ends */
     bool ending;
     cs_http_closed closed;
     void *closed_data;
@@ -186,6 +187,12 @@
                                     (unsigned int)request->status,
                                     request->type, length, &p, end))
         return -1;
+    request->closing = request->server->stopping;
+    if (request->closing &&
+        lws_add_http_header_by_token(request->wsi, WSI_TOKEN_CONNECTION,
+                                     (const unsigned char *)"close", 5, &p,
+                                     end))
+        return -1;
     if (lws_finalize_write_http_header(request->wsi, start, &p, end))
         return -1;
     request->headers_sent = true;
@@ -214,12 +221,11 @@
 {
     cs_http_request *request = session->request;
     struct lws *wsi = request->wsi;
-    bool stopping = request->server->stopping;
-    bool whole = !request->too_large;
+    bool closing = request->closing;
 
     session->request = NULL;
     request_destroy(request);
-    if (stopping || !whole)
+    if (closing)
         return -1;
     return lws_http_transaction_completed(wsi) ? -1 : 0;
 }
--- a/src/process/process.c
+++ b/src/process/process.c
@@ -14,6 +14,7 @@
 #include <sys/resource.h>
 
 #define TICK_MS 20
+#define LINGER_US CS_SEC_US
 #define EXIT_CUT 3 /* work was left when the drain deadline passed */
 
 struct cs_process {
@@ -98,12 +99,22 @@
     cs_process_wake(process);
 }
 
+/* Time for balancer and callers to notice before connections close. */
+static int64_t
+linger_us(const cs_process *process)
+{
+    return MIN(LINGER_US, process->settings.drain_ms * CS_MS_US / 2);
+}
+
 static void
 finish_drain(cs_process *process)
 {
     int64_t now_us = cs_clock_boot_us();
+    int64_t began_us =
+        process->drain_us - process->settings.drain_ms * CS_MS_US;
     bool done = process->hooks.is_drained(process->hooks.data) &&
-                cs_http_server_open(process->server) == 0;
+                cs_http_server_open(process->server) == 0 &&
+                now_us - began_us >= linger_us(process);
 
     if (!done && now_us < process->drain_us)
         return;
--- a/src/programs/cs_entryd.c
+++ b/src/programs/cs_entryd.c
@@ -12,6 +12,8 @@
     cs_router *router;
     cs_api *api;
     const char *name;
+    const char *zone;
+    bool follow_all;
     uint64_t followed_version;
 };
 
@@ -35,9 +37,11 @@
 follow_zone(void *data, const cs_record *record)
 {
     struct entry *entry = data;
+    const char *zone = cs_resource_name(&record->resource);
 
-    cs_journal_follow(cs_process_journal(entry->process),
-                      cs_resource_name(&record->resource));
+    if (!entry->follow_all && strcmp(zone, entry->zone) != 0)
+        return;
+    cs_journal_follow(cs_process_journal(entry->process), zone);
 }
 
 static void
@@ -128,9 +132,11 @@
 }
 
 static int
-run(const cs_process_settings *settings)
+run(const cs_process_settings *settings, bool follow_all)
 {
-    struct entry entry = {.name = settings->name};
+    struct entry entry = {.name = settings->name,
+                          .zone = settings->zone,
+                          .follow_all = follow_all};
     cs_process_hooks hooks = {.request = on_request,
                               .message = on_message,
                               .tick = on_tick,
@@ -173,6 +179,7 @@
                                     .store = "127.0.0.1:7000",
                                     .poll_ms = 500,
                                     .drain_ms = 30000};
+    const char *follow = "all";
     int64_t connections = 16;
     const cs_setting table[] = {
         {"name", CS_SETTING_TEXT, &settings.name, 1, 63, true,
@@ -191,6 +198,8 @@
          "time between polls of the store"},
         {"drain-ms", CS_SETTING_NUMBER, &settings.drain_ms, 0, 600000, false,
          "time to finish open requests after SIGTERM"},
+        {"follow", CS_SETTING_TEXT, &follow, 3, 3, false,
+         "zones whose jobs are kept in memory: all or own"},
         {"connections", CS_SETTING_NUMBER, &connections, 1, 64, false,
          "connections to one address at most"},
     };
@@ -203,6 +212,11 @@
     }
     if (next == CS_SETTINGS_EXIT)
         return 0;
+    if (strcmp(follow, "all") != 0 && strcmp(follow, "own") != 0) {
+        fprintf(stderr, "cs-entryd: --follow: '%s' is not all or own\n",
+                follow);
+        return 2;
+    }
     settings.connections = (uint32_t)connections;
-    return run(&settings);
+    return run(&settings, strcmp(follow, "all") == 0);
 }
--- a/src/route/intent.c
+++ b/src/route/intent.c
@@ -42,9 +42,9 @@
 }
 
 static void
-written(struct request *request)
+written(struct request *request, uint64_t version)
 {
-    request->intent_written = true;
+    request->intent_version = version;
     router_enqueue(request);
 }
 
@@ -93,7 +93,8 @@
             refuse(request, CS_E_STORE, CS_RUN_NOT,
                    "the store is out of reach; the request did not run");
         else if (row_is_ours(batch, row))
-            written(request);
+            written(request, (uint64_t)json_integer_value(
+                                 json_object_get(row, "version")));
         else
             taken(request);
     }
@@ -161,7 +162,7 @@
         if (!request || request->state != REQUEST_INTENT)
             continue;
         if (code == 0)
-            written(request);
+            written(request, cs_store_reply_version(reply));
         else
             refuse(request, CS_E_STORE, CS_RUN_NOT,
                    "the store is out of reach; the request did not run");
@@ -197,6 +198,27 @@
     return txn;
 }
 
+static void
+on_released(void *data, int code, const json_t *reply)
+{
+    /* If the row stays, the id is refused as a duplicate, which is safe. */
+}
+
+void
+intent_release(const struct request *request)
+{
+    cs_router *router = request->router;
+    char key[CS_STORE_KEY_BYTES];
+    json_t *txn = cs_store_txn(router->incarnation);
+
+    cs_store_key_request(key, request->service, request->id);
+    cs_store_txn_check(txn, key, request->intent_version);
+    cs_store_txn_delete(txn, key);
+    cs_outbox_push(router->outbox, CS_CALL_STORE_TXN, NULL, CS_STORE_TXN_PATH,
+                   txn, router_now_us(router) + CALL_TIMEOUT_US, on_released,
+                   NULL);
+}
+
 void
 intent_tick(cs_router *router)
 {
--- a/src/route/router.c
+++ b/src/route/router.c
@@ -134,6 +134,8 @@
     count_final(router, request, code);
     if (code)
         (*router->refused)++;
+    if (run == CS_RUN_NOT && request->intent_version)
+        intent_release(request);
     recent_keep(router, request, &answer);
     request->done(request->data, &answer);
     for (i = 0; i < request->followers->len; i++) {
--- a/src/route/router_internal.h
+++ b/src/route/router_internal.h
@@ -41,7 +41,7 @@
     char organisation[CS_NAME_BYTES];
     char id[80];
     bool idempotent;
-    bool intent_written;
+    uint64_t intent_version; /* row version of its id; 0 not written */
     GString *body;
     int64_t deadline_us;
     int64_t sent_us;
@@ -116,6 +116,8 @@
 
 /* intent.c */
 void intent_add(struct request *request);
+/* Takes the id back after a request that surely did not run. */
+void intent_release(const struct request *request);
 void intent_tick(cs_router *router);
 
 /* recent.c */
--- a/standins/fake_standin.c
+++ b/standins/fake_standin.c
@@ -108,5 +108,6 @@
     g_main_loop_run(loop);
     cs_net_destroy(net);
     cs_http_server_destroy(server);
+    g_main_loop_unref(loop);
     return 0;
 }
--- a/standins/fake_worker.c
+++ b/standins/fake_worker.c
@@ -326,8 +326,8 @@
 static void
 renew_all(fake_worker *worker, const json_t *body, cs_now now)
 {
-    int64_t renew_us = to_boot(
-        json_integer_value(json_object_get(body, "renew_us")), now);
+    int64_t renew_us =
+        to_boot(json_integer_value(json_object_get(body, "renew_us")), now);
     guint i;
 
     for (i = 0; i < worker->leases->len; i++) {
@@ -369,8 +369,7 @@
     if (seen == worker->state)
         renew_all(worker, body, now);
     *reply = json_pack("{s:I,s:I,s:o}", "epoch", (json_int_t)worker->epoch,
-                       "state", (json_int_t)worker->state, "results",
-                       results);
+                       "state", (json_int_t)worker->state, "results", results);
     if (seen != worker->state)
         json_object_set_new(*reply, "leases", list_leases(worker));
     return 200;
--- a/standins/standin_platform.c
+++ b/standins/standin_platform.c
@@ -137,6 +137,7 @@
          "lag of the VM list"},
     };
     cs_settings_next next;
+    int status;
 
     if (cs_settings_parse(&next, NULL, table, G_N_ELEMENTS(table), argc, argv,
                           "stand-in for the platform")) {
@@ -149,5 +150,10 @@
     p.objects = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     p.vms = json_object();
     p.vms_shown = json_object();
-    return standin_run(listen, on_request, &p, g_main_loop_new(NULL, FALSE));
+    status = standin_run(listen, on_request, &p, g_main_loop_new(NULL, FALSE));
+    fake_table_destroy(p.table);
+    g_hash_table_destroy(p.objects);
+    json_decref(p.vms);
+    json_decref(p.vms_shown);
+    return status;
 }
--- a/standins/standin_workers.c
+++ b/standins/standin_workers.c
@@ -159,6 +159,7 @@
          "accelerators of each worker"},
     };
     cs_settings_next next;
+    int status;
 
     if (cs_settings_parse(&next, NULL, table, G_N_ELEMENTS(table), argc, argv,
                           "stand-in for workers")) {
@@ -167,8 +168,11 @@
     }
     if (next == CS_SETTINGS_EXIT)
         return 0;
-    floor.workers = g_hash_table_new(g_str_hash, g_str_equal);
+    floor.workers = g_hash_table_new_full(
+        g_str_hash, g_str_equal, g_free, (GDestroyNotify)fake_worker_destroy);
     g_timeout_add(TICK_MS, on_tick, &floor);
-    return standin_run(listen, on_request, &floor,
-                       g_main_loop_new(NULL, FALSE));
+    status =
+        standin_run(listen, on_request, &floor, g_main_loop_new(NULL, FALSE));
+    g_hash_table_destroy(floor.workers);
+    return status;
 }
--- /dev/null
+++ b/tests/test_api.c
@@ -0,0 +1,371 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+#include "corianderstair/errors.h"
+#include "corianderstair/http_server.h"
+#include "harness.h"
+
+static struct harness *h;
+static const char *entry;
+
+static const char *const valid[][2] = {
+    {"config", "{\"name\":\"main\",\"worker_lease_ms\":3000,\"grace_ms\":"
+               "1000,\"wait_bound_s\":60,\"completion_weight\":50,"
+               "\"fragmentation_weight\":50,\"retention_s\":86400}"},
+    {"zones", "{\"name\":\"z\",\"region\":\"r\",\"spare_workers\":0}"},
+    {"workers",
+     "{\"name\":\"w\",\"zone\":\"z\",\"rack\":0,\"address\":"
+     "\"127.0.0.1:1\",\"accelerators\":8,\"cores\":64,\"memory_bytes\":1,"
+     "\"cordoned\":false}"},
+    {"organisations",
+     "{\"name\":\"o\",\"weight\":1,\"guarantees\":[{\"zone\":\"z\","
+     "\"accelerators\":4,\"count\":1}]}"},
+    {"services",
+     "{\"name\":\"s\",\"classes\":[{\"name\":\"c\",\"idempotent\":true,"
+     "\"queue_max\":10}],\"endpoints\":[{\"name\":\"e\",\"zone\":\"z\","
+     "\"address\":\"127.0.0.1:1\",\"slots\":8,\"connections\":64,"
+     "\"leaving\":false}]}"},
+    {"jobs", "{\"name\":\"j\",\"organisation\":\"o\",\"zone\":\"z\",\"class\":"
+             "\"c\",\"tier\":\"normal\",\"accelerators\":4,\"declared_s\":1,"
+             "\"run_ms\":1000,\"restartable\":true,\"checkpoint\":true}"},
+};
+
+static int
+call(const char *method, const char *path, const char *match, const char *text,
+     int *code)
+{
+    json_t *body = NULL;
+    int status = harness_call(h, &body, method, entry, path, match, text,
+                              text ? strlen(text) : 0);
+
+    if (code)
+        *code = (int)json_integer_value(json_object_get(body, "code"));
+    if (status >= 400 && body) {
+        assert_non_null(json_object_get(body, "message"));
+        assert_string_equal(json_string_value(json_object_get(body, "run")),
+                            "not-run");
+    }
+    json_decref(body);
+    return status;
+}
+
+/* The versions of both scopes, which grow with every accepted change. */
+static int64_t
+versions(void)
+{
+    json_t *config = NULL;
+    json_t *jobs = NULL;
+    int64_t sum;
+
+    harness_call(h, &config, "GET", entry, "/v1/zones", NULL, NULL, 0);
+    harness_call(h, &jobs, "GET", entry, "/v1/jobs?zone=z", NULL, NULL, 0);
+    sum = json_integer_value(json_object_get(config, "version")) * 1000 +
+          json_integer_value(json_object_get(jobs, "version"));
+    json_decref(config);
+    json_decref(jobs);
+    return sum;
+}
+
+static void
+api__valid_resources_are_accepted(void **state)
+{
+    size_t i;
+
+    for (i = 0; i < G_N_ELEMENTS(valid); i++) {
+        gchar *path = g_strdup_printf("/v1/%s", valid[i][0]);
+
+        /* A zone is followed a moment after it was declared. */
+        while (call("POST", path, NULL, valid[i][1], NULL) != 201)
+            g_usleep(50000);
+        g_free(path);
+    }
+}
+
+static int
+put_value(const char *kind, const char *name, json_t *object)
+{
+    gchar *path = g_strdup_printf("/v1/%s/%s", kind, name);
+    char *text = json_dumps(object, JSON_COMPACT | JSON_ENCODE_ANY);
+    int code = 0;
+    int status = call("PUT", path, NULL, text, &code);
+
+    free(text);
+    g_free(path);
+    assert_true(code < 0);
+    return status;
+}
+
+/* Every field of every kind with each wrong type, and with it left out. */
+static void
+api__wrong_types_change_nothing(void **state)
+{
+    static const char *const wrong[] = {"null",
+                                        "-7",
+                                        "3.5",
+                                        "[1]",
+                                        "{\"x\":1}",
+                                        "\"NO!\"",
+                                        "99999999999999999"};
+    int64_t before = versions();
+    uint32_t count = 0;
+    size_t i;
+    size_t k;
+
+    for (i = 0; i < G_N_ELEMENTS(valid); i++) {
+        json_t *good = json_loads(valid[i][1], 0, NULL);
+        const char *name = json_string_value(json_object_get(good, "name"));
+        const char *key;
+        json_t *value;
+
+        json_object_foreach(good, key, value)
+        {
+            for (k = 0; k < G_N_ELEMENTS(wrong); k++) {
+                json_t *bad = json_deep_copy(good);
+
+                json_object_set_new(
+                    bad, key, json_loads(wrong[k], JSON_DECODE_ANY, NULL));
+                if (put_value(valid[i][0], name, bad) == 400)
+                    count++;
+                else
+                    assert_true(json_is_integer(json_object_get(bad, key)) ||
+                                json_is_string(json_object_get(bad, key)));
+                json_decref(bad);
+            }
+        }
+        value = json_deep_copy(good);
+        json_object_set_new(value, "surplus", json_true());
+        assert_int_equal(put_value(valid[i][0], name, value), 400);
+        json_decref(value);
+        json_decref(good);
+    }
+    assert_true(count >= 200);
+    assert_true(versions() == before);
+}
+
+static void
+api__malformed_text_changes_nothing(void **state)
+{
+    static const char *const texts[] = {"",
+                                        "{",
+                                        "}",
+                                        "[",
+                                        "nul",
+                                        "{\"name\":}",
+                                        "{\"name\":\"z\",}",
+                                        "{'name':'z'}",
+                                        "{\"name\":\"z\"}{",
+                                        "{\"name\":\"z\",\"name\":\"z\"}",
+                                        "\xff\xfe",
+                                        "{\"name\":\"\\u0000\"}",
+                                        "{\"name\":\"z\\ud800\"}",
+                                        "{\"name\":1e999}",
+                                        "[[[[[[[[[[",
+                                        "\"z\"",
+                                        "17",
+                                        "true"};
+    int64_t before = versions();
+    size_t i;
+
+    for (i = 0; i < G_N_ELEMENTS(texts); i++) {
+        int code = 0;
+
+        assert_int_equal(call("PUT", "/v1/zones/z", NULL, texts[i], &code),
+                         400);
+        assert_true(code == CS_E_JSON || code == CS_E_INVALID ||
+                    code == CS_E_FIELD);
+    }
+    assert_true(versions() == before);
+}
+
+static void
+api__wrong_calls_have_their_codes(void **state)
+{
+    static const struct {
+        const char *method;
+        const char *path;
+        const char *match;
+        const char *text;
+        int status;
+        int code;
+    } cases[] = {
+        {"GET", "/", NULL, NULL, 404, CS_E_NOT_FOUND},
+        {"GET", "/v2/jobs", NULL, NULL, 404, CS_E_NOT_FOUND},
+        {"GET", "/v1/nothing", NULL, NULL, 404, CS_E_NOT_FOUND},
+        {"GET", "/v1/jobs/absent", NULL, NULL, 404, CS_E_NOT_FOUND},
+        {"GET", "/v1/zones/absent", NULL, NULL, 404, CS_E_NOT_FOUND},
+        {"GET", "/v1/jobs/j/what", NULL, NULL, 404, CS_E_NOT_FOUND},
+        {"GET", "/v1/jobs/j/explain/more", NULL, NULL, 404, CS_E_NOT_FOUND},
+        {"PUT", "/v1/zones", NULL, "{\"name\":\"z\"}", 405, CS_E_METHOD},
+        {"POST", "/v1/zones/z", NULL, "{\"name\":\"z\"}", 405, CS_E_METHOD},
+        {"DELETE", "/v1/zones", NULL, NULL, 405, CS_E_METHOD},
+        {"DELETE", "/v1/zones/absent", NULL, NULL, 404, CS_E_NOT_FOUND},
+        {"DELETE", "/v1/zones/z", NULL, NULL, 409, CS_E_IN_USE},
+        {"DELETE", "/v1/organisations/o", NULL, NULL, 409, CS_E_IN_USE},
+        {"DELETE", "/v1/jobs/j", NULL, NULL, 409, CS_E_IN_USE},
+        {"PUT", "/v1/zones/z", "99", "{\"name\":\"z\"}", 412, CS_E_CONFLICT},
+        {"PUT", "/v1/zones/z", "x", "{\"name\":\"z\"}", 400, CS_E_INVALID},
+        {"PUT", "/v1/zones/y", NULL, "{\"name\":\"z\"}", 400, CS_E_INVALID},
+        {"POST", "/v1/zones", NULL, "{\"name\":\"z\"}", 409, CS_E_EXISTS},
+        {"PUT", "/v1/workers/v", NULL,
+         "{\"name\":\"v\",\"zone\":\"absent\",\"rack\":0,\"address\":"
+         "\"127.0.0.1:1\",\"accelerators\":8}",
+         404, CS_E_NOT_FOUND},
+        {"PUT", "/v1/organisations/p", NULL,
+         "{\"name\":\"p\",\"guarantees\":[{\"zone\":\"z\","
+         "\"accelerators\":8,\"count\":1}]}",
+         422, CS_E_GUARANTEE},
+        {"PUT", "/v1/jobs/k", NULL,
+         "{\"name\":\"k\",\"organisation\":\"absent\",\"zone\":\"z\","
+         "\"accelerators\":4,\"run_ms\":1}",
+         404, CS_E_NOT_FOUND},
+        {"PUT", "/v1/jobs/k", NULL,
+         "{\"name\":\"k\",\"organisation\":\"o\",\"zone\":\"absent\","
+         "\"accelerators\":4,\"run_ms\":1}",
+         404, CS_E_NOT_FOUND},
+        {"PUT", "/v1/jobs/j", NULL,
+         "{\"name\":\"j\",\"organisation\":\"o\",\"zone\":\"z\","
+         "\"accelerators\":5,\"run_ms\":1}",
+         400, CS_E_INVALID},
+        {"GET", "/v1/jobs?watch=1&from=1", NULL, NULL, 400, CS_E_INVALID},
+        {"GET", "/v1/zones?watch=1&from=x", NULL, NULL, 400, CS_E_INVALID},
+        {"GET", "/v1/jobs?watch=1&zone=absent", NULL, NULL, 404,
+         CS_E_NOT_FOUND},
+        {"POST", "/v1/services/absent/requests?id=a&class=c&organisation=o",
+         NULL, "x", 404, CS_E_NOT_FOUND},
+        {"POST", "/v1/services/s/requests?id=a&class=absent&organisation=o",
+         NULL, "x", 404, CS_E_NOT_FOUND},
+        {"POST", "/v1/services/s/requests?id=a&class=c&organisation=absent",
+         NULL, "x", 404, CS_E_NOT_FOUND},
+        {"POST", "/v1/services/s/requests?class=c&organisation=o", NULL, "x",
+         400, CS_E_FIELD},
+        {"POST", "/v1/services/s/requests?id=a%20b&class=c&organisation=o",
+         NULL, "x", 400, CS_E_INVALID},
+        {"POST",
+         "/v1/services/s/requests?id=a&class=c&organisation=o&deadline_us=1",
+         NULL, "x", 504, CS_E_TIMEOUT},
+        {"POST",
+         "/v1/services/s/requests?id=a&class=c&organisation=o&deadline_us=x",
+         NULL, "x", 400, CS_E_INVALID},
+    };
+    int64_t before = versions();
+    size_t i;
+
+    for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+        int code = 0;
+        int status = call(cases[i].method, cases[i].path, cases[i].match,
+                          cases[i].text, &code);
+
+        if (status != cases[i].status || code != cases[i].code)
+            fail_msg("%s %s: %d %d", cases[i].method, cases[i].path, status,
+                     code);
+    }
+    assert_true(versions() == before);
+}
+
+static void
+api__oversize_body_is_refused(void **state)
+{
+    size_t size = CS_HTTP_BODY_MAX_BYTES + 1;
+    gchar *text = g_strnfill(size, ' ');
+    json_t *body = NULL;
+    int status =
+        harness_call(h, &body, "PUT", entry, "/v1/zones/z", NULL, text, size);
+
+    assert_int_equal(status, 413);
+    assert_int_equal(json_integer_value(json_object_get(body, "code")),
+                     CS_E_TOO_LARGE);
+    json_decref(body);
+    g_free(text);
+}
+
+static void
+api__racing_writers_get_a_conflict(void **state)
+{
+    json_t *view = NULL;
+    char match[32];
+
+    harness_call(h, &view, "GET", entry, "/v1/zones/z", NULL, NULL, 0);
+    g_snprintf(match, sizeof(match), "\"%d\"",
+               (int)json_integer_value(json_object_get(view, "version")));
+    json_decref(view);
+    assert_int_equal(
+        call("PUT", "/v1/zones/z", match, "{\"name\":\"z\"}", NULL), 200);
+    assert_int_equal(
+        call("PUT", "/v1/zones/z", match, "{\"name\":\"z\"}", NULL), 412);
+}
+
+static void
+api__audit_lists_every_change(void **state)
+{
+    json_t *body = NULL;
+    const json_t *items;
+    size_t i;
+
+    assert_int_equal(harness_call(h, &body, "GET", entry,
+                                  "/v1/audit?scope=config", NULL, NULL, 0),
+                     200);
+    items = json_object_get(body, "items");
+    assert_true(json_array_size(items) >= 6);
+    for (i = 0; i < json_array_size(items); i++)
+        assert_int_equal(json_integer_value(json_object_get(
+                             json_array_get(items, i), "version")),
+                         i + 1);
+    json_decref(body);
+}
+
+static void
+api__request_without_endpoint_did_not_run(void **state)
+{
+    int code = 0;
+
+    assert_int_equal(
+        call("POST", "/v1/services/s/requests?id=r1&class=c&organisation=o",
+             NULL, "x", &code),
+        503);
+    assert_int_equal(code, CS_E_CONNECT);
+}
+
+static int
+start(void **state)
+{
+    const char *store;
+
+    h = harness_create();
+    store =
+        harness_start(h, "standin-platform", "--listen", "127.0.0.1:0", NULL);
+    entry =
+        harness_start(h, "cs-entryd", "--name", "e", "--zone", "z", "--listen",
+                      "127.0.0.1:0", "--peer-listen", "127.0.0.1:0", "--store",
+                      store, "--poll-ms", "50", NULL);
+    harness_wait(h, entry, "/readyz", 200);
+    return 0;
+}
+
+static int
+stop(void **state)
+{
+    return harness_destroy(h);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(api__valid_resources_are_accepted),
+        cmocka_unit_test(api__wrong_types_change_nothing),
+        cmocka_unit_test(api__malformed_text_changes_nothing),
+        cmocka_unit_test(api__wrong_calls_have_their_codes),
+        cmocka_unit_test(api__oversize_body_is_refused),
+        cmocka_unit_test(api__racing_writers_get_a_conflict),
+        cmocka_unit_test(api__audit_lists_every_change),
+        cmocka_unit_test(api__request_without_endpoint_did_not_run),
+    };
+
+    return cmocka_run_group_tests(tests, start, stop);
+}
