--- a/src/http/server.c
+++ b/src/http/server.c
@@ -188,10 +188,9 @@
                                     request->type, length, &p, end))
         return -1;
     request->closing = request->server->stopping;
-    if (request->closing &&
-        lws_add_http_header_by_token(request->wsi, WSI_TOKEN_CONNECTION,
-                                     (const unsigned char *)"close", 5, &p,
-                                     end))
+    if (request->closing && lws_add_http_header_by_token(
+                                request->wsi, WSI_TOKEN_CONNECTION,
+                                (const unsigned char *)"close", 5, &p, end))
         return -1;
     if (lws_finalize_write_http_header(request->wsi, start, &p, end))
         return -1;
--- a/src/process/process.c
+++ b/src/process/process.c
@@ -15,6 +15,7 @@
 
 #define TICK_MS 20
 #define LINGER_US CS_SEC_US
+#define END_US (2 * CS_SEC_US)
 #define EXIT_CUT 3 /* work was left when the drain deadline passed */
 
 struct cs_process {
@@ -36,6 +37,7 @@
     guint wake_source;
     int64_t next_heartbeat_us;
     int64_t drain_us; /* boot clock; 0 not draining */
+    int64_t end_us;   /* last wait for own calls; 0 not yet */
     int status;
     int64_t *cpu_us;
     int64_t *rss_bytes;
@@ -119,9 +121,9 @@
     if (!done && now_us < process->drain_us)
         return;
     process->status = done ? 0 : EXIT_CUT;
+    process->end_us = now_us + END_US;
     cs_log_event("stopped",
                  done ? "nothing was left" : "the drain deadline passed");
-    g_main_loop_quit(process->loop);
 }
 
 static void
@@ -129,6 +131,13 @@
 {
     cs_now now = cs_now_read();
 
+    if (process->end_us) {
+        /* No call is started any more; those under way end first. */
+        if (cs_http_client_open(process->client) == 0 ||
+            now.boot_us >= process->end_us)
+            g_main_loop_quit(process->loop);
+        return;
+    }
     cs_outbox_set_now(process->outbox, now);
     cs_journal_tick(process->journal);
     process->hooks.tick(process->hooks.data);
--- a/src/route/endpoint.c
+++ b/src/route/endpoint.c
@@ -89,14 +89,33 @@
     return MAX(share, 1);
 }
 
+/* Neither leaving nor set aside. */
+static bool
+is_sound(const cs_router *router, const struct endpoint *e,
+         const char *service)
+{
+    return e->present && !e->leaving && strcmp(e->service, service) == 0 &&
+           router_now_us(router) >= e->aside_until_us;
+}
+
+bool
+endpoint_any(cs_router *router, const char *service)
+{
+    guint i;
+
+    for (i = 0; i < router->endpoints->len; i++) {
+        if (is_sound(router, g_ptr_array_index(router->endpoints, i), service))
+            return true;
+    }
+    return false;
+}
+
 static bool
 is_usable(const cs_router *router, const struct endpoint *e,
           const char *service)
 {
-    int64_t now_us = router_now_us(router);
-
-    return e->present && !e->leaving && strcmp(e->service, service) == 0 &&
-           now_us >= e->aside_until_us && now_us >= e->busy_until_us &&
+    return is_sound(router, e, service) &&
+           router_now_us(router) >= e->busy_until_us &&
            e->in_flight < share_of(router, e);
 }
 
--- a/src/route/router.c
+++ b/src/route/router.c
@@ -516,6 +516,12 @@
     struct organisation_queue *o =
         find_organisation_queue(queue, params->organisation);
 
+    if (!endpoint_any(router, params->service)) {
+        (*router->refused)++;
+        return cs_error_set(CS_E_NO_ENDPOINT,
+                            "no endpoint of %s takes work now",
+                            params->service);
+    }
     if (o->requests.length < (guint)rules->queue_max &&
         router->intents->len < (guint)rules->queue_max)
         return 0;
--- a/src/route/router_internal.h
+++ b/src/route/router_internal.h
@@ -110,6 +110,9 @@
 
 /* endpoint.c */
 void endpoint_rebuild(cs_router *router);
+/* Whether any endpoint of the service takes work, now or when a slot is
+   free. */
+bool endpoint_any(cs_router *router, const char *service);
 struct endpoint *endpoint_pick(cs_router *router, const char *service);
 void endpoint_succeeded(struct endpoint *e, int64_t latency_us);
 void endpoint_failed(cs_router *router, struct endpoint *e);
--- a/standins/fake_world.h
+++ b/standins/fake_world.h
@@ -10,6 +10,7 @@
 
 #include <stdbool.h>
 #include <stdint.h>
+#include <glib.h>
 #include "corianderstair/clock.h"
 
 typedef enum {
@@ -45,6 +46,7 @@
     uint64_t seed;
     world_strike strikes[2];
     world_breaks breaks;
+    GString *trace; /**< takes the audit trail; NULL for none */
 } world_options;
 
 /** The promises that are checked, by the numbers of docs/design/authority.md.
--- a/standins/fake_world_check.c
+++ b/standins/fake_world_check.c
@@ -9,7 +9,6 @@
 
 #include <inttypes.h>
 #include <stdarg.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -365,13 +364,13 @@
     free(text);
 }
 
-/* For finding out how a violation came about. */
+/* The audit trail, a line for each change. */
 static void
 trace_row(void *data, const char *key, const json_t *value)
 {
     char *text = json_dumps(value, JSON_COMPACT | JSON_SORT_KEYS);
 
-    fprintf(stderr, "%s %s\n", key, text);
+    g_string_append_printf(data, "%s %s\n", key, text);
     free(text);
 }
 
@@ -380,8 +379,8 @@
 {
     struct rows rows = {w, true, 0};
 
-    if (getenv("CS_WORLD_TRACE"))
-        fake_table_each(w->table, "c/zone/", trace_row, NULL);
+    if (w->options.trace)
+        fake_table_each(w->table, "c/", trace_row, w->options.trace);
     check_script(w);
     fake_table_each(w->table, "r/zone/jobs/", check_job, &rows);
     if (w->now.boot_us >= WORLD_END_US)
--- a/standins/standin_endpoints.c
+++ b/standins/standin_endpoints.c
@@ -151,8 +151,8 @@
     if (next == CS_SETTINGS_EXIT)
         return 0;
     runner.runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    status = standin_run(listen, on_request, &runner,
-                         g_main_loop_new(NULL, FALSE));
+    status =
+        standin_run(listen, on_request, &runner, g_main_loop_new(NULL, FALSE));
     g_hash_table_destroy(runner.runs);
     return status;
 }
--- a/standins/standin_workers.c
+++ b/standins/standin_workers.c
@@ -168,8 +168,8 @@
     }
     if (next == CS_SETTINGS_EXIT)
         return 0;
-    floor.workers = g_hash_table_new_full(
-        g_str_hash, g_str_equal, g_free, (GDestroyNotify)fake_worker_destroy);
+    floor.workers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                          (GDestroyNotify)fake_worker_destroy);
     g_timeout_add(TICK_MS, on_tick, &floor);
     status =
         standin_run(listen, on_request, &floor, g_main_loop_new(NULL, FALSE));
--- a/tools/cs_faults.c
+++ b/tools/cs_faults.c
@@ -152,6 +152,7 @@
     int64_t seed = 1;
     int64_t every = 1;
     int64_t pairs = 1000;
+    bool trace = false;
     const cs_setting table[] = {
         {"seed", CS_SETTING_NUMBER, &seed, 1, INT64_MAX, false, "seed"},
         {"every", CS_SETTING_NUMBER, &every, 1, 1000, false,
@@ -162,6 +163,8 @@
          "play one case: FAULT:CALL"},
         {"break", CS_SETTING_TEXT, &broken, 0, 32, false,
          "take a protection away: fencing, lease, admission, condition"},
+        {"trace", CS_SETTING_FLAG, &trace, 0, 0, false,
+         "print the audit trail of the one case"},
         {"second", CS_SETTING_TEXT, &second, 0, 64, false, "its second fault"},
     };
     cs_settings_next next;
@@ -182,7 +185,10 @@
     one.breaks.no_admission = strcmp(broken, "admission") == 0;
     one.breaks.no_condition = strcmp(broken, "condition") == 0;
     if (*first) {
+        one.trace = trace ? g_string_new(NULL) : NULL;
         play(&totals, &one);
+        if (trace)
+            fputs(one.trace->str, stdout);
     }
     else {
         uint32_t calls = world_play(&one).calls;
