--- a/src/http/server.c
+++ b/src/http/server.c
@@ -236,12 +236,8 @@
 
     if (!request || request->state < REQUEST_WRITING)
         return 0;
-    if (!request->headers_sent) {
-        if (write_headers(request))
-            return -1;
-        lws_callback_on_writable(request->wsi);
-        return 0;
-    }
+    if (!request->headers_sent && write_headers(request))
+        return -1;
     if (request->written < request->out->len && write_piece(request))
         return -1;
     if (request->written < request->out->len) {
