--- a/src/control/gang.c
+++ b/src/control/gang.c
@@ -29,20 +29,6 @@
     return gang;
 }
 
-static void
-unlink_members(struct gang *gang)
-{
-    guint i;
-
-    for (i = 0; i < gang->members->len; i++) {
-        struct member *m = &g_array_index(gang->members, struct member, i);
-
-        g_ptr_array_remove(m->link->gangs, gang);
-        link_touch(m->link);
-    }
-    g_array_set_size(gang->members, 0);
-}
-
 void
 gang_touch(struct gang *gang)
 {
@@ -185,37 +171,6 @@
            now_us > m->lease_us + CLOCK_MARGIN_US;
 }
 
-static bool
-any_ran(const struct gang *gang)
-{
-    guint i;
-
-    for (i = 0; i < gang->members->len; i++) {
-        if (g_array_index(gang->members, struct member, i).ever_ran)
-            return true;
-    }
-    return false;
-}
-
-/* Kept progress is what every member has kept. */
-static int64_t
-least_progress(const struct gang *gang)
-{
-    int64_t progress_ms = INT64_MAX;
-    guint i;
-
-    if (!gang->checkpoint)
-        return 0;
-    for (i = 0; i < gang->members->len; i++) {
-        const struct member *m =
-            &g_array_index(gang->members, struct member, i);
-
-        progress_ms = MIN(progress_ms, m->progress_ms);
-    }
-    return MAX(progress_ms == INT64_MAX ? 0 : progress_ms,
-               gang->status.progress_ms);
-}
-
 static void
 record_attempt(struct gang *gang)
 {
@@ -241,121 +196,6 @@
     set_state(gang, GANG_RUNNING);
 }
 
-static void
-succeed(struct gang *gang)
-{
-    cs_scheduler *s = gang->s;
-    int64_t run_us = sched_now(s).boot_us - gang->start_us;
-    guint i;
-
-    for (i = 0; i < gang->members->len; i++)
-        cs_sched_task_done(
-            s->sched,
-            g_array_index(gang->members, struct member, i).link->index);
-    cs_sched_learn(s->sched, gang->job,
-                   run_us + gang->status.progress_ms * CS_MS_US);
-    (*s->succeeded)++;
-    gang_set_condition(gang, "Ended", "done", "every member has succeeded");
-    gang_end(gang, CS_JOB_SUCCEEDED);
-}
-
-/* Whether another attempt may be made after this one ended. */
-static bool
-may_restart(const struct gang *gang)
-{
-    if (!any_ran(gang))
-        return gang->failures < ATTEMPTS_MAX;
-    if (gang->stop == STOP_PREEMPTED)
-        return gang->restartable || gang->checkpoint;
-    return gang->restartable && gang->failures < ATTEMPTS_MAX &&
-           !cs_sched_is_at_fault(gang->job);
-}
-
-static void
-fail(struct gang *gang)
-{
-    const char *reason = "failed";
-    const char *message = "a member failed";
-
-    if (cs_sched_is_at_fault(gang->job)) {
-        reason = "job-at-fault";
-        message = "it failed on three sound workers";
-    }
-    else if (gang->stop == STOP_LOST) {
-        reason = "worker-lost";
-        message = "a worker was lost and the job may not run again";
-    }
-    else if (gang->stop == STOP_PREEMPTED) {
-        reason = "preempted";
-        message = "a guaranteed claim took its place and it may not run "
-                  "again";
-    }
-    else if (gang->stop == STOP_REFUSED) {
-        reason = "start-refused";
-        message = "a member was refused after others had started";
-    }
-    (*gang->s->failed)++;
-    gang_set_condition(gang, "Ended", reason, message);
-    gang_end(gang, gang->stop == STOP_LOST ? CS_JOB_UNKNOWN : CS_JOB_FAILED);
-}
-
-static bool
-all_done(const struct gang *gang)
-{
-    guint i;
-
-    for (i = 0; i < gang->members->len; i++) {
-        const struct member *m =
-            &g_array_index(gang->members, struct member, i);
-
-        if (m->phase != PHASE_EXITED || m->exit_code != 0)
-            return false;
-    }
-    return gang->members->len > 0;
-}
-
-/* An attempt is recorded before any member starts, so a job without that
-   condition surely never ran. */
-static const char *
-how_far(const struct gang *gang)
-{
-    uint32_t i;
-
-    for (i = 0; i < gang->status.condition_count; i++) {
-        if (strcmp(gang->status.conditions[i].type, "Starting") == 0)
-            return "an attempt had been started";
-    }
-    return "it never started";
-}
-
-static void
-finish_stop(struct gang *gang)
-{
-    /* It was done before the stop reached any member. */
-    if (all_done(gang)) {
-        succeed(gang);
-        return;
-    }
-    switch (gang->stop) {
-    case STOP_CANCELLED:
-        gang_set_condition(gang, "Ended", "cancelled", how_far(gang));
-        gang_end(gang, CS_JOB_CANCELLED);
-        return;
-    case STOP_FAILED:
-        gang->failures++;
-        break;
-    case STOP_PREEMPTED:
-    case STOP_REFUSED:
-    case STOP_LOST:
-    case STOP_NONE:
-        break;
-    }
-    if (may_restart(gang))
-        gang_requeue(gang, least_progress(gang));
-    else
-        fail(gang);
-}
-
 static void
 step_stopping(struct gang *gang)
 {
@@ -367,7 +207,7 @@
                        now_us))
             return;
     }
-    finish_stop(gang);
+    gang_finish_stop(gang);
 }
 
 static void
@@ -468,7 +308,7 @@
         return;
     case GANG_RUNNING:
         if (!stop_on_fault(gang, true) && all_in(gang, PHASE_EXITED))
-            succeed(gang);
+            gang_succeed(gang);
         return;
     case GANG_STOPPING:
         step_stopping(gang);
@@ -510,7 +350,7 @@
 {
     switch (gang->state) {
     case GANG_QUEUED:
-        gang_set_condition(gang, "Ended", "cancelled", how_far(gang));
+        gang_set_condition(gang, "Ended", "cancelled", gang_how_far(gang));
         gang_end(gang, CS_JOB_CANCELLED);
         return;
     case GANG_FINAL:
@@ -578,36 +418,3 @@
         gang->stop = STOP_LOST;
     set_state(gang, GANG_ADOPTING);
 }
-
-void
-gang_requeue(struct gang *gang, int64_t progress_ms)
-{
-    cs_scheduler *s = gang->s;
-
-    unlink_members(gang);
-    gang->status.progress_ms = progress_ms;
-    gang->status.state = CS_JOB_QUEUED;
-    cs_job_status_set_members(&gang->status, NULL, 0);
-    if (gang->stop == STOP_PREEMPTED)
-        (*s->preempted)++;
-    gang->state = GANG_QUEUED;
-    gang_mark(gang);
-    cs_sched_requeue(s->sched, gang->job, progress_ms * CS_MS_US);
-    s->decide = true;
-}
-
-void
-gang_end(struct gang *gang, int32_t state)
-{
-    cs_scheduler *s = gang->s;
-
-    unlink_members(gang);
-    gang->status.state = state;
-    gang->status.ended_us = sched_now(s).wall_us;
-    gang->state = GANG_FINAL;
-    gang_mark(gang);
-    if (gang->job)
-        cs_sched_release(s->sched, gang->job);
-    gang->job = NULL;
-    s->decide = true;
-}
--- a/src/control/journal_commit.c
+++ b/src/control/journal_commit.c
@@ -62,6 +62,7 @@
     json_decref(scope->txn);
     scope->txn = NULL;
     scope->batch_seen = false;
+    scope->maybe_applied = false;
     scope->state = COMMIT_IDLE;
 }
 
@@ -312,6 +313,7 @@
     /* A conflict on our own change row may be our lost write. */
     cs_store_key_change(key, scope->name, scope->base + 1);
     if (cs_store_reply_conflicts(reply, key)) {
+        scope->maybe_applied = true;
         scope->state = COMMIT_SETTLING;
         scope->poll_now = true;
         return;
@@ -347,6 +349,7 @@
         break;
     default:
         (*scope->journal->ambiguous)++;
+        scope->maybe_applied = true;
         scope->state = COMMIT_SETTLING;
         break;
     }
@@ -396,6 +399,36 @@
         scope->poll_now = false;
 }
 
+static bool
+is_late(const struct journal_scope *scope)
+{
+    int64_t now_us = journal_now_us(scope->journal);
+    guint i;
+
+    for (i = 0; i < scope->batch->len; i++) {
+        const struct pending *pending = g_ptr_array_index(scope->batch, i);
+
+        if (pending->deadline_us <= now_us)
+            return true;
+    }
+    return false;
+}
+
+/*
+ * A transaction that every send of was refused is surely not applied. It is
+ * given up when a change in it is late, so that this one can be told as not
+ * made and is not made later.
+ */
+static void
+give_up_refused(struct journal_scope *scope)
+{
+    if (scope->state != COMMIT_SETTLING || scope->maybe_applied ||
+        scope->batch_seen || !is_late(scope))
+        return;
+    requeue(scope);
+    end_batch(scope);
+}
+
 static int
 late_code(const struct journal_scope *scope, bool in_batch)
 {
@@ -412,6 +445,7 @@
     GList *link = scope->queue.head;
     guint i;
 
+    give_up_refused(scope);
     for (i = 0; i < scope->batch->len; i++) {
         struct pending *pending = g_ptr_array_index(scope->batch, i);
 
--- a/src/control/journal_internal.h
+++ b/src/control/journal_internal.h
@@ -43,8 +43,9 @@
     GPtrArray *batch; /* of struct pending */
     json_t *txn;
     char txn_id[CS_TXN_ID_BYTES];
-    uint64_t base;   /* version that the transaction builds on */
-    bool batch_seen; /* our change was read back */
+    uint64_t base;      /* version that the transaction builds on */
+    bool batch_seen;    /* our change was read back */
+    bool maybe_applied; /* some answer of this transaction was lost */
     int64_t retry_at_us;
     int64_t backoff_us;
     char fence_key[CS_STORE_KEY_BYTES];
--- a/src/control/scheduler_internal.h
+++ b/src/control/scheduler_internal.h
@@ -174,11 +174,18 @@
 void gang_set_condition(struct gang *gang, const char *type,
                         const char *reason, const char *message);
 
-/* gang_status.c */
-void gang_write(struct gang *gang);
+/* gang_outcome.c */
+void gang_succeed(struct gang *gang);
+/* Ends a stop, all of whose members have ended. */
+void gang_finish_stop(struct gang *gang);
+/* Whether any attempt may have run, in words for a condition. */
+const char *gang_how_far(const struct gang *gang);
 void gang_requeue(struct gang *gang, int64_t progress_ms);
 void gang_end(struct gang *gang, int32_t state);
 
+/* gang_status.c */
+void gang_write(struct gang *gang);
+
 /* link.c */
 struct link *link_create(cs_scheduler *s, const cs_worker *worker,
                          uint32_t index);
--- a/src/peer/peers.c
+++ b/src/peer/peers.c
@@ -57,12 +57,18 @@
     return NULL;
 }
 
+static int connect_peer(cs_peers *peers, const char *address);
+
 /* Heartbeats name their sender's address, so that settings need no names. */
 static void
 on_heartbeat(cs_peers *peers, const char *address, cs_message *message)
 {
     struct peer_socket *p = find_by_address(peers, address);
 
+    /* A process that our settings do not name yet, such as a new VM's. */
+    if (!p && peers->list->len < CS_PEERS_MAX &&
+        connect_peer(peers, address) == 0)
+        p = find_by_address(peers, address);
     if (!p)
         return;
     g_free(p->peer.last.summary);
--- a/src/policy/reserve.c
+++ b/src/policy/reserve.c
@@ -130,7 +130,7 @@
 rack_times(const cs_sched *sched, int64_t now_us)
 {
     uint32_t count = sched->topology.racks->len;
-    int64_t *times = g_new(int64_t, MAX(count, 1));
+    int64_t *times = g_new0(int64_t, MAX(count, 1));
     uint32_t i;
     guint k;
 
--- a/src/route/router_internal.h
+++ b/src/route/router_internal.h
@@ -105,6 +105,10 @@
 void router_key(char *out, const char *service, const char *id);
 void router_finish(struct request *request, int code, int status, cs_run run,
                    const char *body, size_t size);
+struct service_queue *router_find_queue(cs_router *router,
+                                        const char *service);
+struct organisation_queue *router_find_turn(struct service_queue *queue,
+                                            const char *organisation);
 void router_enqueue(struct request *request);
 void router_pump(cs_router *router);
 
--- a/standins/fake_world_net.c
+++ b/standins/fake_world_net.c
@@ -269,7 +269,7 @@
         struct flight *f = g_ptr_array_index(w->flights, i);
 
         if (advance(w, f))
-            g_ptr_array_remove(w->flights, f);
+            g_ptr_array_remove_index(w->flights, i);
         else
             i++;
     }
