Endpoints known from a list; calls bounded by their own deadlines only

Change: endpoints are built when the configuration's version moves; the library's time-out lies above every deadline.

--- a/src/http/client.c
+++ b/src/http/client.c
@@ -9,6 +9,7 @@
 #define MAX_LANES 64
 #define ANSWER_MAX_BYTES ((size_t)64 << 20)
 #define KEEP_WARM_S 60
+#define CALL_MAX_S 3600 /* calls have deadlines of their own */
 #define QUEUE_MAX 20000
 
 /*
@@ -349,6 +350,7 @@
         info.port = CONTEXT_PORT_NO_LISTEN;
         info.protocols = client->protocols;
         info.vhost_name = lane->name;
+        info.timeout_secs = CALL_MAX_S;
         lane->vhost = lws_create_vhost(client->context, &info);
         if (!lane->vhost)
             return cs_error_set(CS_E_SYSTEM, "no virtual host for a client");
--- a/src/http/net.c
+++ b/src/http/net.c
@@ -5,6 +5,7 @@
 
 /* One process serves at most this many connections. */
 #define MAX_DESCRIPTORS 12000
+#define CALL_MAX_S 3600
 
 struct cs_net {
     struct lws_context *context;
@@ -23,6 +24,8 @@
                    LWS_SERVER_OPTION_DISABLE_IPV6;
     info.foreign_loops = net->loops;
     info.fd_limit_per_thread = MAX_DESCRIPTORS;
+    /* Calls have deadlines of their own, which come first. */
+    info.timeout_secs = CALL_MAX_S;
     info.port = CONTEXT_PORT_NO_LISTEN;
     net->context = lws_create_context(&info);
     if (!net->context) {
--- a/src/route/router.c
+++ b/src/route/router.c
@@ -9,15 +9,6 @@
 #define RETRY_BUDGET_MAX 100.0
 #define BUSY_US (5 * CS_MS_US)
 
-static void
-on_change(void *data, const cs_change *change)
-{
-    cs_router *router = data;
-
-    if (change->kind == CS_KIND_SERVICE)
-        router->rebuild = true;
-}
-
 static void
 queue_destroy(gpointer data)
 {
@@ -61,8 +52,6 @@
     router->aside = cs_counters_get(counters, "cs_endpoints_set_aside_total");
     router->intent_writes =
         cs_counters_get(counters, "cs_request_intent_writes_total");
-    router->listener = cs_board_listen(board, on_change, router);
-    router->rebuild = true;
     return router;
 }
 
@@ -71,7 +60,6 @@
 {
     if (!router)
         return;
-    cs_board_unlisten(router->board, router->listener);
     g_ptr_array_set_free_func(router->endpoints, g_free);
     g_ptr_array_free(router->endpoints, TRUE);
     g_ptr_array_free(router->intents, TRUE);
@@ -440,16 +428,25 @@
     g_ptr_array_free(late, TRUE);
 }
 
+/* Services may come by a list or a change; both move the version. */
+void
+router_refresh(cs_router *router)
+{
+    uint64_t version = cs_board_version(router->board, CS_SCOPE_CONFIG);
+
+    if (version == router->config_version)
+        return;
+    router->config_version = version;
+    endpoint_rebuild(router);
+}
+
 void
 cs_router_tick(cs_router *router)
 {
     GHashTableIter iter;
     gpointer queue;
 
-    if (router->rebuild) {
-        router->rebuild = false;
-        endpoint_rebuild(router);
-    }
+    router_refresh(router);
     g_hash_table_iter_init(&iter, router->queues);
     while (g_hash_table_iter_next(&iter, NULL, &queue))
         expire_queue(router, queue);
--- a/src/route/router_internal.h
+++ b/src/route/router_internal.h
@@ -79,7 +79,7 @@
     char zone[CS_NAME_BYTES];
     char incarnation[32];
     cs_random random;
-    uint32_t listener;
+    uint64_t config_version; /* that the endpoints are from */
     bool draining;
     uint32_t processes;
     uint32_t rank;
@@ -92,7 +92,6 @@
     bool intent_busy;
     uint64_t next_txn;
     double retry_budget;
-    bool rebuild;
     int64_t *retries;
     int64_t *crossed;
     int64_t *duplicates;
@@ -111,6 +110,7 @@
                                             const char *organisation);
 void router_enqueue(struct request *request);
 void router_pump(cs_router *router);
+void router_refresh(cs_router *router);
 
 /* endpoint.c */
 void endpoint_rebuild(cs_router *router);
--- a/src/route/submit.c
+++ b/src/route/submit.c
@@ -120,8 +120,7 @@
     char key[160];
     int rc;
 
-    if (router->rebuild)
-        cs_router_tick(router);
+    router_refresh(router);
     rc = check_request(router, params, &rules);
     if (rc || !rules)
         return rc;
--- a/tests/test_api.c
+++ b/tests/test_api.c
@@ -15,6 +15,7 @@
 
 static struct harness *h;
 static const char *entry;
+static const char *store;
 
 static const char *const valid[][2] = {
     {"config", "{\"name\":\"main\",\"worker_lease_ms\":3000,\"grace_ms\":"
@@ -337,10 +338,31 @@
     g_free(path);
 }
 
+/* What a process has loaded as a list counts as much as what it was told. */
+static void
+api__process_that_starts_later_knows_the_endpoints(void **state)
+{
+    const char *first = entry;
+    gchar *path = g_strdup_printf(
+        "/v1/services/s/"
+        "requests?id=r2&class=c&organisation=o&deadline_us=%" PRId64,
+        cs_clock_wall_us() + 10 * CS_SEC_US);
+    int code = 0;
+
+    entry = harness_start(h, "cs-entryd", "--name", "later", "--zone", "z",
+                          "--listen", "127.0.0.1:0", "--peer-listen",
+                          "127.0.0.1:0", "--store", store, "--poll-ms", "50",
+                          NULL);
+    harness_wait(h, entry, "/readyz", 200);
+    call("POST", path, NULL, "x", &code);
+    assert_true(code == CS_E_CONNECT || code == CS_E_TIMEOUT);
+    entry = first;
+    g_free(path);
+}
+
 static int
 start(void **state)
 {
-    const char *store;
 
     h = harness_create();
     store =
@@ -371,6 +393,7 @@
         cmocka_unit_test(api__racing_writers_get_a_conflict),
         cmocka_unit_test(api__audit_lists_every_change),
         cmocka_unit_test(api__request_without_endpoint_did_not_run),
+        cmocka_unit_test(api__process_that_starts_later_knows_the_endpoints),
     };
 
     return cmocka_run_group_tests(tests, start, stop);
--- a/tools/cs_load.c
+++ b/tools/cs_load.c
@@ -60,13 +60,16 @@
 
 enum { DONE, NOT_RUN, UNKNOWN, RAN };
 
+/* name takes what the error is called. */
 static int
-outcome_of(const cs_http_answer *answer)
+outcome_of(const cs_http_answer *answer, char *name, size_t size)
 {
     json_t *body;
     const char *run;
+    const char *word;
     int outcome = UNKNOWN;
 
+    g_strlcpy(name, cs_error_name(answer->code), size);
     if (answer->code == CS_E_CONNECT || answer->code == CS_E_OVERLOAD)
         return NOT_RUN;
     if (answer->code)
@@ -75,6 +78,8 @@
         return DONE;
     body = json_loadb(answer->body, answer->size_bytes, 0, NULL);
     run = json_string_value(json_object_get(body, "run"));
+    word = json_string_value(json_object_get(body, "name"));
+    g_strlcpy(name, word ? word : "no-name", size);
     if (g_strcmp0(run, "not-run") == 0)
         outcome = NOT_RUN;
     else if (g_strcmp0(run, "ran") == 0)
@@ -103,7 +108,8 @@
     struct load *load = shot->load;
     int64_t now_us = cs_clock_boot_us();
     int64_t latency_us = now_us - shot->due_us;
-    int outcome = outcome_of(answer);
+    char name[32];
+    int outcome = outcome_of(answer, name, sizeof(name));
 
     load->answered++;
     load->end_us = now_us;
@@ -116,8 +122,8 @@
         check_mark(load, shot, answer);
     }
     if (load->list)
-        printf("%s-%" PRId64 " %s %d %d\n", load->prefix, shot->number,
-               words[outcome], answer->code, answer->status);
+        printf("%s-%" PRId64 " %s %s %d\n", load->prefix, shot->number,
+               words[outcome], name, answer->status);
     g_free(shot);
 }
 
