A process that stops refuses new connections at once

Cause: one of 3,000 requests over a rolling replacement was cut: it came on a new connection in the moment of the exit. Change: the listening socket is shut down when the drain begins, so that a late caller is refused a connection and knows that nothing was sent.

--- a/src/http/server.c
+++ b/src/http/server.c
@@ -1,14 +1,17 @@
 #include "corianderstair/http_server.h"
 #include "corianderstair/errors.h"
 
+#include <arpa/inet.h>
 #include <libwebsockets.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #define HEADER_ROOM_BYTES 1024
 #define WRITE_PIECE_BYTES 32768
 #define STREAM_QUEUE_MAX_BYTES ((size_t)4 << 20)
 #define REQUEST_READ_S 20
 #define KEEPALIVE_S 75
+#define LISTEN_FD_MAX 256 /* sockets that listen are opened at the start */
 
 struct cs_http_server {
     struct lws_vhost *vhost;
@@ -363,9 +366,43 @@
     return server->open_requests;
 }
 
+static bool
+listens_on(int fd, uint16_t port)
+{
+    struct sockaddr_in address;
+    socklen_t size = sizeof(address);
+    socklen_t flag_size = sizeof(int);
+    int listening = 0;
+
+    if (getsockopt(fd, SOL_SOCKET, SO_ACCEPTCONN, &listening, &flag_size) ||
+        !listening)
+        return false;
+    if (getsockname(fd, (struct sockaddr *)&address, &size) ||
+        address.sin_family != AF_INET)
+        return false;
+    return ntohs(address.sin_port) == port;
+}
+
+/*
+ * The library closes a listening socket only together with its connections,
+ * so the socket is found among our own and shut down: later callers are
+ * refused a connection and know that nothing was sent.
+ */
+static void
+shut_listening_socket(uint16_t port)
+{
+    int fd;
+
+    for (fd = 0; fd < LISTEN_FD_MAX; fd++) {
+        if (listens_on(fd, port))
+            shutdown(fd, SHUT_RD);
+    }
+}
+
 void
 cs_http_server_stop_accepting(cs_http_server *server)
 {
+    shut_listening_socket(cs_http_server_port(server));
     server->stopping = true;
 }
 
