--- a/src/http/server.c
+++ b/src/http/server.c
@@ -369,7 +369,7 @@
 static bool
 listens_on(int fd, uint16_t port)
 {
-    struct sockaddr_in address;
+    struct sockaddr_in address = {0};
     socklen_t size = sizeof(address);
     socklen_t flag_size = sizeof(int);
     int listening = 0;
