--- a/include/corianderstair/log.h
+++ b/include/corianderstair/log.h
@@ -9,6 +9,9 @@
 /** Names this process in each line and installs the writer. */
 void cs_log_init(const char *process);
 
+/** Drops every line from now on, for sessions that are played by thousands. */
+void cs_log_silence(void);
+
 /**
  * Writes one line for a change of state.
  * @param event short stable name, such as "cell-taken"
--- a/include/corianderstair/sched.h
+++ b/include/corianderstair/sched.h
@@ -121,7 +121,10 @@
                    const cs_sched_member *members, uint32_t count,
                    int64_t started_us);
 
-/** Says that every task of a started job has ended, and forgets the job. */
+/**
+ * Forgets a job: one that waits, or a started one all of whose tasks have
+ * ended.
+ */
 void cs_sched_release(cs_sched *sched, cs_sched_job *job);
 
 /** As release, and queues the job again with its kept progress. */
@@ -130,9 +133,6 @@
 /** Teaches the run time of a job that was done. */
 void cs_sched_learn(cs_sched *sched, const cs_sched_job *job, int64_t run_us);
 
-/** Forgets a job that has not been started. */
-void cs_sched_withdraw(cs_sched *sched, cs_sched_job *job);
-
 /** Says that a running job is being stopped for the owner's reasons. */
 void cs_sched_stopping(cs_sched *sched, cs_sched_job *job);
 
--- a/src/control/journal_commit.c
+++ b/src/control/journal_commit.c
@@ -395,8 +395,6 @@
     }
     if (journal_now_us(scope->journal) >= scope->retry_at_us)
         send_txn(scope);
-    else
-        scope->poll_now = false;
 }
 
 static bool
--- a/src/peer/peers.c
+++ b/src/peer/peers.c
@@ -8,14 +8,18 @@
 #include <zmq.h>
 
 #define SEND_QUEUE 1000
+/* A learned peer that is silent for this long was replaced. */
+#define FORGET_US (60 * CS_SEC_US)
 
 struct peer_socket {
     cs_peer peer;
     void *socket;
+    bool learned; /* from a heartbeat, not from settings */
 };
 
 struct cs_peers {
     char name[CS_MESSAGE_NAME_BYTES];
+    char own[32]; /* the address that peers answer to */
     void *context;
     void *inbox;
     guint source;
@@ -67,8 +71,10 @@
 
     /* A process that our settings do not name yet, such as a new VM's. */
     if (!p && peers->list->len < CS_PEERS_MAX &&
-        connect_peer(peers, address) == 0)
+        connect_peer(peers, address) == 0) {
         p = find_by_address(peers, address);
+        p->learned = true;
+    }
     if (!p)
         return;
     g_free(p->peer.last.summary);
@@ -187,6 +193,17 @@
     return rc;
 }
 
+/* The port may have been the kernel's choice. */
+static void
+note_own_address(cs_peers *peers)
+{
+    char endpoint[64] = "";
+    size_t length = sizeof(endpoint);
+
+    zmq_getsockopt(peers->inbox, ZMQ_LAST_ENDPOINT, endpoint, &length);
+    g_strlcpy(peers->own, endpoint + strlen("tcp://"), sizeof(peers->own));
+}
+
 static int
 bind_inbox(cs_peers *peers, const char *listen)
 {
@@ -201,6 +218,7 @@
     if (zmq_bind(peers->inbox, endpoint))
         return cs_error_set(CS_E_SYSTEM, "cannot listen for peers on %s",
                             listen);
+    note_own_address(peers);
     zmq_getsockopt(peers->inbox, ZMQ_FD, &fd, &size);
     peers->source = g_unix_fd_add(fd, G_IO_IN, on_readable, peers);
     return 0;
@@ -236,6 +254,34 @@
     return 0;
 }
 
+static void
+close_peer(struct peer_socket *p)
+{
+    zmq_close(p->socket);
+    g_free(p->peer.last.summary);
+    g_free(p);
+}
+
+/* VMs are replaced all day; those that were learned do not pile up. */
+static void
+forget_silent(cs_peers *peers)
+{
+    int64_t now_us = cs_clock_boot_us();
+    guint i = 0;
+
+    while (i < peers->list->len) {
+        struct peer_socket *p = g_ptr_array_index(peers->list, i);
+
+        if (p->learned && now_us - p->peer.heard_us > FORGET_US) {
+            g_ptr_array_remove_index(peers->list, i);
+            close_peer(p);
+        }
+        else {
+            i++;
+        }
+    }
+}
+
 void
 cs_peers_destroy(cs_peers *peers)
 {
@@ -245,13 +291,8 @@
         return;
     if (peers->source)
         g_source_remove(peers->source);
-    for (i = 0; i < peers->list->len; i++) {
-        struct peer_socket *p = g_ptr_array_index(peers->list, i);
-
-        zmq_close(p->socket);
-        g_free(p->peer.last.summary);
-        g_free(p);
-    }
+    for (i = 0; i < peers->list->len; i++)
+        close_peer(g_ptr_array_index(peers->list, i));
     g_ptr_array_free(peers->list, TRUE);
     if (peers->inbox)
         zmq_close(peers->inbox);
@@ -260,11 +301,10 @@
 }
 
 static void
-send_bytes(cs_peers *peers, struct peer_socket *p, const char *own,
-           const GByteArray *bytes)
+send_bytes(cs_peers *peers, struct peer_socket *p, const GByteArray *bytes)
 {
-    if (zmq_send(p->socket, own, strlen(own), ZMQ_DONTWAIT | ZMQ_SNDMORE) <
-            0 ||
+    if (zmq_send(p->socket, peers->own, strlen(peers->own),
+                 ZMQ_DONTWAIT | ZMQ_SNDMORE) < 0 ||
         zmq_send(p->socket, bytes->data, bytes->len, ZMQ_DONTWAIT) < 0) {
         (*peers->refused)++;
         return;
@@ -273,27 +313,16 @@
     *peers->sent_bytes += bytes->len;
 }
 
-static void
-own_address(const cs_peers *peers, char *out, size_t size)
-{
-    char endpoint[64] = "";
-    size_t length = sizeof(endpoint);
-
-    zmq_getsockopt(peers->inbox, ZMQ_LAST_ENDPOINT, endpoint, &length);
-    g_strlcpy(out, endpoint + strlen("tcp://"), size);
-}
-
 void
 cs_peers_broadcast(cs_peers *peers, const cs_message *message)
 {
     GByteArray *bytes = g_byte_array_new();
-    char own[32];
     guint i;
 
-    own_address(peers, own, sizeof(own));
+    forget_silent(peers);
     cs_message_encode(bytes, message);
     for (i = 0; i < peers->list->len; i++)
-        send_bytes(peers, g_ptr_array_index(peers->list, i), own, bytes);
+        send_bytes(peers, g_ptr_array_index(peers->list, i), bytes);
     g_byte_array_unref(bytes);
     /* Sending may have used up the edge that announces input. */
     drain_inbox(peers);
@@ -304,14 +333,12 @@
 {
     struct peer_socket *p = find_by_name(peers, name);
     GByteArray *bytes;
-    char own[32];
 
     if (!p)
         return cs_error_set(CS_E_NOT_FOUND, "no peer named %s", name);
     bytes = g_byte_array_new();
-    own_address(peers, own, sizeof(own));
     cs_message_encode(bytes, message);
-    send_bytes(peers, p, own, bytes);
+    send_bytes(peers, p, bytes);
     g_byte_array_unref(bytes);
     return 0;
 }
--- a/src/policy/explain.c
+++ b/src/policy/explain.c
@@ -64,10 +64,6 @@
                  "organisation is in use",
                  job->request.accelerators);
         return;
-    case WAIT_BEHIND:
-        *reason = "behind";
-        snprintf(message, size, "others of the organisation go first");
-        return;
     }
 }
 
--- a/src/policy/policy_internal.h
+++ b/src/policy/policy_internal.h
@@ -62,7 +62,6 @@
 
 struct queue_key {
     int64_t remaining_us;
-    int64_t submitted_us;
     uint64_t sequence;
 };
 
@@ -71,8 +70,7 @@
     WAIT_NO_SPACE,
     WAIT_RESERVED, /* would delay a reservation */
     WAIT_CLAIM,    /* others are being stopped for it */
-    WAIT_ENTITLED, /* all guaranteed blocks of its size are in use */
-    WAIT_BEHIND    /* others go first */
+    WAIT_ENTITLED  /* all guaranteed blocks of its size are in use */
 } wait_reason;
 
 typedef enum { JOB_QUEUED, JOB_CLAIMING, JOB_STARTED, JOB_STOPPING } job_state;
--- a/src/policy/queue.c
+++ b/src/policy/queue.c
@@ -119,7 +119,6 @@
     job->key.remaining_us =
         MAX(estimate_run(sched, &job->request) - job->request.progress_us,
             REMAINING_MIN_US);
-    job->key.submitted_us = job->request.submitted_us;
     job->key.sequence = job->sequence;
     job->by_length = g_sequence_insert_sorted(o->queues[tier][size_class], job,
                                               compare_keys, NULL);
--- a/src/policy/sched.c
+++ b/src/policy/sched.c
@@ -336,12 +336,6 @@
     job_destroy(sched, job);
 }
 
-void
-cs_sched_withdraw(cs_sched *sched, cs_sched_job *job)
-{
-    cs_sched_release(sched, job);
-}
-
 void
 cs_sched_requeue(cs_sched *sched, cs_sched_job *job, int64_t progress_us)
 {
--- a/src/policy/turn.c
+++ b/src/policy/turn.c
@@ -289,13 +289,13 @@
     chooser_dispose(&chooser);
 }
 
+/* The oldest job of a tier that asks for no smaller size class. */
 static cs_sched_job *
-oldest(const cs_sched *sched, cs_tier tier)
+oldest_from(const cs_sched *sched, cs_tier tier, uint32_t size_class)
 {
     cs_sched_job *best = NULL;
-    int size_class;
 
-    for (size_class = 0; size_class < CLASS_COUNT; size_class++) {
+    for (; size_class < CLASS_COUNT; size_class++) {
         cs_sched_job *job =
             g_queue_peek_head((GQueue *)&sched->ages[tier][size_class]);
 
@@ -305,6 +305,21 @@
     return best;
 }
 
+static cs_sched_job *
+oldest(const cs_sched *sched, cs_tier tier)
+{
+    return oldest_from(sched, tier, 0);
+}
+
+/* The oldest job that nothing but a drained place can help. */
+static cs_sched_job *
+oldest_gang(const cs_sched *sched)
+{
+    uint32_t least = MAX(sched->topology.worker_max, 2);
+
+    return oldest_from(sched, CS_TIER_NORMAL, class_of(least));
+}
+
 static int64_t
 waited_us(const struct turn *turn, const cs_sched_job *job)
 {
@@ -320,25 +335,6 @@
     return waited_us(turn, job) >= bound_us;
 }
 
-/* The oldest job that nothing but a drained place can help. */
-static cs_sched_job *
-oldest_gang(const cs_sched *sched)
-{
-    uint32_t least = MAX(sched->topology.worker_max, 2);
-    cs_sched_job *best = NULL;
-    int size_class;
-
-    for (size_class = (int)class_of(least); size_class < CLASS_COUNT;
-         size_class++) {
-        cs_sched_job *job = g_queue_peek_head(
-            (GQueue *)&sched->ages[CS_TIER_NORMAL][size_class]);
-
-        if (job && (!best || job->sequence < best->sequence))
-            best = job;
-    }
-    return best;
-}
-
 /* Jobs past the wait bound go first, oldest first. */
 static void
 run_aged(struct turn *turn)
--- a/src/util/log.c
+++ b/src/util/log.c
@@ -51,6 +51,19 @@
     g_log_set_writer_func(write_line, NULL, NULL);
 }
 
+static GLogWriterOutput
+drop_line(GLogLevelFlags level, const GLogField *fields, gsize count,
+          gpointer data)
+{
+    return G_LOG_WRITER_HANDLED;
+}
+
+void
+cs_log_silence(void)
+{
+    g_log_set_writer_func(drop_line, NULL, NULL);
+}
+
 void
 cs_log_event(const char *event, const char *fmt, ...)
 {
--- a/tests/test_faults.c
+++ b/tests/test_faults.c
@@ -5,6 +5,7 @@
 #include <cmocka.h>
 #include <glib.h>
 
+#include "corianderstair/log.h"
 #include "corianderstair/random.h"
 #include "fake_world.h"
 
@@ -13,13 +14,6 @@
 #define PAIRS 60
 #define CALLS 380
 
-static GLogWriterOutput
-drop_line(GLogLevelFlags level, const GLogField *fields, gsize count,
-          gpointer data)
-{
-    return G_LOG_WRITER_HANDLED;
-}
-
 static void
 assert_kept(const world_options *o)
 {
@@ -178,6 +172,6 @@
         cmocka_unit_test(faults__checker_notices_missing_conditions),
     };
 
-    g_log_set_writer_func(drop_line, NULL, NULL);
+    cs_log_silence();
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/test_session.c
+++ b/tests/test_session.c
@@ -5,15 +5,9 @@
 #include <cmocka.h>
 #include <glib.h>
 
+#include "corianderstair/log.h"
 #include "fake_world.h"
 
-static GLogWriterOutput
-drop_line(GLogLevelFlags level, const GLogField *fields, gsize count,
-          gpointer data)
-{
-    return G_LOG_WRITER_HANDLED;
-}
-
 /* Declare, submit, reclaim, cancel: what a watch from the start shows. After
    an intended change: CS_GOLDEN_WRITE=1 test_session, and read the diff. */
 static void
@@ -39,6 +33,6 @@
         cmocka_unit_test(session__is_the_golden_one),
     };
 
-    g_log_set_writer_func(drop_line, NULL, NULL);
+    cs_log_silence();
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tools/cs_faults.c
+++ b/tools/cs_faults.c
@@ -3,6 +3,7 @@
  * faults, and prints a line for each promise.
  */
 #include "corianderstair/errors.h"
+#include "corianderstair/log.h"
 #include "corianderstair/random.h"
 #include "corianderstair/settings.h"
 #include "fake_world.h"
@@ -133,14 +134,6 @@
     return cs_error_set(CS_E_SETTING, "'%s' is not FAULT:CALL", text);
 }
 
-/* Thousands of sessions would fill the log. */
-static GLogWriterOutput
-drop_line(GLogLevelFlags level, const GLogField *fields, gsize count,
-          gpointer data)
-{
-    return G_LOG_WRITER_HANDLED;
-}
-
 int
 main(int argc, char **argv)
 {
@@ -178,7 +171,7 @@
     }
     if (next == CS_SETTINGS_EXIT)
         return 0;
-    g_log_set_writer_func(drop_line, NULL, NULL);
+    cs_log_silence();
     one.seed = (uint64_t)seed;
     one.breaks.no_fencing = strcmp(broken, "fencing") == 0;
     one.breaks.no_worker_lease = strcmp(broken, "lease") == 0;
