Idle room is used beyond the rack of the data once no jobs come

Cause: a step with its data on one rack waited 1.5 run times (14 s and more) for that rack, also while over half of the fleet was idle; a gang asked onto one rack waited without end where every rack was broken up. Change: with no submission for 8 s and the least used resource under 0.55 in use, the patience for a rack is 1.5 s. Two tests, both fail before.

--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -206,6 +206,7 @@
     struct feed progress; /* read once */
     struct feed worker_feed;
     uint64_t next_sequence;
+    int64_t submitted_ms; /* wall clock; when the newest job was accepted */
     uint64_t look_serial;
     bool turn_wanted;
     int64_t next_scan_us;
--- a/src/fleet/job.c
+++ b/src/fleet/job.c
@@ -25,6 +25,7 @@
 
     job->spec = *spec;
     job->sequence = ++fleet->next_sequence;
+    fleet->submitted_ms = MAX(fleet->submitted_ms, spec->accepted_ms);
     job->occurrences = MAX(spec->repeats, 1);
     job->steps = g_new0(struct step *, job_slot_count(job));
     g_hash_table_insert(fleet->jobs, job->spec.id, job);
--- a/src/fleet/turn.c
+++ b/src/fleet/turn.c
@@ -17,13 +17,40 @@
 #define KEPT_USE_MIN 0.6
 /* A rack of data is waited for as long as this many run times. */
 #define FAR_PATIENCE 1.5
+/* Nothing waits for a rack while about half of the room is idle and no jobs
+   come that would take it: the rules allow 3 s under a half, from 14 s after
+   the last submission. */
+#define IDLE_USE_MAX 0.55
+#define IDLE_PATIENCE_S 1.5
+#define IDLE_CALM_MS 8000
+
+/* Adds up what is there and what is free of it. */
+struct room {
+    cs_demand all;
+    cs_demand free;
+};
+
+static double
+share_used(int64_t all, int64_t free)
+{
+    return all > 0 ? 1.0 - (double)free / (double)all : 1.0;
+}
+
+/* Use of the resource that is used least. */
+static double
+least_use(const struct room *room)
+{
+    double use = share_used(room->all.accelerators, room->free.accelerators);
+
+    use = MIN(use, share_used(room->all.cpu_milli, room->free.cpu_milli));
+    return MIN(use, share_used(room->all.memory_mb, room->free.memory_mb));
+}
 
 static void
 build_cell(struct turn *turn)
 {
     cs_fleet *fleet = turn->fleet;
-    int64_t capacity = 0;
-    int64_t free = 0;
+    struct room room = {{0}, {0}};
     guint i;
 
     turn->cell.worker_count = fleet->worker_list->len;
@@ -42,12 +69,15 @@
         fit->usable = worker_is_usable(fleet, worker);
         if (!fit->usable)
             continue;
-        capacity += fit->capacity.accelerators;
-        free += fit->free.accelerators;
+        cs_demand_add(&room.all, &fit->capacity);
+        cs_demand_add(&room.free, &fit->free);
     }
     cs_fit_cell_index(&turn->cell);
-    if (capacity > 0)
-        turn->use = 1.0 - (double)free / (double)capacity;
+    if (room.all.accelerators > 0)
+        turn->use = share_used(room.all.accelerators, room.free.accelerators);
+    turn->idle =
+        turn->now.wall_us / CS_MS_US - fleet->submitted_ms >= IDLE_CALM_MS &&
+        least_use(&room) < IDLE_USE_MAX;
 }
 
 void
@@ -136,13 +166,21 @@
     return CS_FIT_ANY;
 }
 
+static double
+waited_seconds(const struct turn *turn, const struct step *step)
+{
+    return (double)(turn->now.boot_us - step->ready_us) / (double)CS_SEC_US;
+}
+
+/* Whether the step waits on for the rack that has its data. */
 static bool
-is_patient(const struct turn *turn, const struct step *step)
+waits_for_data(const struct turn *turn, const struct step *step)
 {
-    double waited_s =
-        (double)(turn->now.boot_us - step->ready_us) / (double)CS_SEC_US;
+    double patience_s = FAR_PATIENCE * turn_step_seconds(turn->fleet, step);
 
-    return waited_s < FAR_PATIENCE * turn_step_seconds(turn->fleet, step);
+    if (turn->idle)
+        patience_s = MIN(patience_s, IDLE_PATIENCE_S);
+    return waited_seconds(turn, step) < patience_s;
 }
 
 /* Whether no rack could hold the step, even if it were empty. */
@@ -172,7 +210,7 @@
     request->whole = step->spec->gang;
     request->same_rack = step->spec->same_rack;
     request->data_rack = CS_FIT_ANY;
-    if (step->spec->data_rack[0] && is_patient(turn, step))
+    if (step->spec->data_rack[0] && waits_for_data(turn, step))
         request->data_rack = worker_rack(fleet, step->spec->data_rack);
     g_snprintf(service, sizeof(service), "service:%s",
                candidate->queue->service);
@@ -187,7 +225,9 @@
     request->present = count_present(turn, step);
     request->avoid = find_avoid(step);
     request->speed_weight = speed_weight(candidate->queue->priority);
-    if (request->same_rack && is_wide(turn, candidate->step, request))
+    if (request->same_rack &&
+        ((turn->idle && waited_seconds(turn, step) >= IDLE_PATIENCE_S) ||
+         is_wide(turn, candidate->step, request)))
         request->same_rack = false;
 }
 
--- a/src/fleet/turn_internal.h
+++ b/src/fleet/turn_internal.h
@@ -22,6 +22,7 @@
     GArray *failed;      /* of cs_fit_request that found no room */
     uint32_t searches;   /* for victims */
     double use;          /* share of the usable accelerators in use */
+    bool idle;           /* no jobs come, and half of the room is free */
 };
 
 /* turn_order.c */
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -186,6 +186,57 @@
     fake_fleet_destroy(world);
 }
 
+/* A step prefers one rack, which is full of long work; most others are idle.
+ */
+static void
+expect_start_elsewhere(bool same_rack)
+{
+    fake_fleet_settings settings = {
+        .vms = 4, .workers = 24, .racks = 3, .seed = 10};
+    fake_fleet *world = fake_fleet_create(&settings);
+    fake_job job;
+    int32_t reply;
+    uint32_t k;
+
+    fake_fleet_run(world, 2 * CS_SEC_US);
+    for (k = 0; k < 3; k++) {
+        /* A rack is filled, or no rack is left whole. */
+        fake_job_init(&job, k + 1, 1, same_rack ? 1 : 3, same_rack ? 3 : 8,
+                      300 * 1000);
+        g_snprintf(job.spec.steps[0].data_rack,
+                   sizeof(job.spec.steps[0].data_rack), "r1-%u",
+                   same_rack ? k : 0);
+        fake_fleet_submit(world, 0, &job, &reply);
+        fake_fleet_run(world, CS_SEC_US);
+    }
+    fake_job_init(&job, 9, 1, same_rack ? 8 : 1, 8, 60 * 1000);
+    job.spec.steps[0].gang = same_rack;
+    job.spec.steps[0].same_rack = same_rack;
+    if (!same_rack)
+        g_strlcpy(job.spec.steps[0].data_rack, "r1-0",
+                  sizeof(job.spec.steps[0].data_rack));
+    fake_fleet_submit(world, 0, &job, &reply);
+    /* The bound of the pages: 3 s while under half of the room is in use, from
+       14 s after the last submission. */
+    fake_fleet_run(world, 14 * CS_SEC_US);
+    assert_int_equal(fake_fleet_starts(world, "0000000000000009"),
+                     same_rack ? 8 : 1);
+    expect_no_violation(world);
+    fake_fleet_destroy(world);
+}
+
+static void
+fleet__idle_room_is_used_beyond_the_data_rack(void **state)
+{
+    expect_start_elsewhere(false);
+}
+
+static void
+fleet__idle_room_is_used_over_racks(void **state)
+{
+    expect_start_elsewhere(true);
+}
+
 /* The holder reads of a job only after its cancellation, and both at once. */
 static void
 fleet__job_cancelled_before_it_is_read(void **state)
@@ -431,6 +482,8 @@
         cmocka_unit_test(fleet__silent_worker_gets_no_tasks),
         cmocka_unit_test(fleet__old_jobs_are_removed),
         cmocka_unit_test(fleet__late_claim_still_takes_its_room),
+        cmocka_unit_test(fleet__idle_room_is_used_beyond_the_data_rack),
+        cmocka_unit_test(fleet__idle_room_is_used_over_racks),
         cmocka_unit_test(fleet__job_cancelled_before_it_is_read),
         cmocka_unit_test(fleet__refused_vm_goes_through_a_peer),
         cmocka_unit_test(fleet__many_jobs_fit_several_changes),
