An end that is seen late counts, whatever was started since

Cause: a run ended as done while its worker was cut off with its zone; its leases were taken for ended 3 s later and the task was started elsewhere. When the worker came back, its end named an older run and was ignored, so the work was done again and the next step waited for it. Found with a log line for every end: task 348e...0.1.6 run 1 lapsed at 38.55 s, run 7 still going at 73.5 s. end-seen-late logs it now. Change: an older run's end as done ends the task; the newer run is stopped, and its worker gets no tasks until the stop has surely ended. Test fleet__end_seen_late_counts fails before.

--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -268,6 +268,8 @@
 uint64_t worker_label(cs_fleet *fleet, const char *name);
 /* Another incarnation has the worker's id. */
 void worker_reborn(cs_fleet *fleet, struct worker *worker, uint64_t born_ms);
+/* Whether the start of the task's run has been sent. */
+bool worker_task_is_started(const struct task *task);
 /* Tasks whose start has been sent. */
 uint32_t worker_started(const struct worker *worker);
 /* Has the worker looked at, as an end may be listed there. */
@@ -311,8 +313,8 @@
 void task_progressed(cs_fleet *fleet, struct task *task);
 /* Counts a waiting task as done. */
 void task_mark_done(struct task *task);
-/* A run that was taken for lost has ended as done. */
-void task_done_late(cs_fleet *fleet, struct task *task);
+/* A run that was taken for lost has ended as done; a newer one is stopped. */
+void task_done_late(cs_fleet *fleet, struct task *task, uint32_t run);
 uint32_t step_next_run(const struct step *step);
 /* Stops what a gang has started, after one member did not. */
 void step_break(cs_fleet *fleet, struct step *step);
--- a/src/fleet/hold.c
+++ b/src/fleet/hold.c
@@ -46,16 +46,16 @@
 {
     struct task *task = job_find_task(fleet, end->task);
 
-    if (!task || task->run != end->run)
+    if (!task || end->run > task->run)
         return;
-    if (task->worker == worker) {
+    if (task->worker == worker && task->run == end->run) {
         task_ended(fleet, task, end->how, end->saved);
         return;
     }
-    /* Its end was taken for a loss, and nothing was started since. */
-    if (end->how == CS_END_DONE && task->state == TASK_WAITING &&
-        !task->step->spec->perpetual)
-        task_done_late(fleet, task);
+    /* Its end was taken for a loss. */
+    if (end->how == CS_END_DONE && task->state != TASK_DONE &&
+        !task->step->spec->perpetual && !job_is_final(task->step->job))
+        task_done_late(fleet, task, end->run);
 }
 
 static void
@@ -75,14 +75,22 @@
     }
 }
 
+/* Members of a gang that is done end by themselves. */
+static bool
+is_left_over(const struct task *task, const struct worker *worker)
+{
+    if (task->worker == worker)
+        return false;
+    return task->state != TASK_DONE || !task->step->spec->gang;
+}
+
 static void
 note_run(cs_fleet *fleet, struct worker *worker, const cs_worker_run *run,
          uint64_t look, int64_t now_us)
 {
     struct task *task = job_find_task(fleet, run->task);
 
-    if (!task || task->run != run->run ||
-        (task->worker != worker && task->state != TASK_DONE)) {
+    if (!task || task->run != run->run || is_left_over(task, worker)) {
         run_stop_unknown(fleet, worker, run->task, run->run);
         return;
     }
--- a/src/fleet/run.c
+++ b/src/fleet/run.c
@@ -245,5 +245,8 @@
                  run, worker->id);
     fleet_count(fleet, "cs_runs_unknown_total");
     worker_expect_end(fleet, worker);
+    /* Its demand is not counted, and is free only after the stop. */
+    pause_worker(fleet, worker,
+                 fleet->board->settings.bounds.stop_ms * CS_MS_US);
     send_stop(fleet, worker, task, run);
 }
--- a/src/fleet/task.c
+++ b/src/fleet/task.c
@@ -224,15 +224,50 @@
     job_set_dirty(fleet, step->job);
 }
 
+/* Takes a task off its worker, whose run is no longer needed. */
+static void
+abandon_run(cs_fleet *fleet, struct task *task)
+{
+    struct worker *worker = task->worker;
+    char name[TASK_NAME_BYTES];
+
+    if (!worker)
+        return;
+    task_name(name, task);
+    if (worker_task_is_started(task))
+        run_stop_unknown(fleet, worker, name, task->run);
+    task_release(fleet, task);
+}
+
+static void
+finish_late(cs_fleet *fleet, struct task *task)
+{
+    if (task->state == TASK_DONE)
+        return;
+    abandon_run(fleet, task);
+    task_mark_done(task);
+}
+
 void
-task_done_late(cs_fleet *fleet, struct task *task)
+task_done_late(cs_fleet *fleet, struct task *task, uint32_t run)
 {
-    if (task->step->spec->gang)
-        step_finish_gang(fleet, task->step);
-    else
-        task_mark_done(task);
-    job_set_dirty(fleet, task->step->job);
-    job_update(fleet, task->step->job);
+    struct step *step = task->step;
+    char name[TASK_NAME_BYTES];
+    uint32_t i;
+
+    task_name(name, task);
+    cs_log_event("end-seen-late", "task %s run %u is done, newest run %u",
+                 name, run, task->run);
+    fleet_count(fleet, "cs_ends_late_total");
+    if (step->spec->gang) {
+        for (i = 0; i < step->spec->task_count; i++)
+            finish_late(fleet, &step->tasks[i]);
+    }
+    else {
+        finish_late(fleet, task);
+    }
+    job_set_dirty(fleet, step->job);
+    job_update(fleet, step->job);
 }
 
 static void
--- a/src/fleet/worker.c
+++ b/src/fleet/worker.c
@@ -86,8 +86,8 @@
     return number > 64 ? UINT64_MAX : UINT64_C(1) << (number - 1);
 }
 
-static bool
-is_started(const struct task *task)
+bool
+worker_task_is_started(const struct task *task)
 {
     switch (task->state) {
     case TASK_STARTING:
@@ -110,7 +110,7 @@
     guint i;
 
     for (i = 0; i < worker->tasks->len; i++)
-        count += is_started(g_ptr_array_index(worker->tasks, i));
+        count += worker_task_is_started(g_ptr_array_index(worker->tasks, i));
     return count;
 }
 
@@ -134,7 +134,7 @@
     while (i < worker->tasks->len) {
         struct task *task = g_ptr_array_index(worker->tasks, i);
 
-        if (!is_started(task)) {
+        if (!worker_task_is_started(task)) {
             i++;
             continue;
         }
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -137,6 +137,35 @@
     fake_fleet_destroy(world);
 }
 
+/* A run ends as done while its worker is cut off, and its task is started
+   elsewhere: the end counts once it is seen, and the new run is stopped. */
+static void
+fleet__end_seen_late_counts(void **state)
+{
+    fake_fleet_settings settings = {
+        .vms = 4, .workers = 2, .racks = 1, .seed = 11};
+    fake_fleet *world = fake_fleet_create(&settings);
+    fake_job job;
+    int32_t reply;
+
+    fake_fleet_run(world, 2 * CS_SEC_US);
+    fake_job_init(&job, 1, 2, 2, 8, 8 * 1000);
+    fake_fleet_submit(world, 0, &job, &reply);
+    fake_fleet_run(world, 6 * CS_SEC_US);
+    fake_fleet_cut_worker(world, 0, true);
+    fake_fleet_run(world, 8 * CS_SEC_US);
+    assert_int_equal(fake_fleet_starts(world, "0000000000000001"), 3);
+    expect_state(world, 1, CS_PROGRESS_RUNNING);
+    fake_fleet_cut_worker(world, 0, false);
+    fake_fleet_run(world, 1500 * CS_MS_US);
+    expect_state(world, 1, CS_PROGRESS_COMPLETED);
+    fake_fleet_run(world, 3 * CS_SEC_US);
+    assert_true(fake_fleet_is_quiet(world));
+    assert_int_equal(fake_fleet_starts(world, "0000000000000001"), 3);
+    expect_no_violation(world);
+    fake_fleet_destroy(world);
+}
+
 /* States are answered for the retention, then the rows go. */
 static void
 fleet__old_jobs_are_removed(void **state)
@@ -480,6 +509,7 @@
         cmocka_unit_test(fleet__successor_adopts_what_runs),
         cmocka_unit_test(fleet__cold_start_adopts_before_leases_end),
         cmocka_unit_test(fleet__silent_worker_gets_no_tasks),
+        cmocka_unit_test(fleet__end_seen_late_counts),
         cmocka_unit_test(fleet__old_jobs_are_removed),
         cmocka_unit_test(fleet__late_claim_still_takes_its_room),
         cmocka_unit_test(fleet__idle_room_is_used_beyond_the_data_rack),
