Advised queues: the holder asks the adviser and starts with tickets

Jobs of such queues waited without end. A rack is not insisted on where too few of its workers may run a gang. Ways weighed: asking for all workers at once (100 a question cost the adviser most time), for each start (one call a task).

--- a/include/corianderstair/fit.h
+++ b/include/corianderstair/fit.h
@@ -50,6 +50,7 @@
     const uint32_t *present; /**< tasks of the step by worker; NULL for none */
     uint32_t kept_racks;     /**< racks from this number on stay free; the
                                   number of racks for none */
+    const bool *allowed;     /**< by worker; NULL for all */
     uint32_t avoid;          /**< a worker to keep away from; CS_FIT_ANY */
     double speed_weight;     /**< parts that speed has in the choice, 0.. */
 } cs_fit_request;
@@ -68,6 +69,16 @@
 uint32_t cs_fit_place(uint32_t *out, cs_fit_cell *cell,
                       const cs_fit_request *request);
 
+/**
+ * Ranks the workers that could take a task of the request if they were
+ * empty, whether they are allowed or not: those with room first, rack by rack
+ * where it wants one rack.
+ * @param out room for as many worker indexes as there are workers
+ * @return their number
+ */
+uint32_t cs_fit_rank(uint32_t *out, const cs_fit_cell *cell,
+                     const cs_fit_request *request);
+
 /** @return whether an empty cell of usable workers could hold the request */
 bool cs_fit_is_possible(const cs_fit_cell *cell,
                         const cs_fit_request *request);
--- a/include/corianderstair/fleet_board.h
+++ b/include/corianderstair/fleet_board.h
@@ -8,6 +8,7 @@
 
 #include <glib.h>
 #include <stdint.h>
+#include "corianderstair/adviser_port.h"
 #include "corianderstair/clock.h"
 #include "corianderstair/counters.h"
 #include "corianderstair/fleet_config.h"
@@ -20,6 +21,7 @@
 typedef struct {
     const cs_store_port *store;
     const cs_worker_port *workers;
+    const cs_adviser_port *adviser; /**< NULL where there is none */
     cs_now (*now)(void *data);
     void *now_data;
     /** Reads a version of the configuration. */
--- a/include/corianderstair/vm_settings.h
+++ b/include/corianderstair/vm_settings.h
@@ -25,6 +25,7 @@
     char peer_address[48];   /**< "IP:PORT" for peers and operators; may be
                                   empty */
     char store_address[48];
+    char adviser_address[48]; /**< empty where there is none */
     char seeds[3][48]; /**< peer addresses of some VMs; empty for none */
     double cpu_share;  /**< of a core that the VM has; 0 not told */
     cs_vm_bounds bounds;
--- a/include/corianderstair/worker_port.h
+++ b/include/corianderstair/worker_port.h
@@ -78,8 +78,9 @@
     const char *task;
     uint32_t run;
     const char *spec;
-    const char *saved; /**< checkpoint to resume from; NULL for none */
-    int64_t until_ms;  /**< end of the lease on the worker's clock */
+    const char *saved;  /**< checkpoint to resume from; NULL for none */
+    const char *ticket; /**< of the placement adviser; NULL for none */
+    int64_t until_ms;   /**< end of the lease on the worker's clock */
     uint64_t epoch;
 } cs_start_order;
 
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -15,15 +15,21 @@
     (*cs_fleet_board_counter(fleet->board, name))++;
 }
 
-struct call *
-call_create(cs_fleet *fleet, struct worker *worker)
+void
+call_init(struct call *call, cs_fleet *fleet, struct worker *worker)
 {
-    struct call *call = g_new0(struct call, 1);
-
     call->fleet = fleet;
     call->generation = fleet->generation;
     call->worker = worker;
     call->sent_us = fleet_now(fleet).boot_us;
+}
+
+struct call *
+call_create(cs_fleet *fleet, struct worker *worker)
+{
+    struct call *call = g_new0(struct call, 1);
+
+    call_init(call, fleet, worker);
     return call;
 }
 
@@ -80,6 +86,7 @@
     create_tables(fleet);
     load_init(fleet);
     fleet->turn_wanted = false;
+    fleet->advice_open = false;
     fleet->headroom.used = 0;
 }
 
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -39,6 +39,7 @@
 
 struct job;
 struct step;
+struct advice;
 
 /* An instance of this process's place at a worker's id. */
 struct worker {
@@ -118,8 +119,9 @@
     int64_t ready_us;    /* boot clock since when it may start; 0 not yet */
     double log_time_sum; /* of ended tasks: log of run time times speed */
     uint32_t log_time_count;
-    int64_t wide_us; /* boot clock when a rack was last looked for */
-    bool wide;       /* no rack could hold it, even an empty one */
+    int64_t wide_us;       /* boot clock when a rack was last looked for */
+    bool wide;             /* no rack could hold it, even an empty one */
+    struct advice *advice; /* of an advised queue; NULL none yet */
     uint32_t *claim; /* workers kept for it, one for each task; or NULL */
     int64_t claim_us;
 };
@@ -211,6 +213,7 @@
     int64_t submitted_ms; /* wall clock; when the newest job was accepted */
     uint64_t look_serial;
     bool turn_wanted;
+    bool advice_open; /* the adviser is being asked */
     int64_t next_scan_us;
     cs_headroom headroom; /* of the urgent tasks that are placed */
 };
@@ -238,6 +241,7 @@
 cs_now fleet_now(const cs_fleet *fleet);
 void fleet_count(const cs_fleet *fleet, const char *name);
 void fleet_forget(cs_fleet *fleet); /* drops everything held */
+void call_init(struct call *call, cs_fleet *fleet, struct worker *worker);
 struct call *call_create(cs_fleet *fleet, struct worker *worker);
 bool call_is_stale(const struct call *call);
 
@@ -333,6 +337,21 @@
 void run_stop_unknown(cs_fleet *fleet, struct worker *worker, const char *task,
                       uint32_t run);
 
+/* advice.c */
+void advice_free(struct advice *advice);
+/* Asks about some of the ranked workers, unless a question is open. */
+void advice_ask(cs_fleet *fleet, struct step *step, const uint32_t *ranked,
+                uint32_t count);
+/* By worker: whether a start there has a ticket. Freed with g_free. */
+bool *advice_allowed(const cs_fleet *fleet, const struct step *step);
+/* By worker: whether the adviser may let the step run there. */
+bool *advice_possible(const cs_fleet *fleet, const struct step *step);
+/* The ticket for a start now, or NULL. */
+const char *advice_ticket(const cs_fleet *fleet, const struct step *step,
+                          const struct worker *worker);
+/* A worker has refused the step's ticket. */
+void advice_drop(struct step *step, struct worker *worker);
+
 /* evacuate.c */
 void evacuate_tick(cs_fleet *fleet);
 
--- a/src/fleet/job.c
+++ b/src/fleet/job.c
@@ -45,6 +45,7 @@
         g_free(step->tasks[i].saved);
     g_free(step->tasks);
     g_free(step->claim);
+    advice_free(step->advice);
     g_free(step);
 }
 
--- a/src/fleet/run.c
+++ b/src/fleet/run.c
@@ -56,6 +56,9 @@
     case CS_REFUSED_OLD_RUN:
         break;
     case CS_REFUSED_TICKET:
+        advice_drop(task->step, worker);
+        fleet_count(fleet, "cs_starts_without_ticket_total");
+        break;
     case CS_REFUSED_OTHER:
         worker_failed(fleet, worker, task->step->job->spec.id);
         break;
@@ -156,6 +159,7 @@
     cs_start_order order = {.run = task->run,
                             .spec = task->step->job->spec.text,
                             .saved = gang_saved(task),
+                            .ticket = advice_ticket(fleet, task->step, worker),
                             .epoch = fleet->epoch};
     struct call *call = call_create(fleet, worker);
 
--- a/src/fleet/turn.c
+++ b/src/fleet/turn.c
@@ -188,11 +188,18 @@
 is_wide(const struct turn *turn, struct step *step,
         const cs_fit_request *request)
 {
-    if (step->wide_us == 0 ||
-        turn->now.boot_us - step->wide_us >= WIDE_AGAIN_US) {
-        step->wide_us = turn->now.boot_us;
-        step->wide = !cs_fit_is_possible(&turn->cell, request);
-    }
+    cs_fit_request possible = *request;
+    bool *allowed = NULL;
+
+    if (step->wide_us != 0 && !request->allowed &&
+        turn->now.boot_us - step->wide_us < WIDE_AGAIN_US)
+        return step->wide;
+    if (request->allowed)
+        allowed = advice_possible(turn->fleet, step);
+    possible.allowed = allowed;
+    step->wide_us = turn->now.boot_us;
+    step->wide = !cs_fit_is_possible(&turn->cell, &possible);
+    g_free(allowed);
     return step->wide;
 }
 
@@ -222,6 +229,8 @@
         worker_label(fleet, service) | worker_label(fleet, step->spec->label);
     request->max_per_worker = step->spec->max_per_worker;
     request->present = count_present(turn, step);
+    if (candidate->queue->advised)
+        request->allowed = advice_allowed(fleet, step);
     request->avoid = find_avoid(step);
     request->speed_weight = speed_weight(candidate->queue->priority);
     if (request->same_rack &&
@@ -290,6 +299,38 @@
     return false;
 }
 
+/* Whether the step finds room if every worker may run it. */
+static bool
+has_room(struct turn *turn, const cs_fit_request *request)
+{
+    cs_fit_request any = *request;
+    uint32_t *workers = g_new(uint32_t, request->count);
+    uint32_t placed;
+    uint32_t i;
+
+    any.allowed = NULL;
+    placed = cs_fit_place(workers, &turn->cell, &any);
+    for (i = 0; i < placed; i++)
+        cs_demand_add(&turn->cell.workers[workers[i]].free, &any.demand);
+    g_free(workers);
+    return placed > 0;
+}
+
+/* Tickets are short, so nobody asks before there is room. */
+static void
+ask_for_advice(struct turn *turn, const struct candidate *candidate,
+               const cs_fit_request *request)
+{
+    uint32_t *ranked;
+
+    if (candidate->queue->priority > 0 && !has_room(turn, request))
+        return;
+    ranked = g_new(uint32_t, turn->cell.worker_count + 1);
+    advice_ask(turn->fleet, candidate->step, ranked,
+               cs_fit_rank(ranked, &turn->cell, request));
+    g_free(ranked);
+}
+
 static void
 try_candidate(struct turn *turn, const struct candidate *candidate)
 {
@@ -305,7 +346,7 @@
     placed = 0;
     if (!is_hopeless(turn, &request))
         placed = cs_fit_place(workers, &turn->cell, &request);
-    if (placed == 0 && !claimed)
+    if (placed == 0 && !claimed && !request.allowed)
         g_array_append_val(turn->failed, request);
     if (placed > 0) {
         drop_claim(step);
@@ -320,7 +361,10 @@
              turn->searches++ < MAX_SEARCHES) {
         turn_preempt(turn, candidate, &request);
     }
+    if (request.allowed && step->waiting > 0)
+        ask_for_advice(turn, candidate, &request);
     g_free((gpointer)request.present);
+    g_free((gpointer)request.allowed);
     g_free(workers);
 }
 
--- a/src/fleet/turn_order.c
+++ b/src/fleet/turn_order.c
@@ -90,7 +90,7 @@
     bool claims;
     uint32_t i;
 
-    if (!queue || queue->advised)
+    if (!queue || (queue->advised && !turn->fleet->board->ports.adviser))
         return;
     claims = queue->priority == 0 && job_claims(turn, job);
     for (i = 0; i < job_slot_count(job); i++) {
--- a/src/policy/fit.c
+++ b/src/policy/fit.c
@@ -61,6 +61,7 @@
 
     if (!worker->usable || index == request->avoid ||
         worker->rack >= request->kept_racks ||
+        (request->allowed && !request->allowed[index]) ||
         (worker->labels & request->labels) != request->labels)
         return 0;
     if (request->data_rack != CS_FIT_ANY && worker->rack != request->data_rack)
@@ -303,6 +304,61 @@
     return placed;
 }
 
+struct ranked {
+    uint32_t worker;
+    uint32_t rack;
+    bool full;
+    int64_t rack_free; /* accelerators; 0 where racks do not matter */
+};
+
+static gint
+compare_ranked(gconstpointer a, gconstpointer b)
+{
+    const struct ranked *x = a;
+    const struct ranked *y = b;
+
+    if (x->full != y->full)
+        return x->full ? 1 : -1;
+    if (x->rack_free != y->rack_free)
+        return x->rack_free > y->rack_free ? -1 : 1;
+    if (x->rack != y->rack)
+        return x->rack < y->rack ? -1 : 1;
+    return x->worker < y->worker ? -1 : x->worker > y->worker;
+}
+
+uint32_t
+cs_fit_rank(uint32_t *out, const cs_fit_cell *cell,
+            const cs_fit_request *request)
+{
+    GArray *list = g_array_new(FALSE, FALSE, sizeof(struct ranked));
+    cs_fit_request any = *request;
+    uint32_t count;
+    uint32_t i;
+    int64_t all;
+
+    any.allowed = NULL;
+    any.kept_racks = cell->rack_count;
+    for (i = 0; i < cell->worker_count; i++) {
+        const cs_fit_worker *worker = &cell->workers[i];
+        struct ranked ranked = {.worker = i};
+
+        if (worker_slots(worker, i, &any, &worker->capacity) == 0)
+            continue;
+        ranked.full = worker_slots(worker, i, &any, &worker->free) == 0;
+        if (request->same_rack) {
+            ranked.rack = worker->rack;
+            rack_sums(cell, worker->rack, &ranked.rack_free, &all);
+        }
+        g_array_append_val(list, ranked);
+    }
+    g_array_sort(list, compare_ranked);
+    count = list->len;
+    for (i = 0; i < count; i++)
+        out[i] = g_array_index(list, struct ranked, i).worker;
+    g_array_free(list, TRUE);
+    return count;
+}
+
 bool
 cs_fit_is_possible(const cs_fit_cell *cell, const cs_fit_request *request)
 {
--- a/src/programs/cs_fleetd.c
+++ b/src/programs/cs_fleetd.c
@@ -9,6 +9,7 @@
 #include "corianderstair/members.h"
 #include "corianderstair/settings.h"
 
+#include "adviser.h"
 #include "callers.h"
 #include "config.h"
 #include "relay.h"
@@ -50,6 +51,7 @@
     cs_store_router *router;
     cs_members *members;
     platform_workers *workers;
+    platform_adviser *adviser;
     cs_config_follower *follower;
     cs_entry *entry;
     cs_fleet *fleet;
@@ -292,6 +294,12 @@
     create_router(daemon);
     ports.store = cs_store_router_port(daemon->router);
     ports.workers = platform_workers_port(daemon->workers);
+    if (daemon->settings.adviser_address[0]) {
+        daemon->adviser =
+            platform_adviser_create(daemon->client, daemon->counters,
+                                    daemon->settings.adviser_address);
+        ports.adviser = platform_adviser_port(daemon->adviser);
+    }
     cs_fleet_board_init(&daemon->board, &ports, &daemon->settings,
                         daemon->counters);
     daemon->members = cs_members_create(&daemon->board, daemon->router);
@@ -357,6 +365,7 @@
         g_hash_table_destroy(daemon->peer_stores);
     platform_store_destroy(daemon->store);
     platform_workers_destroy(daemon->workers);
+    platform_adviser_destroy(daemon->adviser);
     cs_counters_destroy(daemon->counters);
     g_main_loop_unref(daemon->loop);
 }
--- a/standins/fake_fleet.c
+++ b/standins/fake_fleet.c
@@ -95,6 +95,7 @@
                                        .now = vm_now,
                                        .now_data = vm};
     cs_fleet_ports ports = {.workers = &vm->workers,
+                            .adviser = &vm->adviser,
                             .now = vm_now,
                             .now_data = vm,
                             .decode_config = platform_config_decode,
@@ -218,7 +219,11 @@
         "\"targetLatencyMs\":1000},"
         "{\"name\":\"q2\",\"host\":\"h\",\"pathPrefix\":\"/q2/\",\"service\":"
         "\"lab\",\"priority\":2,\"attempts\":3,\"stretch\":3.0,"
-        "\"targetLatencyMs\":3000}],"
+        "\"targetLatencyMs\":3000},"
+        "{\"name\":\"q3\",\"host\":\"h\",\"pathPrefix\":\"/q3/\",\"service\":"
+        "\"lab\",\"priority\":1,\"attempts\":3,\"stretch\":3.0,"
+        "\"targetLatencyMs\":1000,\"advice\":{\"decideMs\":50,"
+        "\"eachMs\":2,\"validMs\":3000}}],"
         "\"services\":[{\"name\":\"lab\",\"admissionControl\":true}],"
         "\"limits\":{\"maxBodyBytes\":262144},"
         "\"tenants\":[{\"name\":\"t0\",\"apiKeys\":[\"k0\"],"
@@ -269,6 +274,7 @@
         vm->open = g_hash_table_new(g_direct_hash, g_direct_equal);
         fake_store_port(vm);
         fake_worker_port(vm);
+        fake_adviser_port(vm);
         vm_start(vm);
         fake_at(world, (int64_t)i * 1500, tick, vm);
     }
@@ -343,6 +349,7 @@
         vm->open = g_hash_table_new(g_direct_hash, g_direct_equal);
         fake_store_port(vm);
         fake_worker_port(vm);
+        fake_adviser_port(vm);
     }
     return vm;
 }
@@ -359,6 +366,12 @@
     return &outside(world)->workers;
 }
 
+const cs_adviser_port *
+fake_fleet_adviser(fake_fleet *world)
+{
+    return &outside(world)->adviser;
+}
+
 void
 fake_fleet_set_address(fake_fleet *world, uint32_t worker, const char *address)
 {
--- a/standins/fake_fleet.h
+++ b/standins/fake_fleet.h
@@ -44,6 +44,7 @@
  */
 const cs_store_port *fake_fleet_store(fake_fleet *world);
 const cs_worker_port *fake_fleet_workers(fake_fleet *world);
+const cs_adviser_port *fake_fleet_adviser(fake_fleet *world);
 /** Tells where a worker is reached. */
 void fake_fleet_set_address(fake_fleet *world, uint32_t worker,
                             const char *address);
--- a/standins/fake_fleet_internal.h
+++ b/standins/fake_fleet_internal.h
@@ -14,6 +14,9 @@
 #define FAKE_GANG_US (3000 * CS_MS_US)
 #define FAKE_WALL_US (INT64_C(1700000000) * CS_SEC_US)
 #define FAKE_ATTEMPTS 3
+#define FAKE_TICKET_MS 3000
+/* The queue whose starts need a ticket. */
+#define FAKE_ADVISED_QUEUE "q3"
 
 typedef void (*fake_event)(void *data);
 
@@ -91,6 +94,7 @@
     fake_vm_faults faults;
     struct fake_way ways[FAKE_VMS_MAX]; /* by the peer; own is direct */
     cs_worker_port workers;
+    cs_adviser_port adviser;
     GHashTable *open; /* calls without an answer to their abort functions */
     cs_counters *counters;
     cs_store_router *router;
@@ -123,7 +127,8 @@
     struct fake_worker_state workers[FAKE_WORKERS_MAX];
     uint32_t worker_count;
     uint32_t rack_count;
-    GHashTable *jobs; /* id to struct fake_known */
+    uint32_t questions; /* that the adviser has not answered */
+    GHashTable *jobs;   /* id to struct fake_known */
     char *violation;
 };
 
@@ -154,6 +159,13 @@
 void fake_worker_crash(struct fake_worker_state *worker);
 void fake_worker_reset(struct fake_worker_state *worker);
 
+/* fake_fleet_adviser.c */
+void fake_adviser_port(struct fake_vm *vm);
+bool fake_adviser_lets_in(const struct fake_worker_state *worker,
+                          const char *step);
+bool fake_adviser_accepts(const struct fake_worker_state *worker,
+                          const char *step, const char *ticket);
+
 /* fake_fleet_check.c */
 void fake_check_start(fake_fleet *world, struct fake_worker_state *worker,
                       const struct fake_run *run);
--- a/standins/fake_fleet_worker.c
+++ b/standins/fake_fleet_worker.c
@@ -26,6 +26,7 @@
     bool answered;
     bool waiting;
     bool is_late; /* its answer is lost */
+    char ticket[CS_TICKET_BYTES];
     cs_worker_done done;
     void *data;
 };
@@ -386,6 +387,19 @@
     return left;
 }
 
+static bool
+has_ticket(const struct order *order, const struct fake_worker_state *worker,
+           const struct fake_known *known)
+{
+    char step[sizeof(order->task)];
+
+    if (strcmp(known->job.spec.queue, FAKE_ADVISED_QUEUE) != 0)
+        return true;
+    g_strlcpy(step, order->task, sizeof(step));
+    *strrchr(step, '.') = '\0';
+    return fake_adviser_accepts(worker, step, order->ticket);
+}
+
 static void
 do_start(struct order *order, struct fake_worker_state *worker)
 {
@@ -418,6 +432,11 @@
         g_strfreev(words);
         return;
     }
+    if (!has_ticket(order, worker, known)) {
+        g_strfreev(words);
+        answer_code(order, CS_E_WORKER, CS_REFUSED_TICKET);
+        return;
+    }
     if (free_accelerators(worker) <
         known->job.spec.steps[atoi(words[2])].demand.accelerators) {
         g_strfreev(words);
@@ -620,6 +639,8 @@
     order->run = start->run;
     order->epoch = start->epoch;
     order->until_ms = start->until_ms;
+    if (start->ticket)
+        g_strlcpy(order->ticket, start->ticket, sizeof(order->ticket));
     schedule(order);
 }
 
--- a/standins/fake_wire.c
+++ b/standins/fake_wire.c
@@ -269,10 +269,13 @@
     const char *text = cs_http_request_body(request, &size);
     json_t *body = json_loadb(text, size, 0, NULL);
     uint64_t epoch = (uint64_t)number_of(body, "fence");
-    cs_start_order start = {
-        text_of(body, "task"),      (uint32_t)number_of(body, "run"),
-        text_of(body, "spec"),      text_of(body, "checkpointData"),
-        number_of(body, "untilMs"), epoch};
+    cs_start_order start = {.task = text_of(body, "task"),
+                            .run = (uint32_t)number_of(body, "run"),
+                            .spec = text_of(body, "spec"),
+                            .saved = text_of(body, "checkpointData"),
+                            .ticket = text_of(body, "ticket"),
+                            .until_ms = number_of(body, "untilMs"),
+                            .epoch = epoch};
     cs_hold_order hold = {epoch, (uint64_t)number_of(body, "seenUpto"),
                           number_of(body, "untilMs"),
                           number_of(body, "waitMs")};
@@ -290,3 +293,40 @@
         reply_json(request, 404, json_object());
     json_decref(body);
 }
+
+static void
+on_advice(void *data, const cs_advice *advice)
+{
+    json_t *rows = json_array();
+    size_t i;
+
+    for (i = 0; i < advice->good_count; i++)
+        json_array_append_new(rows, json_pack("[s,s]", advice->good[i].worker,
+                                              advice->good[i].ticket));
+    reply_json(data, advice->code ? 429 : 200,
+               json_pack("{s:o,s:I}", "good", rows, "validMs",
+                         (json_int_t)advice->valid_ms));
+}
+
+void
+fake_wire_adviser(fake_fleet *world, cs_http_request *request)
+{
+    const cs_adviser_port *port = fake_fleet_adviser(world);
+    size_t size;
+    const char *text = cs_http_request_body(request, &size);
+    json_t *body = json_loadb(text, size, 0, NULL);
+    const json_t *list = json_object_get(body, "workers");
+    const char **workers = g_new0(const char *, json_array_size(list) + 1);
+    const json_t *item;
+    size_t i;
+
+    json_array_foreach(list, i, item)
+    {
+        workers[i] = json_string_value(item);
+    }
+    port->ask(port->self, text_of(body, "step"), workers,
+              json_array_size(list), fake_fleet_now_us(world) + CALL_US,
+              on_advice, request);
+    g_free(workers);
+    json_decref(body);
+}
--- a/standins/fake_wire.h
+++ b/standins/fake_wire.h
@@ -12,6 +12,9 @@
 /** Answers a call to the store. */
 void fake_wire_store(fake_fleet *world, cs_http_request *request);
 
+/** Answers a question to the placement adviser. */
+void fake_wire_adviser(fake_fleet *world, cs_http_request *request);
+
 /** Answers an order to the worker of an address. */
 void fake_wire_worker(fake_fleet *world, cs_http_request *request,
                       const char *address);
--- a/standins/standin_deployment.c
+++ b/standins/standin_deployment.c
@@ -1,7 +1,7 @@
 /*
- * Stand-in for a deployment: the store and workers over the platform's HTTP
- * interfaces, in real time. Prints "ready IP:PORT" of the store; workers
- * listen on ports of the kernel's choice.
+ * Stand-in for a deployment: the store, the placement adviser and workers
+ * over the platform's HTTP interfaces, in real time. Prints "ready IP:PORT" of
+ * the store and the adviser; workers listen on ports of the kernel's choice.
  */
 #include "corianderstair/clock.h"
 #include "corianderstair/errors.h"
@@ -11,6 +11,7 @@
 #include <glib-unix.h>
 #include <signal.h>
 #include <stdio.h>
+#include <string.h>
 
 #define STEP_MS 2
 #define WORKERS_MAX 32
@@ -62,7 +63,10 @@
     struct deployment *d = data;
 
     catch_up(d);
-    fake_wire_store(d->world, request);
+    if (strcmp(cs_http_request_path(request), "/advise") == 0)
+        fake_wire_adviser(d->world, request);
+    else
+        fake_wire_store(d->world, request);
 }
 
 static void
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -166,6 +166,65 @@
     fake_fleet_destroy(world);
 }
 
+/* The adviser lets half of the workers in, so the tasks take turns. */
+static void
+fleet__advised_step_runs_where_it_may(void **state)
+{
+    fake_fleet *world = world_new(12);
+    uint32_t holder = (uint32_t)fake_fleet_holder(world);
+
+    submit(world, 0, 1, 3, 10, 8, false);
+    fake_fleet_run(world, 7 * CS_SEC_US);
+    expect_state(world, 1, CS_PROGRESS_COMPLETED);
+    assert_int_equal(fake_fleet_starts(world, "0000000000000001"), 10);
+    assert_int_equal(
+        fake_fleet_counter(world, holder, "cs_starts_without_ticket_total"),
+        0);
+    /* Two rounds of tasks, and what was learned is not asked again. */
+    assert_in_range(fake_fleet_counter(world, holder, "cs_advice_asked_total"),
+                    1, 4);
+    expect_no_violation(world);
+    fake_fleet_destroy(world);
+}
+
+/* No rack has enough workers that may run the gang: it takes several. */
+static void
+fleet__advised_gang_is_not_kept_to_a_rack(void **state)
+{
+    fake_fleet *world = world_new(13);
+    fake_job job;
+    int32_t reply;
+
+    fake_job_init(&job, 1, 3, 6, 8, 2000);
+    job.spec.steps[0].gang = true;
+    job.spec.steps[0].same_rack = true;
+    fake_fleet_submit(world, 0, &job, &reply);
+    fake_fleet_run(world, 6 * CS_SEC_US);
+    expect_state(world, 1, CS_PROGRESS_COMPLETED);
+    assert_int_equal(fake_fleet_starts(world, "0000000000000001"), 6);
+    expect_no_violation(world);
+    fake_fleet_destroy(world);
+}
+
+/* A ticket is for one incarnation, and a new holder has none. */
+static void
+fleet__advice_is_asked_anew_after_a_crash(void **state)
+{
+    fake_fleet *world = world_new(14);
+    uint32_t i;
+
+    submit(world, 0, 1, 3, 10, 8, false);
+    fake_fleet_run(world, CS_SEC_US);
+    for (i = 0; i < 16; i++)
+        fake_fleet_crash_worker(world, i, CS_SEC_US);
+    fake_fleet_run(world, 2 * CS_SEC_US);
+    fake_fleet_kill(world, (uint32_t)fake_fleet_holder(world), 60 * CS_SEC_US);
+    fake_fleet_run(world, 12 * CS_SEC_US);
+    expect_state(world, 1, CS_PROGRESS_COMPLETED);
+    expect_no_violation(world);
+    fake_fleet_destroy(world);
+}
+
 /* States are answered for the retention, then the rows go. */
 static void
 fleet__old_jobs_are_removed(void **state)
@@ -426,7 +485,7 @@
 static void
 random_job(fake_fleet *world, GRand *random, uint32_t number)
 {
-    uint32_t queue = (uint32_t)g_rand_int_range(random, 0, 3);
+    uint32_t queue = (uint32_t)g_rand_int_range(random, 0, 4);
     bool gang = g_rand_boolean(random);
     fake_job job;
 
@@ -510,6 +569,9 @@
         cmocka_unit_test(fleet__cold_start_adopts_before_leases_end),
         cmocka_unit_test(fleet__silent_worker_gets_no_tasks),
         cmocka_unit_test(fleet__end_seen_late_counts),
+        cmocka_unit_test(fleet__advised_step_runs_where_it_may),
+        cmocka_unit_test(fleet__advised_gang_is_not_kept_to_a_rack),
+        cmocka_unit_test(fleet__advice_is_asked_anew_after_a_crash),
         cmocka_unit_test(fleet__old_jobs_are_removed),
         cmocka_unit_test(fleet__late_claim_still_takes_its_room),
         cmocka_unit_test(fleet__idle_room_is_used_beyond_the_data_rack),
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -1,5 +1,6 @@
 /* The wire formats of the platform, good and bad, in tables. */
 #include "harness.h"
+#include "adviser.h"
 #include "callers.h"
 #include "config.h"
 #include "settings.h"
@@ -267,6 +268,40 @@
     }
 }
 
+static void
+platform__advice_names_workers_and_tickets(void **state)
+{
+    static const struct {
+        int call_code;
+        int status;
+        const char *body;
+        int code;
+        size_t good;
+    } rows[] = {
+        {0, 200, "{\"good\":[[\"w1\",\"t1\"]],\"validMs\":3000}", 0, 1},
+        {0, 200, "{\"good\":[],\"validMs\":3000}", 0, 0},
+        {0, 200, "{\"good\":[[\"w1\"],[1,\"t\"],[\"w2\",\"t2\"]]}", 0, 1},
+        {0, 200, "{\"good\":{},\"validMs\":3000}", CS_E_INVALID, 0},
+        {0, 200, "{\"good\":[],\"validMs\":\"3\"}", CS_E_INVALID, 0},
+        {0, 200, "{\"good\":", CS_E_INVALID, 0},
+        {0, 429, "", CS_E_OVERLOAD, 0},
+        {0, 503, "", CS_E_UNKNOWN, 0},
+        {CS_E_CONNECT, 0, "", CS_E_CONNECT, 0},
+        {CS_E_TIMEOUT, 0, "", CS_E_UNKNOWN, 0},
+    };
+    size_t i;
+
+    for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+        platform_advice_reply reply;
+
+        platform_advice_decode(&reply, rows[i].call_code, rows[i].status,
+                               rows[i].body, strlen(rows[i].body));
+        assert_int_equal(reply.advice.code, rows[i].code);
+        assert_int_equal(reply.advice.good_count, rows[i].good);
+        platform_advice_reply_dispose(&reply);
+    }
+}
+
 static void
 platform__look_lists_runs_and_ends(void **state)
 {
@@ -432,6 +467,7 @@
         cmocka_unit_test(platform__worker_entry_is_decoded),
         cmocka_unit_test(platform__wrong_worker_entry_names_no_worker),
         cmocka_unit_test(platform__orders_end_truthfully),
+        cmocka_unit_test(platform__advice_names_workers_and_tickets),
         cmocka_unit_test(platform__look_lists_runs_and_ends),
         cmocka_unit_test(platform__store_answers_tell_the_outcome),
         cmocka_unit_test(platform__change_is_encoded),
--- a/tests/test_process.c
+++ b/tests/test_process.c
@@ -33,10 +33,11 @@
         "{\"node\":\"%s\",\"zone\":\"z\",\"listen\":{\"front\":"
         "\"127.0.0.1:0\",\"ready\":\"127.0.0.1:0\",\"control\":"
         "\"127.0.0.1:0\"},\"seeds\":[],\"heartbeatMs\":1500,\"platform\":{"
-        "\"addr\":\"%s\"},\"bounds\":{\"holdMaxMs\":6000,\"stopMs\":900,"
+        "\"addr\":\"%s\"},\"advice\":\"%s\",\"bounds\":{\"holdMaxMs\":6000,"
+        "\"stopMs\":900,"
         "\"gangMs\":3000,\"graceS\":6,\"configApplyMs\":2000,\"status_s\":"
         "120,\"early_ms\":250}}",
-        name, store);
+        name, store, store);
 
     assert_true(g_file_set_contents(path, text, -1, NULL));
     g_free(text);
@@ -124,6 +125,17 @@
     wait_state(0, "/q0/00000000000000aa", "completed");
 }
 
+static void
+process__advised_job_is_completed(void **state)
+{
+    static const char body[] =
+        "{\"spec\":\"x\",\"steps\":[{\"count\":6,\"gpu\":8,\"estimateMs\":"
+        "200}]}";
+
+    assert_int_equal(call(0, "POST", "/q3/00000000000000cc", body, NULL), 200);
+    wait_state(1, "/q3/00000000000000cc", "completed");
+}
+
 static void
 process__requests_have_their_status(void **state)
 {
@@ -192,6 +204,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(process__job_of_steps_is_completed),
+        cmocka_unit_test(process__advised_job_is_completed),
         cmocka_unit_test(process__requests_have_their_status),
         cmocka_unit_test(process__too_large_body_is_refused),
         cmocka_unit_test(process__cancelled_job_ends),
