Speeds of workers are learned from gangs, by comparison

Speeds were learned from single tasks only, which are kept off the racks that urgent work uses. A log of each member's progress showed that members progress each at its own worker's speed (7.5 against 18.9 percent a second, 2.2 to 1 as the speeds are) and only end together. Change: cs_speed compares members of a step by their progress at the first look above 15%, in logarithms, with a variance for what is known; the first two tell both. Tasks away from their data are left out. A gang's run time is taken at its slowest member's speed.

--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -9,6 +9,7 @@
 #include "corianderstair/job_progress.h"
 #include "corianderstair/job_spec.h"
 #include "corianderstair/log.h"
+#include "corianderstair/speed.h"
 
 #include <inttypes.h>
 #include <string.h>
@@ -76,9 +77,8 @@
     char last_failed[CS_JOB_ID_BYTES];
     int64_t aside_until_us; /* takes no new tasks before */
     int64_t aside_us;       /* length of the last time aside */
-    double log_speed;       /* learned; 0 is the mean */
-    uint32_t speed_samples;
-    GPtrArray *tasks; /* of struct task, placed here */
+    cs_speed speed;         /* learned */
+    GPtrArray *tasks;       /* of struct task, placed here */
 };
 
 struct task {
@@ -114,11 +114,10 @@
     struct task *tasks;
     uint32_t waiting;
     uint32_t done;
-    uint32_t failed_run; /* gang: the last run that counted as failed */
-    uint32_t failures;   /* gang: failed runs */
-    int64_t ready_us;    /* boot clock since when it may start; 0 not yet */
-    double log_time_sum; /* of ended tasks: log of run time times speed */
-    uint32_t log_time_count;
+    uint32_t failed_run;   /* gang: the last run that counted as failed */
+    uint32_t failures;     /* gang: failed runs */
+    int64_t ready_us;      /* boot clock since when it may start; 0 not yet */
+    cs_speed_step times;   /* of its tasks, to compare workers by */
     int64_t wide_us;       /* boot clock when a rack was last looked for */
     bool wide;             /* no rack could hold it, even an empty one */
     struct advice *advice; /* of an advised queue; NULL none yet */
--- a/src/fleet/status.c
+++ b/src/fleet/status.c
@@ -29,7 +29,7 @@
                      (int)worker->tasks->len, "used",
                      (json_int_t)worker->used.accelerators, "answered_ms_ago",
                      (json_int_t)((now_us - worker->last_ok_us) / CS_MS_US),
-                     "log_speed", worker->log_speed);
+                     "log_speed", worker->speed.log_speed);
 }
 
 static json_t *
--- a/src/fleet/task.c
+++ b/src/fleet/task.c
@@ -121,10 +121,6 @@
 
 /* Weight of a new sample of a queue's run time, once there are many. */
 #define DURATION_WEIGHT 0.05
-#define SPEED_WEIGHT 0.2
-#define SPEED_WEIGHT_FIRST 0.7
-#define SPEED_SIBLINGS_MIN 2
-
 static void
 learn_duration(cs_fleet *fleet, const char *queue, double ms)
 {
@@ -138,60 +134,66 @@
     d->mean_ms += (ms - d->mean_ms) * MAX(DURATION_WEIGHT, 1.0 / d->count);
 }
 
-/*
- * Tasks of a step are alike, so their times compare the workers that ran
- * them, whatever the step's own length is.
- */
-static void
-learn_speed(struct step *step, struct worker *worker, double ms)
+/* Whether the task runs where its step's data is, if that matters. */
+static bool
+is_near(cs_fleet *fleet, const struct task *task)
 {
-    double log_work = log(ms) + worker->log_speed;
-    double weight;
-    double error;
-
-    if (step->log_time_count >= SPEED_SIBLINGS_MIN) {
-        error = log_work - step->log_time_sum / step->log_time_count;
-        weight = MAX(SPEED_WEIGHT,
-                     SPEED_WEIGHT_FIRST / (worker->speed_samples + 1));
-        worker->log_speed -= weight * CLAMP(error, -1.5, 1.5);
-        worker->log_speed = CLAMP(worker->log_speed, -1.5, 0.7);
-        worker->speed_samples++;
+    const char *rack = task->step->spec->data_rack;
+
+    return !*rack || worker_rack(fleet, rack) == task->worker->rack;
+}
+
+/* A gang ends with its slowest member. */
+static double
+slowest_log_speed(const struct task *task)
+{
+    const struct step *step = task->step;
+    double slowest = task->worker->speed.log_speed;
+    uint32_t i;
+
+    for (i = 0; step->spec->gang && i < step->spec->task_count; i++) {
+        const struct worker *worker = step->tasks[i].worker;
+
+        if (worker)
+            slowest = MIN(slowest, worker->speed.log_speed);
     }
-    step->log_time_sum += log_work;
-    step->log_time_count++;
+    return slowest;
 }
 
 static void
 learn(cs_fleet *fleet, const struct task *task)
 {
-    int64_t run_us = fleet_now(fleet).boot_us - task->started_us;
-    double ms = (double)run_us / (double)CS_MS_US;
+    int64_t now_us = fleet_now(fleet).boot_us;
+    double ms = (double)(now_us - task->started_us) / (double)CS_MS_US;
 
     /* What resumed from a checkpoint or began elsewhere tells nothing. */
-    if (task->partial || task->saved || run_us <= 0)
+    if (task->partial || task->saved || ms <= 0 || !is_near(fleet, task))
         return;
     learn_duration(fleet, task->step->job->spec.queue,
-                   ms * exp(task->worker->log_speed));
+                   ms * exp(slowest_log_speed(task)));
     if (!task->step->spec->gang && !task->sampled)
-        learn_speed(task->step, task->worker, ms);
+        cs_speed_observe(&task->step->times, &task->worker->speed, ms, now_us);
 }
 
-/* Progress tells a task's whole run time long before its end. */
-#define SAMPLE_PERCENT 20
+/*
+ * Progress tells a task's whole run time long before its end. Members of a
+ * gang progress each at its worker's speed and wait for the others at 100.
+ */
+#define SAMPLE_PERCENT 15
 
 void
 task_progressed(cs_fleet *fleet, struct task *task)
 {
-    int64_t run_us = fleet_now(fleet).boot_us - task->started_us;
+    int64_t now_us = fleet_now(fleet).boot_us;
+    double ms = (double)(now_us - task->started_us) / (double)CS_MS_US;
 
-    if (task->sampled || task->partial || task->step->spec->gang ||
-        task->step->spec->perpetual || task->percent < SAMPLE_PERCENT ||
-        task->percent > 100 || run_us <= 0)
+    if (task->sampled || task->partial || task->step->spec->perpetual ||
+        task->percent < SAMPLE_PERCENT || task->percent >= 100 || ms <= 0 ||
+        !is_near(fleet, task))
         return;
     task->sampled = true;
-    learn_speed(task->step, task->worker,
-                (double)run_us / (double)CS_MS_US * 100.0 /
-                    (double)task->percent);
+    cs_speed_observe(&task->step->times, &task->worker->speed,
+                     ms * 100.0 / (double)task->percent, now_us);
 }
 
 static void
--- a/src/fleet/turn.c
+++ b/src/fleet/turn.c
@@ -64,7 +64,7 @@
         cs_demand_subtract(&fit->free, &worker->used);
         fit->rack = worker->rack;
         fit->labels = worker->labels;
-        fit->speed = exp(worker->log_speed);
+        fit->speed = exp(worker->speed.log_speed);
         fit->usable = worker_is_usable(fleet, worker);
         if (!fit->usable)
             continue;
--- a/src/fleet/worker.c
+++ b/src/fleet/worker.c
@@ -164,8 +164,7 @@
     worker->next_hold_us = 0;
     worker->strikes = 0;
     worker->aside_until_us = 0;
-    worker->log_speed = 0;
-    worker->speed_samples = 0;
+    memset(&worker->speed, 0, sizeof(worker->speed));
 }
 
 static void
--- /dev/null
+++ b/tests/test_speed.c
@@ -0,0 +1,133 @@
+/* Speeds learned from steps of unknown length, on workers that differ. */
+#include "corianderstair/speed.h"
+
+#include <math.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+#include <glib.h>
+#include <cmocka.h>
+
+#define SEC_US INT64_C(1000000)
+#define WORKERS 12
+
+static void
+speed__one_task_tells_nothing(void **state)
+{
+    cs_speed_step step = {0};
+    cs_speed speed = {0};
+
+    cs_speed_observe(&step, &speed, 5000, SEC_US);
+    assert_true(speed.log_speed == 0);
+    assert_true(speed.sureness == 0);
+}
+
+static void
+speed__two_members_of_a_gang_tell_both(void **state)
+{
+    cs_speed_step step = {0};
+    cs_speed slow = {0};
+    cs_speed fast = {0};
+    double ratio = log(1.2 / 0.55);
+
+    cs_speed_observe(&step, &slow, 3000 / 0.55, SEC_US);
+    cs_speed_observe(&step, &fast, 3000 / 1.2, SEC_US);
+    assert_true(fast.log_speed > 0.3 * ratio);
+    assert_true(slow.log_speed < -0.3 * ratio);
+    assert_true(fast.log_speed - slow.log_speed < 1.1 * ratio);
+}
+
+/* Gangs of three on workers of which every fourth is slow, as on the users'
+   fleets; the work of a gang differs by more than the speeds do. */
+static void
+speed__slow_workers_are_known_after_some_gangs(void **state)
+{
+    GRand *random = g_rand_new_with_seed(3);
+    cs_speed speeds[WORKERS];
+    double slowest_sound = INFINITY;
+    double fastest_slow = -INFINITY;
+    int64_t now_us = SEC_US;
+    uint32_t i;
+    uint32_t k;
+
+    memset(speeds, 0, sizeof(speeds));
+    for (i = 0; i < 20; i++) {
+        double work_ms = g_rand_double_range(random, 500, 8000);
+        cs_speed_step step = {0};
+
+        for (k = 0; k < 3; k++) {
+            uint32_t n = (uint32_t)g_rand_int_range(random, 0, WORKERS);
+            double noise = g_rand_double_range(random, 0.95, 1.05);
+            double speed = n % 4 == 0 ? 0.55 : 1.2;
+
+            cs_speed_observe(&step, &speeds[n], work_ms / speed * noise,
+                             now_us);
+        }
+        now_us += 300000;
+    }
+    for (i = 0; i < WORKERS; i++) {
+        if (i % 4 == 0)
+            fastest_slow = MAX(fastest_slow, speeds[i].log_speed);
+        else
+            slowest_sound = MIN(slowest_sound, speeds[i].log_speed);
+    }
+    assert_true(fastest_slow < slowest_sound - 0.3);
+    g_rand_free(random);
+}
+
+static void
+compare(cs_speed *a, cs_speed *b, double factor, int64_t now_us)
+{
+    cs_speed_step step = {0};
+
+    cs_speed_observe(&step, a, 2000, now_us);
+    cs_speed_observe(&step, b, 2000 * factor, now_us);
+}
+
+static void
+speed__spell_of_slowness_is_forgotten(void **state)
+{
+    cs_speed sound = {0};
+    cs_speed other = {0};
+    int64_t now_us = SEC_US;
+    uint32_t i;
+
+    for (i = 0; i < 5; i++)
+        compare(&sound, &other, 1, now_us += SEC_US);
+    for (i = 0; i < 3; i++)
+        compare(&sound, &other, 6.5, now_us += 2 * SEC_US);
+    assert_true(other.log_speed < sound.log_speed - 0.7);
+    for (i = 0; i < 5; i++)
+        compare(&sound, &other, 1, now_us += 2 * SEC_US);
+    assert_true(fabs(other.log_speed - sound.log_speed) < 0.3);
+}
+
+static void
+speed__extremes_are_bounded(void **state)
+{
+    cs_speed a = {0};
+    cs_speed b = {0};
+    uint32_t i;
+
+    for (i = 0; i < 50; i++)
+        compare(&a, &b, 1000, (i + 1) * SEC_US);
+    assert_true(a.log_speed <= 1.0 && b.log_speed >= -2.0);
+    assert_true(isfinite(a.log_speed) && isfinite(b.log_speed));
+    assert_true(a.sureness >= 0 && a.sureness <= 1);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(speed__one_task_tells_nothing),
+        cmocka_unit_test(speed__two_members_of_a_gang_tell_both),
+        cmocka_unit_test(speed__slow_workers_are_known_after_some_gangs),
+        cmocka_unit_test(speed__spell_of_slowness_is_forgotten),
+        cmocka_unit_test(speed__extremes_are_bounded),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
