--- a/include/corianderstair/job_progress.h
+++ b/include/corianderstair/job_progress.h
@@ -15,6 +15,7 @@
 #define CS_TABLE_CELL "cell"
 #define CS_TABLE_JOBS "job"
 #define CS_TABLE_PROGRESS "progress"
+#define CS_TABLE_SPEEDS "speed"
 
 /** Part of the rows of the fleet's cell. */
 #define CS_CELL_PART "0"
--- a/src/fleet/commit.c
+++ b/src/fleet/commit.c
@@ -8,9 +8,9 @@
 #include "fleet_internal.h"
 
 /* A change holds at most 100 entries; each job takes two, a condition and a
-   put, besides the epoch's condition and the lease's put. */
+   put, besides the epoch's condition and the puts of lease and speeds. */
 #define ENTRIES_MAX 100
-#define ROWS_MAX ((ENTRIES_MAX - 2) / 2 - EXPIRED_MAX)
+#define ROWS_MAX ((ENTRIES_MAX - 3) / 2 - EXPIRED_MAX)
 #define BYTES_MAX (400 * 1024)
 #define RENEW_US (450 * CS_MS_US)
 /* Rows of old jobs that one change removes, besides. */
@@ -157,6 +157,21 @@
     fleet->commit.has_lease = true;
 }
 
+static void
+add_speeds(cs_fleet *fleet)
+{
+    GByteArray *value = g_byte_array_new();
+    struct commit *commit = &fleet->commit;
+    uint32_t group;
+
+    if (!speeds_take_due(fleet, &group, value)) {
+        g_byte_array_unref(value);
+        return;
+    }
+    g_snprintf(commit->speed_key, sizeof(commit->speed_key), "%u", group);
+    add_put(commit, CS_TABLE_SPEEDS, commit->speed_key, value);
+}
+
 static void
 snapshot_acks(cs_fleet *fleet)
 {
@@ -198,6 +213,7 @@
     if (now_us >= fleet->next_lease_us || fleet->release_wanted)
         add_lease(fleet);
     add_expired(fleet);
+    add_speeds(fleet);
     if (g_queue_is_empty(&fleet->dirty)) {
         commit->has_acks = true;
         snapshot_acks(fleet);
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -55,6 +55,8 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     fleet->durations =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    fleet->kept_speeds =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     g_queue_init(&fleet->dirty);
     g_queue_init(&fleet->expired);
     g_queue_init(&fleet->expired_progress);
@@ -75,6 +77,7 @@
     g_hash_table_destroy(fleet->racks);
     g_hash_table_destroy(fleet->labels);
     g_hash_table_destroy(fleet->durations);
+    g_hash_table_destroy(fleet->kept_speeds);
 }
 
 void
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -53,7 +53,8 @@
     uint64_t labels;
     cs_demand capacity;
     cs_demand used;
-    bool listed; /* has an entry in the store */
+    bool listed;      /* has an entry in the store */
+    uint64_t reading; /* the last whole read that its entry was in */
     bool draining;
     int64_t drain_us;     /* boot clock when draining was seen */
     int64_t remaining_ms; /* least time left then; -1 not told */
@@ -152,6 +153,7 @@
     GArray *conditions;
     GArray *removals;
     GPtrArray *expired; /* of struct job, in the removals */
+    char speed_key[12]; /* of the row of speeds, if one is among the puts */
     bool has_lease;
     bool has_acks; /* the change holds all that the acks depend on */
 };
@@ -162,9 +164,8 @@
     const char *part;     /* NULL for the parts of jobs, one by one */
     uint32_t part_number; /* of jobs, that is being read */
     void (*apply)(cs_fleet *fleet, const cs_row *row);
-    /* Sees each page before its rows; NULL for none. */
-    void (*begin_page)(cs_fleet *fleet, const struct feed *feed,
-                       const cs_store_answer *answer);
+    /* Called once all rows were read and applied; NULL for none. */
+    void (*end_read)(cs_fleet *fleet);
     bool open;
     bool loaded;
     int64_t next_us;              /* boot clock; no call before */
@@ -208,6 +209,12 @@
     struct feed job_feed;
     struct feed progress; /* read once */
     struct feed worker_feed;
+    struct feed speed_feed;  /* read once */
+    uint64_t worker_reading; /* serial of the last whole read of workers */
+    GHashTable *kept_speeds; /* worker id to its speed, as a former holder
+                                wrote it */
+    int64_t next_speeds_us;
+    uint32_t speed_group; /* that is written next */
     uint64_t next_sequence;
     int64_t submitted_ms; /* wall clock; when the newest job was accepted */
     uint64_t look_serial;
@@ -351,6 +358,13 @@
 /* A worker has refused the step's ticket. */
 void advice_drop(struct step *step, struct worker *worker);
 
+/* speeds.c */
+/* The next group's row, if one is due to be written. */
+bool speeds_take_due(cs_fleet *fleet, uint32_t *group, GByteArray *out);
+void speeds_apply_row(cs_fleet *fleet, const cs_row *row);
+/* Gives a worker the speed that a former holder has learned. */
+void speeds_restore(const cs_fleet *fleet, struct worker *worker);
+
 /* evacuate.c */
 void evacuate_tick(cs_fleet *fleet);
 
--- a/src/fleet/load.c
+++ b/src/fleet/load.c
@@ -134,10 +134,10 @@
 
     if (!feed)
         return;
-    if (feed->begin_page)
-        feed->begin_page(fleet, feed, answer);
     apply_rows(fleet, feed, answer);
     turn_page(feed, answer);
+    if (feed->loaded && feed->end_read)
+        feed->end_read(fleet);
     /* The next page at once: nothing starts before all are read. */
     follow_jobs(fleet);
     follow_workers(fleet);
@@ -213,6 +213,8 @@
             worker_unlist(fleet, worker);
         return;
     }
+    if (worker)
+        worker->reading = fleet->worker_reading;
     if (fleet->board->ports.decode_worker(&entry, row->value,
                                           row->size_bytes)) {
         if (!worker || !worker->listed)
@@ -223,30 +225,23 @@
     }
     worker_apply(fleet, row->key, &entry);
     cs_worker_entry_dispose(&entry);
+    worker = g_hash_table_lookup(fleet->workers, row->key);
+    worker->reading = fleet->worker_reading;
+    speeds_restore(fleet, worker);
 }
 
 /* After a whole read, workers without a row are gone. */
 static void
-unlist_missing(cs_fleet *fleet, const struct feed *feed,
-               const cs_store_answer *answer)
+unlist_missing(cs_fleet *fleet)
 {
-    GHashTable *present;
-    size_t k;
     guint i;
 
-    if (answer->more || feed->from[0])
-        return;
-    present = g_hash_table_new(g_str_hash, g_str_equal);
-    for (k = 0; k < answer->row_count; k++)
-        g_hash_table_add(present, (gpointer)answer->rows[k].key);
-
     for (i = 0; i < fleet->worker_list->len; i++) {
         struct worker *worker = g_ptr_array_index(fleet->worker_list, i);
 
-        if (worker->listed && !g_hash_table_contains(present, worker->id))
+        if (worker->listed && worker->reading != fleet->worker_reading)
             worker_unlist(fleet, worker);
     }
-    g_hash_table_destroy(present);
 }
 
 static void
@@ -257,6 +252,8 @@
     if (!is_due(fleet, feed))
         return;
     if (!feed->loaded) {
+        if (!feed->from[0])
+            fleet->worker_reading++;
         read_page(fleet, feed);
         return;
     }
@@ -274,11 +271,15 @@
     struct feed workers = {.table = fleet->board->ports.workers_table,
                            .part = "",
                            .apply = apply_worker_row,
-                           .begin_page = unlist_missing};
+                           .end_read = unlist_missing};
+    struct feed speeds = {.table = CS_TABLE_SPEEDS,
+                          .part = CS_CELL_PART,
+                          .apply = speeds_apply_row};
 
     fleet->job_feed = jobs;
     fleet->progress = progress;
     fleet->worker_feed = workers;
+    fleet->speed_feed = speeds;
 }
 
 static void
@@ -299,6 +300,8 @@
 {
     follow_jobs(fleet);
     follow_workers(fleet);
+    if (!fleet->speed_feed.loaded && is_due(fleet, &fleet->speed_feed))
+        read_page(fleet, &fleet->speed_feed);
     if (fleet->tenure != TENURE_LOADING || !fleet->job_feed.loaded ||
         !fleet->progress.loaded || !fleet->worker_feed.loaded)
         return;
--- a/standins/fake_fleet.c
+++ b/standins/fake_fleet.c
@@ -461,6 +461,16 @@
     fake_at(world, world->now_us + down_us, worker_back, worker);
 }
 
+void
+fake_fleet_remove_worker(fake_fleet *world, uint32_t number)
+{
+    struct fake_worker_state *worker = &world->workers[number];
+
+    worker->up = false;
+    fake_worker_crash(worker);
+    fake_store_remove(world, PLATFORM_WORKERS_TABLE, "", worker->id);
+}
+
 void
 fake_fleet_cut_worker(fake_fleet *world, uint32_t worker, bool cut)
 {
@@ -640,6 +650,12 @@
     return world->violation;
 }
 
+json_t *
+fake_fleet_status(const fake_fleet *world, uint32_t vm)
+{
+    return cs_fleet_status(world->vms[vm].fleet);
+}
+
 int64_t
 fake_fleet_counter(const fake_fleet *world, uint32_t vm, const char *name)
 {
--- a/standins/fake_fleet.h
+++ b/standins/fake_fleet.h
@@ -8,6 +8,7 @@
 #define FAKE_FLEET_H
 
 #include <glib.h>
+#include <jansson.h>
 #include "corianderstair/config_follower.h"
 #include "corianderstair/entry.h"
 #include "corianderstair/fleet.h"
@@ -74,6 +75,8 @@
 /** Kills a worker; it comes back as another incarnation of the same id. */
 void fake_fleet_crash_worker(fake_fleet *world, uint32_t worker,
                              int64_t down_us);
+/** Kills a worker for good; its entry goes. */
+void fake_fleet_remove_worker(fake_fleet *world, uint32_t worker);
 /** Cuts a worker off from all VMs; it runs on. */
 void fake_fleet_cut_worker(fake_fleet *world, uint32_t worker, bool cut);
 /** Makes a worker fail every run that starts there. */
@@ -113,6 +116,9 @@
 /** @return whether no run exists and no end waits to be acknowledged */
 bool fake_fleet_is_quiet(const fake_fleet *world);
 
+/** @return what a VM's process tells operators, a new reference */
+json_t *fake_fleet_status(const fake_fleet *world, uint32_t vm);
+
 /** @return a counter of a VM's process */
 int64_t fake_fleet_counter(const fake_fleet *world, uint32_t vm,
                            const char *name);
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -225,6 +225,78 @@
     fake_fleet_destroy(world);
 }
 
+static const json_t *
+worker_of(const json_t *status, const char *id)
+{
+    const json_t *worker;
+    size_t i;
+
+    json_array_foreach(json_object_get(status, "workers"), i, worker)
+    {
+        if (strcmp(json_string_value(json_object_get(worker, "id")), id) == 0)
+            return worker;
+    }
+    return NULL;
+}
+
+static double
+speed_of(const fake_fleet *world, const char *id)
+{
+    json_t *status =
+        fake_fleet_status(world, (uint32_t)fake_fleet_holder(world));
+    double speed =
+        json_real_value(json_object_get(worker_of(status, id), "log_speed"));
+
+    json_decref(status);
+    return speed;
+}
+
+/* What one holder has learned of the workers guides the next. */
+static void
+fleet__successor_knows_speeds(void **state)
+{
+    fake_fleet *world = world_new(15);
+
+    fake_fleet_set_speed(world, 3, 0.4);
+    submit(world, 0, 1, 2, 16, 8, false);
+    fake_fleet_run(world, 12 * CS_SEC_US);
+    expect_state(world, 1, CS_PROGRESS_COMPLETED);
+    assert_true(speed_of(world, "w-03") < speed_of(world, "w-04") - 0.5);
+    fake_fleet_kill(world, (uint32_t)fake_fleet_holder(world), 60 * CS_SEC_US);
+    fake_fleet_run(world, 4 * CS_SEC_US);
+    assert_int_not_equal(fake_fleet_holder(world), -1);
+    assert_true(speed_of(world, "w-03") < speed_of(world, "w-04") - 0.5);
+    fake_fleet_destroy(world);
+}
+
+/* The workers' entries take more than one page of the store. */
+static void
+fleet__missing_worker_is_noticed_over_pages(void **state)
+{
+    fake_fleet_settings settings = {
+        .vms = 2, .workers = 510, .racks = 10, .seed = 16};
+    fake_fleet *world = fake_fleet_create(&settings);
+    fake_vm_faults cut = {.store_cut = true};
+    fake_vm_faults none = {0};
+    json_t *status;
+    uint32_t holder;
+
+    fake_fleet_run(world, 2 * CS_SEC_US);
+    holder = (uint32_t)fake_fleet_holder(world);
+    fake_fleet_set_faults(world, -1, &cut);
+    fake_fleet_remove_worker(world, 3);
+    fake_fleet_compact(world);
+    fake_fleet_run(world, CS_SEC_US);
+    fake_fleet_set_faults(world, -1, &none);
+    fake_fleet_run(world, 4 * CS_SEC_US);
+    assert_int_equal(fake_fleet_holder(world), holder);
+    status = fake_fleet_status(world, holder);
+    assert_non_null(worker_of(status, "w-04"));
+    assert_null(worker_of(status, "w-03"));
+    json_decref(status);
+    fake_fleet_destroy(world);
+}
+
 /* States are answered for the retention, then the rows go. */
 static void
 fleet__old_jobs_are_removed(void **state)
@@ -572,6 +644,8 @@
         cmocka_unit_test(fleet__advised_step_runs_where_it_may),
         cmocka_unit_test(fleet__advised_gang_is_not_kept_to_a_rack),
         cmocka_unit_test(fleet__advice_is_asked_anew_after_a_crash),
+        cmocka_unit_test(fleet__successor_knows_speeds),
+        cmocka_unit_test(fleet__missing_worker_is_noticed_over_pages),
         cmocka_unit_test(fleet__old_jobs_are_removed),
         cmocka_unit_test(fleet__late_claim_still_takes_its_room),
         cmocka_unit_test(fleet__idle_room_is_used_beyond_the_data_rack),
