--- a/src/programs/cs_fleetd.c
+++ b/src/programs/cs_fleetd.c
@@ -2,6 +2,7 @@
 #include "corianderstair/config_follower.h"
 #include "corianderstair/entry.h"
 #include "corianderstair/errors.h"
+#include "corianderstair/file_watch.h"
 #include "corianderstair/fleet.h"
 #include "corianderstair/http_client.h"
 #include "corianderstair/http_server.h"
@@ -36,6 +37,7 @@
 
 struct daemon {
     cs_vm_settings settings;
+    cs_file_watch *watch; /* of the settings file */
     cs_fleet_board board;
     cs_counters *counters;
     GMainLoop *loop;
@@ -90,11 +92,30 @@
     g_main_loop_quit(daemon->loop);
 }
 
+/* Bounds change; addresses are bound for the life of the process. */
+static void
+reload_settings(struct daemon *daemon)
+{
+    cs_vm_settings fresh;
+
+    if (platform_settings_load(&fresh, cs_file_watch_path(daemon->watch))) {
+        cs_log_event("settings-rejected", "%s", cs_error_last());
+        return;
+    }
+    daemon->settings.bounds = fresh.bounds;
+    daemon->board.settings.bounds = fresh.bounds;
+    daemon->board.settings.cpu_share = fresh.cpu_share;
+    cs_log_event("settings-reloaded", "lease %" PRId64 " ms",
+                 fresh.bounds.worker_lease_ms);
+}
+
 static gboolean
 on_tick(gpointer data)
 {
     struct daemon *daemon = data;
 
+    if (cs_file_watch_changed(daemon->watch, cs_clock_boot_us()))
+        reload_settings(daemon);
     cs_members_tick(daemon->members);
     cs_config_follower_tick(daemon->follower);
     cs_entry_tick(daemon->entry);
@@ -122,20 +143,7 @@
 static gboolean
 on_reload_signal(gpointer data)
 {
-    struct daemon *daemon = data;
-    const char *path = g_getenv(PLATFORM_SETTINGS_VARIABLE);
-    cs_vm_settings fresh;
-
-    if (!path || platform_settings_load(&fresh, path)) {
-        cs_log_event("settings-rejected", "%s",
-                     path ? cs_error_last() : "no path");
-        return G_SOURCE_CONTINUE;
-    }
-    /* Addresses are bound for the life of the process. */
-    daemon->settings.bounds = fresh.bounds;
-    daemon->board.settings.bounds = fresh.bounds;
-    cs_log_event("settings-reloaded", "lease %" PRId64 " ms",
-                 fresh.bounds.worker_lease_ms);
+    reload_settings(data);
     return G_SOURCE_CONTINUE;
 }
 
@@ -413,6 +421,7 @@
     };
     struct daemon daemon = {0};
     cs_settings_next next;
+    int status;
 
     signal(SIGPIPE, SIG_IGN);
     if (cs_settings_parse(&next, NULL, table, G_N_ELEMENTS(table), argc, argv,
@@ -432,5 +441,8 @@
         return 2;
     }
     cs_log_init(daemon.settings.name);
-    return run(&daemon);
+    daemon.watch = cs_file_watch_create(path);
+    status = run(&daemon);
+    cs_file_watch_destroy(daemon.watch);
+    return status;
 }
