A holder of thousands of workers: idle ones are looked at in turn, and only

busy ones keep connections

The new holder looked at all workers at once, with up to four connections to each kept for a minute: 3903 connections against 3900 descriptors, 482 new ones a second, 89.6% of its processor; the store and callers found no descriptor. Change: 64 looks at workers without tasks at a time; where connections to all workers would take over half of the descriptors of the settings, such a look closes its own. The HTTP client has calls that take a connection once.

--- a/include/corianderstair/http_client.h
+++ b/include/corianderstair/http_client.h
@@ -6,6 +6,7 @@
 #ifndef CS_HTTP_CLIENT_H
 #define CS_HTTP_CLIENT_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 #include "corianderstair/net.h"
@@ -52,6 +53,7 @@
     const char *body;
     size_t size_bytes;
     int64_t deadline_us; /**< on the boot clock */
+    bool once;           /**< takes a connection of its own and closes it */
     cs_http_piece piece; /**< takes the body in pieces; NULL for whole */
     cs_http_done done;   /**< called exactly once, never inside the call */
     void *data;
--- a/include/corianderstair/vm_settings.h
+++ b/include/corianderstair/vm_settings.h
@@ -26,8 +26,9 @@
                                   empty */
     char store_address[48];
     char adviser_address[48]; /**< empty where there is none */
-    char seeds[3][48]; /**< peer addresses of some VMs; empty for none */
-    double cpu_share;  /**< of a core that the VM has; 0 not told */
+    char seeds[3][48];   /**< peer addresses of some VMs; empty for none */
+    int64_t descriptors; /**< most open files and sockets; 0 not told */
+    double cpu_share;    /**< of a core that the VM has; 0 not told */
     cs_vm_bounds bounds;
 } cs_vm_settings;
 
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -90,6 +90,7 @@
     load_init(fleet);
     fleet->turn_wanted = false;
     fleet->advice_open = false;
+    fleet->idle_looks = 0;
     fleet->headroom.used = 0;
 }
 
--- a/src/fleet/hold.c
+++ b/src/fleet/hold.c
@@ -13,6 +13,13 @@
 #define UNCOMMITTED_US (1000 * CS_MS_US)
 #define EXTEND_AGAIN_US (2 * CS_SEC_US)
 #define STOP_RETRY_US (500 * CS_MS_US)
+/* Workers without tasks are looked at a few at a time: a new holder looks at
+   all of them, and has running work to extend and jobs to take meanwhile. */
+#define IDLE_LOOKS_MAX 64
+/* Connections are kept to all workers where they take at most this share of
+   the descriptors; a worker has up to four. */
+#define KEPT_SHARE 0.5
+#define WORKER_CONNECTIONS 4
 /* Leases go on so long without the store; a successor counts on that. */
 #define EXTEND_WITHOUT_STORE_US (15 * CS_SEC_US)
 
@@ -215,6 +222,9 @@
         return;
     }
     worker->hold_open = false;
+    if (worker->idle_look)
+        fleet->idle_looks--;
+    worker->idle_look = false;
     if (answer->code == 0) {
         worker->acked = MAX(worker->acked, acked);
         note_answer(fleet, worker, answer, sent_us);
@@ -240,11 +250,23 @@
            now_us - fleet->lease_written_us < EXTEND_WITHOUT_STORE_US;
 }
 
+/* Whether connections to idle workers would take too many descriptors. */
+static bool
+spares_connections(const cs_fleet *fleet)
+{
+    double most = KEPT_SHARE * (double)fleet->board->settings.descriptors;
+
+    return most > 0 &&
+           (double)fleet->worker_list->len * WORKER_CONNECTIONS > most;
+}
+
 static void
 look(cs_fleet *fleet, struct worker *worker, int64_t now_us)
 {
     const cs_worker_port *port = fleet->board->ports.workers;
-    cs_worker_target target = {worker->address, worker->id};
+    cs_worker_target target = {worker->address, worker->id,
+                               worker->tasks->len == 0 &&
+                                   spares_connections(fleet)};
     cs_hold_order order = {.epoch = fleet->epoch,
                            .seen_upto = worker->seen_upto};
     struct call *call = call_create(fleet, worker);
@@ -260,6 +282,9 @@
         order.wait_ms = WAIT_MS;
     call->seen_upto = worker->seen_upto;
     worker->hold_open = true;
+    worker->idle_look = worker->tasks->len == 0;
+    if (worker->idle_look)
+        fleet->idle_looks++;
     fleet_count(fleet, "cs_looks_total");
     port->hold(port->self, &target, &order,
                now_us + order.wait_ms * CS_MS_US + ANSWER_US, on_looked, call);
@@ -269,7 +294,7 @@
 hold_probe(cs_fleet *fleet, struct worker *worker)
 {
     const cs_worker_port *port = fleet->board->ports.workers;
-    cs_worker_target target = {worker->address, worker->id};
+    cs_worker_target target = {worker->address, worker->id, false};
     cs_hold_order order = {.epoch = fleet->epoch,
                            .seen_upto = worker->seen_upto};
     struct call *call = call_create(fleet, worker);
@@ -323,7 +348,8 @@
         retry_stops(fleet, worker, now_us);
         check_lapse(fleet, worker, now_us);
         if (!worker->hold_open && now_us >= worker->next_hold_us &&
-            is_wanted(worker))
+            is_wanted(worker) &&
+            (worker->tasks->len > 0 || fleet->idle_looks < IDLE_LOOKS_MAX))
             look(fleet, worker, now_us);
     }
 }
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -64,6 +64,7 @@
     bool sent;
     bool ended;
     bool connecting;
+    bool once;
 };
 
 static void start_waiting(cs_http_client *client, struct target *target);
@@ -228,7 +229,8 @@
     return G_SOURCE_REMOVE;
 }
 
-/* The connection becomes idle, and so reusable, after this callback. */
+/* The connection becomes idle, and so reusable, after this callback, unless
+   it returns -1. */
 static int
 on_completed(struct call *call, struct lws *wsi)
 {
@@ -236,7 +238,7 @@
     call->wsi = NULL;
     tell_end(call, 0);
     call->timer = g_idle_add_full(G_PRIORITY_DEFAULT, on_idle, call, NULL);
-    return 0;
+    return call->once ? -1 : 0;
 }
 
 static int
@@ -312,8 +314,10 @@
     info.method = call->method;
     info.protocol = "client";
     info.local_protocol_name = "client";
-    info.ssl_connection = LCCSCF_PIPELINE;
-    info.keep_warm_secs = KEEP_WARM_S;
+    if (!call->once) {
+        info.ssl_connection = LCCSCF_PIPELINE;
+        info.keep_warm_secs = KEEP_WARM_S;
+    }
     info.opaque_user_data = call;
     info.pwsi = &call->wsi;
     call->connecting = true;
@@ -509,6 +513,7 @@
     call->done = params->done;
     call->data = params->data;
     call->deadline_us = params->deadline_us;
+    call->once = params->once;
     client->open_calls++;
     client->queued++;
     left_us = MAX(params->deadline_us - cs_clock_boot_us(), CS_MS_US);
--- a/standins/fake_fleet.c
+++ b/standins/fake_fleet.c
@@ -664,6 +664,12 @@
     return world->violation;
 }
 
+uint32_t
+fake_fleet_most_open(const fake_fleet *world, uint32_t vm)
+{
+    return world->vms[vm].most_open;
+}
+
 json_t *
 fake_fleet_status(const fake_fleet *world, uint32_t vm)
 {
--- a/standins/fake_fleet.h
+++ b/standins/fake_fleet.h
@@ -129,6 +129,9 @@
 /** @return whether no run exists and no end waits to be acknowledged */
 bool fake_fleet_is_quiet(const fake_fleet *world);
 
+/** @return the most calls that a VM had open at once */
+uint32_t fake_fleet_most_open(const fake_fleet *world, uint32_t vm);
+
 /** @return what a VM's process tells operators, a new reference */
 json_t *fake_fleet_status(const fake_fleet *world, uint32_t vm);
 
--- a/standins/fake_fleet_internal.h
+++ b/standins/fake_fleet_internal.h
@@ -95,6 +95,7 @@
     struct fake_way ways[FAKE_VMS_MAX]; /* by the peer; own is direct */
     cs_worker_port workers;
     cs_adviser_port adviser;
+    uint32_t most_open;
     GHashTable *open; /* calls without an answer to their abort functions */
     cs_counters *counters;
     cs_store_router *router;
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -296,6 +296,28 @@
     fake_fleet_destroy(world);
 }
 
+/* A new holder of many workers without tasks asks a few at a time. */
+static void
+fleet__idle_workers_are_looked_at_in_turn(void **state)
+{
+    fake_fleet_settings settings = {
+        .vms = 2, .workers = 510, .racks = 10, .seed = 17};
+    fake_fleet *world = fake_fleet_create(&settings);
+    uint32_t holder;
+    fake_job job;
+    int32_t reply;
+
+    fake_fleet_run(world, 3 * CS_SEC_US);
+    holder = (uint32_t)fake_fleet_holder(world);
+    /* Besides the looks, a few calls to the store. */
+    assert_in_range(fake_fleet_most_open(world, holder), 64, 74);
+    fake_job_init(&job, 1, 2, 510, 8, 2000);
+    fake_fleet_submit(world, 0, &job, &reply);
+    fake_fleet_run(world, CS_SEC_US);
+    assert_int_equal(fake_fleet_starts(world, "0000000000000001"), 510);
+    fake_fleet_destroy(world);
+}
+
 /* States are answered for the retention, then the rows go. */
 static void
 fleet__old_jobs_are_removed(void **state)
@@ -499,6 +521,7 @@
         cmocka_unit_test(fleet__advice_is_asked_anew_after_a_crash),
         cmocka_unit_test(fleet__successor_knows_speeds),
         cmocka_unit_test(fleet__missing_worker_is_noticed_over_pages),
+        cmocka_unit_test(fleet__idle_workers_are_looked_at_in_turn),
         cmocka_unit_test(fleet__old_jobs_are_removed),
         cmocka_unit_test(fleet__late_claim_still_takes_its_room),
         cmocka_unit_test(fleet__idle_room_is_used_beyond_the_data_rack),
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -27,6 +27,7 @@
     char address[32];
     uint32_t received; /* by the server */
     uint32_t ended;
+    bool once;         /* its calls close their connections */
     uint32_t not_sent; /* calls that ended so */
 };
 
@@ -72,6 +73,7 @@
                          .body = "y",
                          .size_bytes = 1,
                          .deadline_us = cs_clock_boot_us() + left_us,
+                         .once = f->once,
                          .done = on_done,
                          .data = f};
 
@@ -226,6 +228,33 @@
     close(mute.fd);
 }
 
+/* Each call that says so has a connection of its own, which is not kept. */
+static void
+http__connection_for_one_call_is_closed(void **state)
+{
+    struct fixture f;
+    struct mute mute;
+    uint32_t i;
+
+    fixture_init(&f);
+    mute_init(&mute);
+    g_snprintf(f.address, sizeof(f.address), "127.0.0.1:%u", mute.port);
+    f.once = true;
+    for (i = 0; i < 4; i++) {
+        start_call(&f, 2 * CS_SEC_US);
+        run_for(&f, 100);
+    }
+    assert_int_equal(f.ended, 4);
+    assert_int_equal(mute.answered, 4);
+    assert_int_equal(mute.connections, 4);
+    assert_int_equal(g_hash_table_size(mute.answered_fds), 0);
+    fixture_dispose(&f);
+    while (g_source_remove_by_user_data(&mute))
+        ;
+    g_hash_table_destroy(mute.answered_fds);
+    close(mute.fd);
+}
+
 static int
 fill_backlog(const struct mute *mute)
 {
@@ -285,6 +314,7 @@
 main(void)
 {
     const struct CMUnitTest tests[] = {
+        cmocka_unit_test(http__connection_for_one_call_is_closed),
         cmocka_unit_test(http__hanging_connections_free_their_lanes),
         cmocka_unit_test(http__silent_connection_is_replaced),
         cmocka_unit_test(http__what_is_told_as_not_sent_is_not_sent),
