--- a/src/policy/headroom.c
+++ b/src/policy/headroom.c
@@ -38,6 +38,7 @@
 uint32_t
 cs_headroom_racks(const cs_headroom *headroom, const cs_fit_cell *cell)
 {
+    uint32_t most = cell->rack_count / 2;
     double per_rack;
     double racks;
 
@@ -47,5 +48,5 @@
     if (per_rack <= 0)
         return 0;
     racks = floor(MARGIN * headroom->mean / per_rack + 0.5);
-    return (uint32_t)CLAMP(racks, RACKS_MIN, cell->rack_count / 2);
+    return (uint32_t)CLAMP(racks, RACKS_MIN, most);
 }
