--- a/include/corianderstair/fleet_board.h
+++ b/include/corianderstair/fleet_board.h
@@ -51,8 +51,7 @@
     double store_write_us;   /**< mean time of a write; 0 unknown */
     int64_t store_answer_us; /**< boot clock of the last answer; 0 never */
     cs_cell_view cell;
-    uint32_t vm_count; /**< in the list of VMs; 0 not read yet */
-    bool draining;     /**< this process was asked to stop */
+    bool draining; /**< this process was asked to stop */
 } cs_fleet_board;
 
 /** Fills a board. Settings are copied, the rest is borrowed. */
--- a/src/fleet/tenure.c
+++ b/src/fleet/tenure.c
@@ -8,11 +8,6 @@
 #include "corianderstair/record.h"
 
 #define WATCH_US (300 * CS_MS_US)
-/* Many VMs share the watch: so many of them look as often as one could. The
-   row is renewed twice in the longest time between two looks, and a look that
-   finds no renewal is followed by another at the first pace. */
-#define WATCH_VMS 8
-#define WATCH_LONGEST 3
 /* Three renewals missed. A takeover too many is safe: it costs the reading
    of the rows and one look at each worker. */
 #define TAKEOVER_US (1500 * CS_MS_US)
@@ -306,9 +301,6 @@
         fleet->lease_version = rows->lease_version;
         fleet->lease_seen_us = now_us;
     }
-    else {
-        fleet->next_cell_us = MIN(fleet->next_cell_us, now_us + WATCH_US);
-    }
     if (fleet->board->draining || !fleet->board->config)
         return;
     silent_us = now_us - fleet->lease_seen_us;
@@ -344,14 +336,6 @@
         cs_log_event("cell-unreadable", "the epoch row cannot be read");
 }
 
-static int64_t
-watch_interval_us(const cs_fleet *fleet)
-{
-    int64_t shares = fleet->board->vm_count / WATCH_VMS;
-
-    return WATCH_US * CLAMP(shares, 1, WATCH_LONGEST);
-}
-
 static void
 watch(cs_fleet *fleet)
 {
@@ -362,7 +346,7 @@
     if (fleet->cell_open || now_us < fleet->next_cell_us)
         return;
     fleet->cell_open = true;
-    fleet->next_cell_us = now_us + watch_interval_us(fleet);
+    fleet->next_cell_us = now_us + WATCH_US;
     store->read(store->self, &range, now_us + STORE_ANSWER_US, on_cell_rows,
                 fleet);
 }
--- a/src/members/members.c
+++ b/src/members/members.c
@@ -38,8 +38,6 @@
 
     members->open = false;
     members->next_us = now_us + (answer->code ? RETRY_US : READ_US);
-    if (answer->code == 0)
-        members->board->vm_count = (uint32_t)answer->row_count;
     for (i = 0; answer->code == 0 && i < answer->row_count; i++) {
         const cs_row *row = &answer->rows[i];
 
