--- a/src/fleet/turn_internal.h
+++ b/src/fleet/turn_internal.h
@@ -31,6 +31,14 @@
 /* Seconds that a task of the step is expected to run. */
 double turn_step_seconds(const cs_fleet *fleet, const struct step *step);
 
+/* turn_request.c */
+/* Disposed with turn_free_request. */
+void turn_make_request(struct turn *turn, const struct candidate *candidate,
+                       cs_fit_request *request);
+void turn_free_request(cs_fit_request *request);
+void turn_ask_for_advice(struct turn *turn, const struct candidate *candidate,
+                         const cs_fit_request *request);
+
 /* turn_preempt.c */
 void turn_preempt(struct turn *turn, const struct candidate *candidate,
                   const cs_fit_request *request);
