fleet: only workers that are not known to answer are looked at in turn

Cause: found in reading the diff: a look at a worker that has just become idle, which acknowledges its last ends, counted among the 64, and waits 2 s; with many workers idle at once ends were acknowledged late (350 workers: 11 s). Change: the limit is for workers not looked at yet or silent. Test: fleet__idle_workers_are_looked_at_in_turn, with 510 ends at once; the new part fails before.

--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -61,7 +61,7 @@
     uint64_t born_ms;     /* newest incarnation known; 0 unknown */
     bool looked;          /* has answered under our epoch */
     bool hold_open;
-    bool idle_look; /* the open look is one without tasks */
+    bool idle_look; /* the open look counts among fleet->idle_looks */
     int64_t next_hold_us;
     int64_t last_ok_us;       /* when a hold was last answered */
     int64_t clock_ms;         /* its clock at clock_us; -1 unknown */
@@ -220,7 +220,7 @@
     int64_t submitted_ms; /* wall clock; when the newest job was accepted */
     uint64_t look_serial;
     bool turn_wanted;
-    uint32_t idle_looks; /* open ones, at workers without tasks */
+    uint32_t idle_looks; /* open ones, at unknown workers without tasks */
     bool advice_open;    /* the adviser is being asked */
     int64_t next_scan_us;
     cs_headroom headroom; /* of the urgent tasks that are placed */
--- a/src/fleet/hold.c
+++ b/src/fleet/hold.c
@@ -13,8 +13,9 @@
 #define UNCOMMITTED_US (1000 * CS_MS_US)
 #define EXTEND_AGAIN_US (2 * CS_SEC_US)
 #define STOP_RETRY_US (500 * CS_MS_US)
-/* Workers without tasks are looked at a few at a time: a new holder looks at
-   all of them, and has running work to extend and jobs to take meanwhile. */
+/* Workers without tasks that are not known to answer are looked at a few at a
+   time: a new holder looks at all of them, and has running work to extend and
+   jobs to take meanwhile. */
 #define IDLE_LOOKS_MAX 64
 /* Connections are kept to all workers where they take at most this share of
    the descriptors; a worker has up to four. */
@@ -250,6 +251,13 @@
            now_us - fleet->lease_written_us < EXTEND_WITHOUT_STORE_US;
 }
 
+static bool
+is_unknown(const struct worker *worker)
+{
+    return worker->tasks->len == 0 &&
+           (!worker->looked || worker->failed_looks > 0);
+}
+
 /* Whether connections to idle workers would take too many descriptors. */
 static bool
 spares_connections(const cs_fleet *fleet)
@@ -282,7 +290,7 @@
         order.wait_ms = WAIT_MS;
     call->seen_upto = worker->seen_upto;
     worker->hold_open = true;
-    worker->idle_look = worker->tasks->len == 0;
+    worker->idle_look = is_unknown(worker);
     if (worker->idle_look)
         fleet->idle_looks++;
     fleet_count(fleet, "cs_looks_total");
@@ -349,7 +357,7 @@
         check_lapse(fleet, worker, now_us);
         if (!worker->hold_open && now_us >= worker->next_hold_us &&
             is_wanted(worker) &&
-            (worker->tasks->len > 0 || fleet->idle_looks < IDLE_LOOKS_MAX))
+            (!is_unknown(worker) || fleet->idle_looks < IDLE_LOOKS_MAX))
             look(fleet, worker, now_us);
     }
 }
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -315,6 +315,9 @@
     fake_fleet_submit(world, 0, &job, &reply);
     fake_fleet_run(world, CS_SEC_US);
     assert_int_equal(fake_fleet_starts(world, "0000000000000001"), 510);
+    /* All become idle at once, and their ends are acknowledged soon. */
+    fake_fleet_run(world, 2500 * CS_MS_US);
+    assert_true(fake_fleet_is_quiet(world));
     fake_fleet_destroy(world);
 }
 
