A new holder tells the former one's waiting jobs until it has read its own

Cause: the lease row carries the waiting jobs of each queue and is written while the rows of jobs are still being read: it said none. Test: fleet__waiting_jobs_are_told_over_a_takeover fails before.

--- a/src/fleet/tenure.c
+++ b/src/fleet/tenure.c
@@ -84,7 +84,9 @@
 void
 tenure_encode_lease(cs_fleet *fleet, GByteArray *out)
 {
-    count_waiting(fleet);
+    /* Until all jobs are read, what the former holder told stays. */
+    if (fleet->tenure == TENURE_HOLDING)
+        count_waiting(fleet);
     encode_lease(fleet, out);
 }
 
--- a/standins/fake_fleet.c
+++ b/standins/fake_fleet.c
@@ -664,6 +664,13 @@
     return world->violation;
 }
 
+uint32_t
+fake_fleet_waiting(const fake_fleet *world, uint32_t vm, const char *queue)
+{
+    return GPOINTER_TO_UINT(
+        g_hash_table_lookup(world->vms[vm].board.cell.waiting, queue));
+}
+
 uint32_t
 fake_fleet_most_open(const fake_fleet *world, uint32_t vm)
 {
--- a/standins/fake_fleet.h
+++ b/standins/fake_fleet.h
@@ -129,6 +129,10 @@
 /** @return whether no run exists and no end waits to be acknowledged */
 bool fake_fleet_is_quiet(const fake_fleet *world);
 
+/** @return jobs that wait in a queue, as a VM would answer */
+uint32_t fake_fleet_waiting(const fake_fleet *world, uint32_t vm,
+                            const char *queue);
+
 /** @return the most calls that a VM had open at once */
 uint32_t fake_fleet_most_open(const fake_fleet *world, uint32_t vm);
 
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -321,6 +321,36 @@
     fake_fleet_destroy(world);
 }
 
+/* A queue's waiting jobs are not said to be none while a cell is taken. */
+static void
+fleet__waiting_jobs_are_told_over_a_takeover(void **state)
+{
+    fake_fleet *world = world_new(18);
+    uint32_t holder = (uint32_t)fake_fleet_holder(world);
+    uint32_t other = (holder + 1) % 4;
+    fake_job job;
+    int32_t reply;
+    uint32_t i;
+
+    fake_job_init(&job, 1, 2, 16, 8, 60 * 1000);
+    fake_fleet_submit(world, other, &job, &reply);
+    fake_fleet_run(world, 500 * CS_MS_US);
+    for (i = 2; i <= 6; i++)
+        submit(world, other, i, 2, 1, 8, false);
+    fake_fleet_run(world, CS_SEC_US);
+    assert_int_equal(fake_fleet_waiting(world, other, "q2"), 5);
+    fake_fleet_kill(world, holder, 60 * CS_SEC_US);
+    /* The one that takes it is among those asked. */
+    for (i = 0; i < 4 * 3000; i++) {
+        if (i % 4 != holder)
+            assert_int_equal(fake_fleet_waiting(world, i % 4, "q2"), 5);
+        if (i % 4 == 3)
+            fake_fleet_run(world, CS_MS_US);
+    }
+    assert_int_not_equal(fake_fleet_holder(world), (int32_t)holder);
+    fake_fleet_destroy(world);
+}
+
 /* States are answered for the retention, then the rows go. */
 static void
 fleet__old_jobs_are_removed(void **state)
@@ -525,6 +555,7 @@
         cmocka_unit_test(fleet__successor_knows_speeds),
         cmocka_unit_test(fleet__missing_worker_is_noticed_over_pages),
         cmocka_unit_test(fleet__idle_workers_are_looked_at_in_turn),
+        cmocka_unit_test(fleet__waiting_jobs_are_told_over_a_takeover),
         cmocka_unit_test(fleet__old_jobs_are_removed),
         cmocka_unit_test(fleet__late_claim_still_takes_its_room),
         cmocka_unit_test(fleet__idle_room_is_used_beyond_the_data_rack),
