Records of our rows are opened by one piece of code

Cause: unpacking a record and starting its reader stood five times (job spec, progress, epoch, lease, speeds). Change: cs_record_open and cs_record_close serve all. One edge differs: a lease row whose bytes are a record but not a whole one no longer empties the waiting jobs that were known; as with bytes that are no record, nothing is believed from it.

--- a/include/corianderstair/record.h
+++ b/include/corianderstair/record.h
@@ -23,6 +23,16 @@
     bool failed;
 } cs_record_reader;
 
+/** A whole record that is being read. */
+typedef struct {
+    msgpack_unpacked unpacked;
+    cs_record_reader reader; /**< failed where the bytes hold no array */
+} cs_record;
+
+/** Starts reading a record; to be closed also where it failed. */
+void cs_record_open(cs_record *record, const void *bytes, size_t size_bytes);
+void cs_record_close(cs_record *record);
+
 /** Starts reading an array. failed is set where the object is none. */
 void cs_record_read(cs_record_reader *reader, const msgpack_object *object);
 int64_t cs_record_read_int(cs_record_reader *reader);
--- a/src/fleet/speeds.c
+++ b/src/fleet/speeds.c
@@ -96,18 +96,13 @@
 void
 speeds_apply_row(cs_fleet *fleet, const cs_row *row)
 {
-    msgpack_unpacked unpacked;
-    cs_record_reader reader = {.failed = true};
-
-    msgpack_unpacked_init(&unpacked);
-    if (msgpack_unpack_next(&unpacked, row->value, row->size_bytes, NULL) ==
-        MSGPACK_UNPACK_SUCCESS) {
-        cs_record_read(&reader, &unpacked.data);
-        if (cs_record_read_int(&reader) == RECORD_VERSION)
-            decode_entries(fleet, &reader);
-    }
-    msgpack_unpacked_destroy(&unpacked);
-    if (reader.failed) {
+    cs_record record;
+
+    cs_record_open(&record, row->value, row->size_bytes);
+    if (cs_record_read_int(&record.reader) == RECORD_VERSION)
+        decode_entries(fleet, &record.reader);
+    cs_record_close(&record);
+    if (record.reader.failed) {
         cs_log_event("speeds-unreadable", "group %s", row->key);
         fleet_count(fleet, "cs_rows_unreadable_total");
     }
--- a/src/fleet/tenure.c
+++ b/src/fleet/tenure.c
@@ -105,20 +105,15 @@
 static bool
 decode_epoch(struct cell_rows *out, const cs_row *row)
 {
-    msgpack_unpacked unpacked;
-    cs_record_reader reader;
-    bool ok = false;
-
-    msgpack_unpacked_init(&unpacked);
-    if (msgpack_unpack_next(&unpacked, row->value, row->size_bytes, NULL) ==
-        MSGPACK_UNPACK_SUCCESS) {
-        cs_record_read(&reader, &unpacked.data);
-        ok = cs_record_read_int(&reader) == RECORD_VERSION;
-        out->epoch = (uint64_t)cs_record_read_int(&reader);
-        cs_record_read_text(&reader, out->holder, sizeof(out->holder));
-        ok = ok && !reader.failed;
-    }
-    msgpack_unpacked_destroy(&unpacked);
+    cs_record record;
+    bool ok;
+
+    cs_record_open(&record, row->value, row->size_bytes);
+    ok = cs_record_read_int(&record.reader) == RECORD_VERSION;
+    out->epoch = (uint64_t)cs_record_read_int(&record.reader);
+    cs_record_read_text(&record.reader, out->holder, sizeof(out->holder));
+    ok = ok && !record.reader.failed;
+    cs_record_close(&record);
     out->epoch_version = row->version;
     return ok;
 }
@@ -145,21 +140,20 @@
 static void
 decode_lease(struct cell_rows *out, cs_fleet *fleet, const cs_row *row)
 {
-    msgpack_unpacked unpacked;
-    cs_record_reader reader;
+    cs_record record;
+    const msgpack_object *waiting;
 
     out->lease_version = row->version;
-    msgpack_unpacked_init(&unpacked);
-    if (msgpack_unpack_next(&unpacked, row->value, row->size_bytes, NULL) ==
-        MSGPACK_UNPACK_SUCCESS) {
-        cs_record_read(&reader, &unpacked.data);
-        cs_record_read_int(&reader);
-        cs_record_read_int(&reader);
-        out->released = cs_record_read_int(&reader) != 0;
-        out->written_ms = cs_record_read_int(&reader);
-        read_waiting(fleet->board->cell.waiting, cs_record_read_item(&reader));
-    }
-    msgpack_unpacked_destroy(&unpacked);
+    cs_record_open(&record, row->value, row->size_bytes);
+    cs_record_read_int(&record.reader);
+    cs_record_read_int(&record.reader);
+    out->released = cs_record_read_int(&record.reader) != 0;
+    out->written_ms = cs_record_read_int(&record.reader);
+    waiting = cs_record_read_item(&record.reader);
+    /* From a row that cannot be read nothing is believed. */
+    if (waiting)
+        read_waiting(fleet->board->cell.waiting, waiting);
+    cs_record_close(&record);
 }
 
 static bool
--- a/src/model/job_progress.c
+++ b/src/model/job_progress.c
@@ -124,42 +124,38 @@
 }
 
 static bool
-decode_object(cs_job_progress *out, const msgpack_object *object)
+decode_fields(cs_job_progress *out, cs_record_reader *reader)
 {
-    cs_record_reader reader;
     const msgpack_object *list;
     int64_t state;
     uint32_t i;
 
-    cs_record_read(&reader, object);
-    if (cs_record_read_int(&reader) != RECORD_VERSION)
+    if (cs_record_read_int(reader) != RECORD_VERSION)
         return false;
-    state = cs_record_read_int(&reader);
+    state = cs_record_read_int(reader);
     if (state < CS_PROGRESS_QUEUED || state > CS_PROGRESS_CANCELLED)
         return false;
     out->state = (cs_progress_state)state;
-    out->ended_ms = cs_record_read_int(&reader);
-    list = cs_record_read_item(&reader);
+    out->ended_ms = cs_record_read_int(reader);
+    list = cs_record_read_item(reader);
     if (!list || list->type != MSGPACK_OBJECT_ARRAY)
         return false;
     for (i = 0; i < list->via.array.size; i++)
-        decode_task(out, &list->via.array.ptr[i], &reader.failed);
-    return !reader.failed;
+        decode_task(out, &list->via.array.ptr[i], &reader->failed);
+    return !reader->failed;
 }
 
 int
 cs_job_progress_decode(cs_job_progress *out, const void *bytes,
                        size_t size_bytes)
 {
-    msgpack_unpacked unpacked;
+    cs_record record;
     bool ok;
 
     cs_job_progress_init(out);
-    msgpack_unpacked_init(&unpacked);
-    ok = msgpack_unpack_next(&unpacked, bytes, size_bytes, NULL) ==
-             MSGPACK_UNPACK_SUCCESS &&
-         decode_object(out, &unpacked.data);
-    msgpack_unpacked_destroy(&unpacked);
+    cs_record_open(&record, bytes, size_bytes);
+    ok = decode_fields(out, &record.reader);
+    cs_record_close(&record);
     if (ok)
         return 0;
     cs_job_progress_dispose(out);
--- a/src/model/job_spec.c
+++ b/src/model/job_spec.c
@@ -202,39 +202,34 @@
 }
 
 static bool
-decode_object(cs_job_spec *spec, const msgpack_object *object)
+decode_fields(cs_job_spec *spec, cs_record_reader *reader)
 {
-    cs_record_reader reader;
-
-    cs_record_read(&reader, object);
-    if (cs_record_read_int(&reader) != RECORD_VERSION)
+    if (cs_record_read_int(reader) != RECORD_VERSION)
         return false;
-    cs_record_read_text(&reader, spec->id, sizeof(spec->id));
-    cs_record_read_text(&reader, spec->queue, sizeof(spec->queue));
-    cs_record_read_text(&reader, spec->organisation,
+    cs_record_read_text(reader, spec->id, sizeof(spec->id));
+    cs_record_read_text(reader, spec->queue, sizeof(spec->queue));
+    cs_record_read_text(reader, spec->organisation,
                         sizeof(spec->organisation));
-    spec->text = cs_record_read_string(&reader);
-    spec->repeats = (uint32_t)cs_record_read_int(&reader);
-    spec->start_ms = cs_record_read_int(&reader);
-    spec->interval_ms = cs_record_read_int(&reader);
-    spec->accepted_ms = cs_record_read_int(&reader);
-    spec->cancelled = cs_record_read_int(&reader) != 0;
-    decode_steps(spec, &reader);
-    return !reader.failed;
+    spec->text = cs_record_read_string(reader);
+    spec->repeats = (uint32_t)cs_record_read_int(reader);
+    spec->start_ms = cs_record_read_int(reader);
+    spec->interval_ms = cs_record_read_int(reader);
+    spec->accepted_ms = cs_record_read_int(reader);
+    spec->cancelled = cs_record_read_int(reader) != 0;
+    decode_steps(spec, reader);
+    return !reader->failed;
 }
 
 int
 cs_job_spec_decode(cs_job_spec *out, const void *bytes, size_t size_bytes)
 {
-    msgpack_unpacked unpacked;
+    cs_record record;
     bool ok;
 
     cs_job_spec_init(out);
-    msgpack_unpacked_init(&unpacked);
-    ok = msgpack_unpack_next(&unpacked, bytes, size_bytes, NULL) ==
-             MSGPACK_UNPACK_SUCCESS &&
-         decode_object(out, &unpacked.data);
-    msgpack_unpacked_destroy(&unpacked);
+    cs_record_open(&record, bytes, size_bytes);
+    ok = decode_fields(out, &record.reader);
+    cs_record_close(&record);
     if (ok && cs_job_spec_check(out) == 0)
         return 0;
     cs_job_spec_dispose(out);
--- a/src/util/record.c
+++ b/src/util/record.c
@@ -36,6 +36,23 @@
     reader->count = object->via.array.size;
 }
 
+void
+cs_record_open(cs_record *record, const void *bytes, size_t size_bytes)
+{
+    bool whole;
+
+    msgpack_unpacked_init(&record->unpacked);
+    whole = msgpack_unpack_next(&record->unpacked, bytes, size_bytes, NULL) ==
+            MSGPACK_UNPACK_SUCCESS;
+    cs_record_read(&record->reader, whole ? &record->unpacked.data : NULL);
+}
+
+void
+cs_record_close(cs_record *record)
+{
+    msgpack_unpacked_destroy(&record->unpacked);
+}
+
 const msgpack_object *
 cs_record_read_item(cs_record_reader *reader)
 {
