Orders of a large fleet go through executors on other VMs

Cause: one process that calls 1,100 workers over HTTP takes more than its half of a core. In a burst it renews its lease too late, the cell is lost, and each successor inherits the arrears on a weaker VM: nine takeovers in 24 s.

Change: the holder still decides everything, but its calls to workers are made by the strongest VMs of the workers' own zones (executors), which it sends orders to in batches over ZeroMQ, one message a turn of the loop. Fewer than 150 workers are called directly as before. An executor echoes each message; one that is silent for 0.7 s loses its workers to others, and its open calls end with an open outcome, which is what every call may end with anyway. An order that was held up past its deadline is not carried out.

VMs tell their share of a core in their rows, so the strongest take the cell, three candidates a zone watch the lease, and the others read it every 1.5 s.

test_scale plays 147 VMs and 1,100 workers with a cost for each call: called directly, 304 of 820 jobs are completed.

--- a/include/corianderstair/fleet.h
+++ b/include/corianderstair/fleet.h
@@ -27,6 +27,9 @@
 /** @return whether this process holds the cell */
 bool cs_fleet_is_holder(const cs_fleet *fleet);
 
+/** @return workers that the holder knows, 0 where the cell is not held */
+uint32_t cs_fleet_worker_count(const cs_fleet *fleet);
+
 /**
  * Describes the process for operators: whether it holds the cell, its jobs
  * and workers.
--- a/include/corianderstair/fleet_board.h
+++ b/include/corianderstair/fleet_board.h
@@ -42,9 +42,24 @@
     GHashTable *waiting; /**< queue name to number of waiting jobs */
 } cs_cell_view;
 
+/** VMs of each zone that are the first to take the cell: its strongest. */
+#define CS_CANDIDATES_PER_ZONE 3
+
+/** Where this VM stands among all, by share of a core. */
+typedef struct {
+    bool known;                 /**< the other VMs' rows were read */
+    uint32_t in_zone;           /**< stronger VMs of its zone */
+    uint32_t candidates_before; /**< candidates of all zones that go first */
+    bool outdone;               /**< one of these is stronger */
+} cs_vm_rank;
+
+/** @return whether the VM is among the first to take the cell */
+bool cs_vm_is_candidate(const cs_vm_rank *rank);
+
 typedef struct {
     cs_fleet_ports ports;
     cs_vm_settings settings;
+    cs_vm_rank rank;
     char incarnation[96];    /**< of this process, unique */
     cs_counters *counters;   /**< borrowed */
     cs_fleet_config *config; /**< NULL until one was read */
--- a/include/corianderstair/vm_settings.h
+++ b/include/corianderstair/vm_settings.h
@@ -24,6 +24,8 @@
     char ready_address[48];  /**< "IP:PORT" of the readiness check */
     char peer_address[48];   /**< "IP:PORT" for peers and operators; may be
                                   empty */
+    char link_address[48];   /**< "IP:PORT" for messages between VMs; may be
+                                  empty */
     char store_address[48];
     char adviser_address[48]; /**< empty where there is none */
     char seeds[3][48];   /**< peer addresses of some VMs; empty for none */
--- a/include/corianderstair/worker_port.h
+++ b/include/corianderstair/worker_port.h
@@ -15,6 +15,7 @@
     const char *address;     /**< "IP:PORT" */
     const char *incarnation; /**< another one refuses the order */
     bool once;               /**< the connection is not needed again soon */
+    const char *zone;        /**< availability zone; NULL not known */
 } cs_worker_target;
 
 /** Why a worker refused an order; it has then done nothing. */
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -101,6 +101,7 @@
 
     fleet->board = board;
     fleet->tenure = TENURE_FOLLOWING;
+    fleet->created_us = fleet_now(fleet).boot_us;
     create_tables(fleet);
     load_init(fleet);
     commit_init(&fleet->commit);
@@ -166,6 +167,12 @@
     return fleet->tenure == TENURE_HOLDING;
 }
 
+uint32_t
+cs_fleet_worker_count(const cs_fleet *fleet)
+{
+    return fleet->worker_list->len;
+}
+
 void
 cs_fleet_release(cs_fleet *fleet)
 {
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -189,6 +189,8 @@
     int64_t lease_seen_us;  /* boot clock when it last changed */
     bool lease_changed;     /* a renewal was seen since the start */
     bool release_wanted;
+    int64_t created_us; /* boot clock */
+    int64_t ranked_us;  /* boot clock; 0 while our strength is not compared */
     /* Holding. */
     int64_t next_lease_us;
     int64_t lease_written_us;
--- a/src/fleet/hold.c
+++ b/src/fleet/hold.c
@@ -272,9 +272,9 @@
 look(cs_fleet *fleet, struct worker *worker, int64_t now_us)
 {
     const cs_worker_port *port = fleet->board->ports.workers;
-    cs_worker_target target = {worker->address, worker->id,
-                               worker->tasks->len == 0 &&
-                                   spares_connections(fleet)};
+    cs_worker_target target = {
+        worker->address, worker->id,
+        worker->tasks->len == 0 && spares_connections(fleet), worker->zone};
     cs_hold_order order = {.epoch = fleet->epoch,
                            .seen_upto = worker->seen_upto};
     struct call *call = call_create(fleet, worker);
@@ -302,7 +302,8 @@
 hold_probe(cs_fleet *fleet, struct worker *worker)
 {
     const cs_worker_port *port = fleet->board->ports.workers;
-    cs_worker_target target = {worker->address, worker->id, false};
+    cs_worker_target target = {worker->address, worker->id, false,
+                               worker->zone};
     cs_hold_order order = {.epoch = fleet->epoch,
                            .seen_upto = worker->seen_upto};
     struct call *call = call_create(fleet, worker);
--- a/src/fleet/run.c
+++ b/src/fleet/run.c
@@ -155,7 +155,8 @@
     const cs_worker_port *port = fleet->board->ports.workers;
     struct worker *worker = task->worker;
     int64_t now_us = fleet_now(fleet).boot_us;
-    cs_worker_target target = {worker->address, worker->id, false};
+    cs_worker_target target = {worker->address, worker->id, false,
+                               worker->zone};
     cs_start_order order = {.run = task->run,
                             .spec = task->step->job->spec.text,
                             .saved = gang_saved(task),
@@ -217,7 +218,8 @@
           uint32_t run)
 {
     const cs_worker_port *port = fleet->board->ports.workers;
-    cs_worker_target target = {worker->address, worker->id, false};
+    cs_worker_target target = {worker->address, worker->id, false,
+                               worker->zone};
     struct call *call = call_create(fleet, worker);
 
     g_strlcpy(call->task, name, sizeof(call->task));
--- a/src/fleet/tenure.c
+++ b/src/fleet/tenure.c
@@ -8,6 +8,9 @@
 #include "corianderstair/record.h"
 
 #define WATCH_US (300 * CS_MS_US)
+/* VMs that leave the cell to stronger ones read the row for the numbers of
+   waiting jobs, which may be 2 s old. */
+#define WATCH_OTHERS_US (1500 * CS_MS_US)
 /* Three renewals missed. A takeover too many is safe: it costs the reading
    of the rows and one look at each worker. */
 #define TAKEOVER_US (1500 * CS_MS_US)
@@ -16,9 +19,13 @@
    unless these do not take it. */
 #define STRONG_SHARE 0.25
 #define WEAK_WAIT_US (1200 * CS_MS_US)
-/* Stand-bys try one after the other. */
+/* Candidates try one after the other, the strongest first; then the rest. */
 #define STAGGER_US (60 * CS_MS_US)
 #define STAGGER_STEPS 8
+/* More than the time between two looks at the lease. */
+#define OUTDONE_WAIT_US (400 * CS_MS_US)
+/* Until the other VMs' rows are read, which takes less than a second. */
+#define UNRANKED_WAIT_US (900 * CS_MS_US)
 #define RECORD_VERSION 1
 
 struct cell_rows {
@@ -249,16 +256,28 @@
 }
 
 static int64_t
-stagger_us(const cs_fleet *fleet)
+weak_wait_us(const cs_fleet *fleet)
 {
-    int64_t wait_us =
-        (int64_t)(g_str_hash(fleet->board->incarnation) % STAGGER_STEPS) *
-        STAGGER_US;
     double share = fleet->board->settings.cpu_share;
 
-    if (share > 0 && share < STRONG_SHARE)
-        wait_us += (int64_t)((1 - share / STRONG_SHARE) * WEAK_WAIT_US);
-    return wait_us;
+    if (share <= 0 || share >= STRONG_SHARE)
+        return 0;
+    return (int64_t)((1 - share / STRONG_SHARE) * WEAK_WAIT_US);
+}
+
+static int64_t
+stagger_us(const cs_fleet *fleet)
+{
+    const cs_vm_rank *rank = &fleet->board->rank;
+    uint32_t steps = g_str_hash(fleet->board->incarnation) % STAGGER_STEPS;
+
+    if (!rank->known)
+        return weak_wait_us(fleet) + steps * STAGGER_US;
+    if (cs_vm_is_candidate(rank))
+        return weak_wait_us(fleet) + (rank->outdone ? OUTDONE_WAIT_US : 0) +
+               MIN(rank->candidates_before, STAGGER_STEPS) * STAGGER_US;
+    return WEAK_WAIT_US + weak_wait_us(fleet) +
+           (STAGGER_STEPS + steps) * STAGGER_US;
 }
 
 /*
@@ -274,6 +293,18 @@
     return (rows->now_ms - rows->written_ms) * CS_MS_US - COMMIT_GAP_US;
 }
 
+/* Until its place among the VMs is known a process leaves the cell alone,
+   for a while: all may have started at once. */
+static bool
+is_ranked(cs_fleet *fleet, int64_t now_us)
+{
+    if (fleet->ranked_us == 0 &&
+        (fleet->board->rank.known ||
+         now_us - fleet->created_us >= UNRANKED_WAIT_US))
+        fleet->ranked_us = now_us;
+    return fleet->ranked_us != 0;
+}
+
 static void
 consider(cs_fleet *fleet, const struct cell_rows *rows)
 {
@@ -297,18 +328,16 @@
         fleet->lease_version = rows->lease_version;
         fleet->lease_seen_us = now_us;
     }
-    if (fleet->board->draining || !fleet->board->config)
+    if (fleet->board->draining || !fleet->board->config ||
+        !is_ranked(fleet, now_us))
         return;
     silent_us = now_us - fleet->lease_seen_us;
     if (!fleet->lease_changed)
         silent_us = MAX(silent_us, silence_by_store_us(rows));
-    if (rows->epoch_version == 0 || rows->released) {
-        if (silent_us >= stagger_us(fleet))
-            take_cell(fleet, rows);
-    }
-    else if (silent_us >= TAKEOVER_US + stagger_us(fleet)) {
+    if (rows->epoch_version && !rows->released)
+        silent_us -= TAKEOVER_US;
+    if (MIN(silent_us, now_us - fleet->ranked_us) >= stagger_us(fleet))
         take_cell(fleet, rows);
-    }
 }
 
 static void
@@ -342,7 +371,9 @@
     if (fleet->cell_open || now_us < fleet->next_cell_us)
         return;
     fleet->cell_open = true;
-    fleet->next_cell_us = now_us + WATCH_US;
+    fleet->next_cell_us =
+        now_us +
+        (cs_vm_is_candidate(&fleet->board->rank) ? WATCH_US : WATCH_OTHERS_US);
     store->read(store->self, &range, now_us + STORE_ANSWER_US, on_cell_rows,
                 fleet);
 }
--- a/src/model/fleet_board.c
+++ b/src/model/fleet_board.c
@@ -71,3 +71,9 @@
     if (code == 0 || code == CS_E_CONFLICT || code == CS_E_TOO_OLD)
         board->store_answer_us = cs_fleet_board_now(board).boot_us;
 }
+
+bool
+cs_vm_is_candidate(const cs_vm_rank *rank)
+{
+    return !rank->known || rank->in_zone < CS_CANDIDATES_PER_ZONE;
+}
--- a/src/programs/cs_fleetd.c
+++ b/src/programs/cs_fleetd.c
@@ -1,5 +1,7 @@
 /* The process of a VM on the users' platform: entry and holder in one. */
 #include "corianderstair/config_follower.h"
+#include "corianderstair/dispatch.h"
+#include "corianderstair/executor.h"
 #include "corianderstair/entry.h"
 #include "corianderstair/errors.h"
 #include "corianderstair/file_watch.h"
@@ -29,6 +31,8 @@
 #define STORE_CONNECTIONS 12
 /* One for the open look at a worker, the others for orders. */
 #define WORKER_CONNECTIONS 4
+/* Workers that a holder calls by itself; 350 took a third of a core. */
+#define DIRECT_WORKERS_MAX 150
 /* The balancer goes on sending callers until it has missed two checks. */
 #define LINGER_US (2600 * CS_MS_US)
 /* Part of the grace that is kept for closing down. */
@@ -53,6 +57,9 @@
     cs_store_router *router;
     cs_members *members;
     platform_workers *workers;
+    cs_peer_link *link;    /* NULL without an address for it */
+    cs_executor *executor; /* carries out orders of another holder */
+    cs_dispatch *dispatch; /* gives our orders to others */
     platform_adviser *adviser;
     cs_config_follower *follower;
     cs_entry *entry;
@@ -109,6 +116,15 @@
                  fresh.bounds.worker_lease_ms);
 }
 
+static void
+tick_dispatch(struct daemon *daemon)
+{
+    cs_peer_link_tick(daemon->link);
+    cs_executor_tick(daemon->executor);
+    cs_dispatch_tick(daemon->dispatch, !cs_fleet_is_released(daemon->fleet),
+                     cs_fleet_worker_count(daemon->fleet));
+}
+
 static gboolean
 on_tick(gpointer data)
 {
@@ -120,6 +136,8 @@
     cs_config_follower_tick(daemon->follower);
     cs_entry_tick(daemon->entry);
     cs_fleet_tick(daemon->fleet);
+    if (daemon->link)
+        tick_dispatch(daemon);
     if (daemon->stop_us)
         close_down(daemon);
     return G_SOURCE_CONTINUE;
@@ -283,6 +301,63 @@
                ip, cs_http_server_port(daemon->peers));
 }
 
+static void
+on_peer_message(void *data, const char *from, uint8_t kind, const void *bytes,
+                size_t size_bytes)
+{
+    struct daemon *daemon = data;
+
+    switch (kind) {
+    case CS_PEER_ORDERS:
+        cs_executor_receive(daemon->executor, from, bytes, size_bytes);
+        return;
+    case CS_PEER_ANSWERS:
+        cs_dispatch_receive(daemon->dispatch, from, bytes, size_bytes);
+        return;
+    default:
+        return;
+    }
+}
+
+/* Port 0 lets the kernel choose; peers have to know which. */
+static int
+create_link(struct daemon *daemon)
+{
+    cs_vm_settings *settings = &daemon->settings;
+    int rc;
+
+    if (!settings->link_address[0])
+        return 0;
+    rc = cs_peer_link_create(&daemon->link, daemon->counters,
+                             settings->link_address, on_peer_message, daemon);
+    if (!rc)
+        g_strlcpy(settings->link_address, cs_peer_link_address(daemon->link),
+                  sizeof(settings->link_address));
+    return rc;
+}
+
+static void
+create_dispatch(struct daemon *daemon)
+{
+    const cs_worker_port *direct = platform_workers_port(daemon->workers);
+    cs_executor_settings carrying = {.workers = direct,
+                                     .link =
+                                         cs_peer_link_port_of(daemon->link),
+                                     .now = read_now,
+                                     .counters = daemon->counters};
+    cs_dispatch_settings giving = {.direct = direct,
+                                   .link = cs_peer_link_port_of(daemon->link),
+                                   .members = daemon->members,
+                                   .own_name = daemon->settings.name,
+                                   .direct_max = DIRECT_WORKERS_MAX,
+                                   .now = read_now,
+                                   .counters = daemon->counters};
+
+    daemon->executor = cs_executor_create(&carrying);
+    daemon->dispatch = cs_dispatch_create(&giving);
+    daemon->board.ports.workers = cs_dispatch_port(daemon->dispatch);
+}
+
 static void
 create_parts(struct daemon *daemon)
 {
@@ -311,6 +386,8 @@
     cs_fleet_board_init(&daemon->board, &ports, &daemon->settings,
                         daemon->counters);
     daemon->members = cs_members_create(&daemon->board, daemon->router);
+    if (daemon->link)
+        create_dispatch(daemon);
     daemon->follower = cs_config_follower_create(&daemon->board);
     daemon->entry = cs_entry_create(&daemon->board);
     daemon->fleet = cs_fleet_create(&daemon->board);
@@ -330,6 +407,8 @@
     if (!rc)
         rc = cs_http_client_create(&daemon->worker_client, daemon->net,
                                    WORKER_CONNECTIONS);
+    if (!rc)
+        rc = create_link(daemon);
     if (rc)
         return rc;
     create_parts(daemon);
@@ -357,6 +436,7 @@
     if (daemon->worker_client)
         cs_http_client_close(daemon->worker_client);
     cs_net_destroy(daemon->net);
+    cs_dispatch_close(daemon->dispatch);
     cs_http_client_destroy(daemon->client);
     cs_http_client_destroy(daemon->worker_client);
     cs_fleet_destroy(daemon->fleet);
@@ -374,6 +454,9 @@
     platform_store_destroy(daemon->store);
     platform_workers_destroy(daemon->workers);
     platform_adviser_destroy(daemon->adviser);
+    cs_dispatch_destroy(daemon->dispatch);
+    cs_executor_destroy(daemon->executor);
+    cs_peer_link_destroy(daemon->link);
     cs_counters_destroy(daemon->counters);
     g_main_loop_unref(daemon->loop);
 }
--- a/standins/fake_fleet.c
+++ b/standins/fake_fleet.c
@@ -114,12 +114,18 @@
     vm->stopped_us = 0;
     g_snprintf(settings.peer_address, sizeof(settings.peer_address),
                PEER_PREFIX "%u", vm->number);
+    fake_link_address(settings.link_address, sizeof(settings.link_address),
+                      vm->number);
+    g_snprintf(settings.zone, sizeof(settings.zone), "z%u", vm->number % 3);
+    settings.cpu_share = (double)vm->cpu_milli / 1000.0;
+    vm->busy_until_us = 0;
     vm->counters = cs_counters_create();
     routes.counters = vm->counters;
     vm->router = cs_store_router_create(&routes);
     ports.store = cs_store_router_port(vm->router);
     cs_fleet_board_init(&vm->board, &ports, &settings, vm->counters);
     vm->members = cs_members_create(&vm->board, vm->router);
+    fake_link_start(vm, vm->world->direct_max);
     vm->follower = cs_config_follower_create(&vm->board);
     vm->entry = cs_entry_create(&vm->board);
     vm->fleet = cs_fleet_create(&vm->board);
@@ -146,10 +152,12 @@
     if (!vm->up)
         return;
     abort_calls(vm);
+    fake_link_end(vm);
     vm->up = false;
     cs_fleet_destroy(vm->fleet);
     cs_entry_destroy(vm->entry);
     cs_config_follower_destroy(vm->follower);
+    fake_link_dispose(vm);
     cs_members_destroy(vm->members);
     cs_store_router_destroy(vm->router);
     cs_fleet_board_dispose(&vm->board);
@@ -172,12 +180,14 @@
     fake_fleet *world = vm->world;
 
     fake_at(world, world->now_us + TICK_US, tick, vm);
-    if (!vm->up || world->now_us < vm->frozen_until_us)
+    if (!vm->up || world->now_us < vm->frozen_until_us ||
+        world->now_us < vm->busy_until_us)
         return;
     cs_members_tick(vm->members);
     cs_config_follower_tick(vm->follower);
     cs_entry_tick(vm->entry);
     cs_fleet_tick(vm->fleet);
+    fake_link_tick(vm);
     if (vm->stopped_us && world->now_us - vm->stopped_us > DRAIN_US &&
         cs_fleet_is_released(vm->fleet) && cs_entry_open(vm->entry) == 0) {
         vm_end(vm);
@@ -235,6 +245,17 @@
     g_free(text);
 }
 
+static int64_t
+cpu_milli_of(const fake_fleet_settings *settings, uint32_t vm)
+{
+    uint32_t count = 0;
+
+    while (count < G_N_ELEMENTS(settings->cpu_milli) &&
+           settings->cpu_milli[count])
+        count++;
+    return count ? settings->cpu_milli[vm % count] : 1000;
+}
+
 static void
 known_free(gpointer data)
 {
@@ -261,6 +282,10 @@
     world->worker_count = settings->workers;
     world->rack_count = settings->racks;
     world->removed = settings->removed;
+    world->direct_max =
+        settings->direct_max ? settings->direct_max : UINT32_MAX;
+    world->call_us = settings->call_us;
+    world->message_us = settings->message_us;
     fake_store_init(world);
     fake_fleet_configure(world, 1);
     for (i = 0; i < world->worker_count; i++) {
@@ -272,6 +297,7 @@
 
         vm->world = world;
         vm->number = i;
+        vm->cpu_milli = cpu_milli_of(settings, i);
         vm->open = g_hash_table_new(g_direct_hash, g_direct_equal);
         fake_store_port(vm);
         fake_worker_port(vm);
@@ -290,6 +316,7 @@
 
     for (i = 0; i < world->vm_count; i++)
         vm_end(&world->vms[i]);
+    world->ended = true;
     /* Calls free themselves at their last event. */
     while (!g_sequence_is_empty(world->events)) {
         GSequenceIter *first = g_sequence_get_begin_iter(world->events);
@@ -442,6 +469,18 @@
     return -1;
 }
 
+uint64_t
+fake_fleet_epoch(const fake_fleet *world, uint32_t vm)
+{
+    return world->vms[vm].board.cell.epoch;
+}
+
+int64_t
+fake_fleet_spent_us(const fake_fleet *world, uint32_t vm)
+{
+    return world->vms[vm].spent_us;
+}
+
 void
 fake_fleet_compact(fake_fleet *world)
 {
--- a/standins/fake_fleet.h
+++ b/standins/fake_fleet.h
@@ -14,8 +14,8 @@
 #include "corianderstair/fleet.h"
 #include "corianderstair/members.h"
 
-#define FAKE_VMS_MAX 8
-#define FAKE_WORKERS_MAX 512
+#define FAKE_VMS_MAX 160
+#define FAKE_WORKERS_MAX 1200
 
 typedef struct fake_fleet fake_fleet;
 
@@ -26,6 +26,7 @@
     double store_lost;  /**< share of changes done and not answered */
     double store_late;  /**< share of changes done seconds later */
     bool workers_cut;   /**< orders hang */
+    bool peers_cut;     /**< messages from and to other VMs are lost */
     double orders_late; /**< share of orders not answered and done later */
 } fake_vm_faults;
 
@@ -43,6 +44,15 @@
     uint32_t racks;
     uint64_t seed;
     fake_removal removed;
+    /** More workers than these are called through other VMs; 0 for any
+        number directly. */
+    uint32_t direct_max;
+    /** Costs on a whole core: of a call, of a message between VMs. */
+    int64_t call_us;
+    int64_t message_us;
+    /** Shares of a core in thousandths, by VM in turn; 0 ends the list, and
+        an empty one means whole cores. */
+    int64_t cpu_milli[4];
 } fake_fleet_settings;
 
 fake_fleet *fake_fleet_create(const fake_fleet_settings *settings);
@@ -77,6 +87,10 @@
 void fake_fleet_freeze(fake_fleet *world, uint32_t vm, int64_t us);
 /** Asks the process to stop; it starts again once it has ended. */
 void fake_fleet_stop(fake_fleet *world, uint32_t vm);
+/** @return the epoch as the VM knows it: one more with each takeover */
+uint64_t fake_fleet_epoch(const fake_fleet *world, uint32_t vm);
+/** @return time that a VM's calls have taken, on a whole core */
+int64_t fake_fleet_spent_us(const fake_fleet *world, uint32_t vm);
 /** @return the VM that holds the cell, or -1 */
 int32_t fake_fleet_holder(const fake_fleet *world);
 
--- a/standins/fake_fleet_internal.h
+++ b/standins/fake_fleet_internal.h
@@ -3,7 +3,9 @@
 #define FAKE_FLEET_INTERNAL_H
 
 #include "fake_fleet.h"
+#include "corianderstair/dispatch.h"
 #include "corianderstair/errors.h"
+#include "corianderstair/executor.h"
 #include "corianderstair/job_progress.h"
 
 #include <string.h>
@@ -96,6 +98,13 @@
     cs_worker_port workers;
     cs_adviser_port adviser;
     uint32_t most_open;
+    cs_peer_link_port link;
+    uint64_t life; /* rises with each start of the process */
+    int64_t cpu_milli;
+    int64_t busy_until_us;
+    int64_t spent_us;
+    cs_executor *executor;
+    cs_dispatch *dispatch;
     GHashTable *open; /* calls without an answer to their abort functions */
     cs_counters *counters;
     cs_store_router *router;
@@ -129,6 +138,10 @@
     uint32_t worker_count;
     uint32_t rack_count;
     fake_removal removed;
+    uint32_t direct_max;
+    int64_t call_us;
+    int64_t message_us;
+    bool ended;         /* what is on its way is only freed */
     uint64_t calls;     /* to the store and to workers */
     uint32_t questions; /* that the adviser has not answered */
     GHashTable *jobs;   /* id to struct fake_known */
@@ -162,6 +175,15 @@
 void fake_worker_crash(struct fake_worker_state *worker);
 void fake_worker_reset(struct fake_worker_state *worker);
 
+/* fake_fleet_link.c */
+void fake_link_address(char *out, size_t size, uint32_t vm);
+/* Makes a VM work. Returns when it will be done. */
+int64_t fake_charge(struct fake_vm *vm, int64_t cost_us);
+void fake_link_start(struct fake_vm *vm, uint32_t direct_max);
+void fake_link_end(struct fake_vm *vm);
+void fake_link_dispose(struct fake_vm *vm);
+void fake_link_tick(struct fake_vm *vm);
+
 /* fake_fleet_adviser.c */
 void fake_adviser_port(struct fake_vm *vm);
 bool fake_adviser_lets_in(const struct fake_worker_state *worker,
--- a/standins/fake_fleet_store.c
+++ b/standins/fake_fleet_store.c
@@ -180,6 +180,7 @@
 {
     const GPtrArray *history = call->world->store.history;
     GPtrArray *rows;
+    guint first;
     guint i;
 
     if (call->after < call->world->store.kept_after) {
@@ -187,10 +188,15 @@
         return;
     }
     rows = g_ptr_array_new();
-    for (i = 0; i < history->len; i++) {
+    first = history->len;
+    while (first > 0 &&
+           ((const struct fake_row *)g_ptr_array_index(history, first - 1))
+                   ->version > call->after)
+        first--;
+    for (i = first; i < history->len; i++) {
         struct fake_row *row = g_ptr_array_index(history, i);
 
-        if (row->version > call->after && strcmp(row->table, call->table) == 0)
+        if (strcmp(row->table, call->table) == 0)
             g_ptr_array_add(rows, row);
     }
     answer_rows(call, 0, rows, false);
@@ -473,7 +479,8 @@
 {
     fake_fleet *world = call->world;
     const fake_vm_faults *faults = &call->via->faults;
-    int64_t at_us = world->now_us + FAKE_HOP_US + EXECUTE_US;
+    int64_t at_us =
+        fake_charge(call->vm, world->call_us) + FAKE_HOP_US + EXECUTE_US;
 
     if (faults->store_refuses || !call->via->up) {
         fake_at(world, at_us, refuse, call);
--- a/standins/fake_fleet_worker.c
+++ b/standins/fake_fleet_worker.c
@@ -72,8 +72,8 @@
         worker->speed = 1;
     g_snprintf(worker->id, sizeof(worker->id), "w-%02u", number);
     if (!worker->address[0])
-        g_snprintf(worker->address, sizeof(worker->address), "10.9.0.%u:80",
-                   number + 1);
+        g_snprintf(worker->address, sizeof(worker->address), "10.9.%u.%u:80",
+                   number / 200, number % 200 + 1);
     worker->born_us = world->now_us;
     worker->born_ms =
         (uint64_t)((FAKE_WALL_US + world->now_us) / CS_MS_US) + 1;
@@ -116,15 +116,72 @@
 }
 
 static void
-answer(struct order *order, const cs_worker_answer *a)
+deliver(struct order *order, const cs_worker_answer *a)
 {
-    if (order->answered || (order->is_late && a->code != CS_E_UNKNOWN))
+    if (order->answered)
         return;
     order->answered = true;
     g_hash_table_remove(order->vm->open, order);
     order->done(order->data, a);
 }
 
+/* An answer that waits until its VM has time for it. */
+struct held_answer {
+    struct order *order;
+    cs_worker_answer answer;
+    cs_worker_run *runs;
+    cs_worker_end *ends;
+    GStringChunk *texts;
+};
+
+static void
+deliver_held(void *data)
+{
+    struct held_answer *held = data;
+
+    deliver(held->order, &held->answer);
+    g_string_chunk_free(held->texts);
+    g_free(held->runs);
+    g_free(held->ends);
+    g_free(held);
+}
+
+static void
+hold_answer(struct order *order, const cs_worker_answer *a, int64_t until_us)
+{
+    struct held_answer *held = g_new0(struct held_answer, 1);
+    size_t i;
+
+    held->order = order;
+    held->answer = *a;
+    held->texts = g_string_chunk_new(256);
+    held->runs = g_memdup2(a->runs, a->run_count * sizeof(*a->runs));
+    held->ends = g_memdup2(a->ends, a->end_count * sizeof(*a->ends));
+    for (i = 0; i < a->run_count; i++)
+        held->runs[i].task =
+            g_string_chunk_insert(held->texts, a->runs[i].task);
+    for (i = 0; i < a->end_count; i++)
+        held->ends[i].task =
+            g_string_chunk_insert(held->texts, a->ends[i].task);
+    held->answer.runs = held->runs;
+    held->answer.ends = held->ends;
+    fake_at(order->world, until_us, deliver_held, held);
+}
+
+static void
+answer(struct order *order, const cs_worker_answer *a)
+{
+    int64_t free_us;
+
+    if (order->answered || (order->is_late && a->code != CS_E_UNKNOWN))
+        return;
+    free_us = fake_charge(order->vm, order->world->call_us / 2);
+    if (a->code != CS_E_UNKNOWN && free_us > order->world->now_us)
+        hold_answer(order, a, free_us);
+    else
+        deliver(order, a);
+}
+
 static void
 answer_code(struct order *order, int code, cs_worker_refusal refusal)
 {
@@ -586,7 +643,7 @@
     fake_fleet *world = order->world;
     const fake_vm_faults *faults = &order->vm->faults;
     const struct fake_worker_state *worker = find_worker(order);
-    int64_t at_us = world->now_us + FAKE_HOP_US;
+    int64_t at_us = fake_charge(order->vm, world->call_us / 2) + FAKE_HOP_US;
     bool late = fake_chance(world, faults->orders_late);
 
     order->is_late = late;
--- a/standins/fake_wire.c
+++ b/standins/fake_wire.c
@@ -264,7 +264,7 @@
     const cs_worker_port *port = fake_fleet_workers(world);
     const char *path = cs_http_request_path(request);
     int64_t deadline_us = fake_fleet_now_us(world) + CALL_US;
-    cs_worker_target target = {address, "", false};
+    cs_worker_target target = {address, "", false, NULL};
     size_t size;
     const char *text = cs_http_request_body(request, &size);
     json_t *body = json_loadb(text, size, 0, NULL);
