--- a/include/corianderstair/dispatch.h
+++ b/include/corianderstair/dispatch.h
@@ -7,6 +7,7 @@
 #ifndef CS_DISPATCH_H
 #define CS_DISPATCH_H
 
+#include <jansson.h>
 #include "corianderstair/clock.h"
 #include "corianderstair/counters.h"
 #include "corianderstair/members.h"
@@ -49,7 +50,10 @@
  */
 void cs_dispatch_tick(cs_dispatch *dispatch, bool holding, uint32_t workers);
 
-/** @return executors that answer */
-uint32_t cs_dispatch_ready(const cs_dispatch *dispatch);
+/**
+ * Describes the executors for operators.
+ * @return a new array, empty where this process does not hold the cell
+ */
+json_t *cs_dispatch_status(const cs_dispatch *dispatch);
 
 #endif
--- a/src/dispatch/executors.c
+++ b/src/dispatch/executors.c
@@ -253,16 +253,20 @@
     g_ptr_array_set_size(dispatch->executors, 0);
 }
 
-uint32_t
-cs_dispatch_ready(const cs_dispatch *dispatch)
+json_t *
+cs_dispatch_status(const cs_dispatch *dispatch)
 {
-    uint32_t count = 0;
+    json_t *list = json_array();
     guint i;
 
     for (i = 0; i < dispatch->executors->len; i++) {
         const struct executor *e = g_ptr_array_index(dispatch->executors, i);
 
-        count += e->up;
+        json_array_append_new(list, json_pack("{s:s,s:s,s:b,s:i,s:I}",
+                                              "address", e->address, "zone",
+                                              e->zone, "up", e->up, "workers",
+                                              (int)e->routes, "cpu_milli",
+                                              (json_int_t)e->cpu_milli));
     }
-    return count;
+    return list;
 }
--- a/src/programs/cs_fleetd.c
+++ b/src/programs/cs_fleetd.c
@@ -32,7 +32,7 @@
 /* One for the open look at a worker, the others for orders. */
 #define WORKER_CONNECTIONS 4
 /* Workers that a holder calls by itself; 350 took a third of a core. */
-#define DIRECT_WORKERS_MAX 150
+#define DIRECT_WORKERS 150
 /* The balancer goes on sending callers until it has missed two checks. */
 #define LINGER_US (2600 * CS_MS_US)
 /* Part of the grace that is kept for closing down. */
@@ -41,7 +41,8 @@
 
 struct daemon {
     cs_vm_settings settings;
-    cs_file_watch *watch; /* of the settings file */
+    int64_t direct_workers; /* more are called through executors */
+    cs_file_watch *watch;   /* of the settings file */
     cs_fleet_board board;
     cs_counters *counters;
     GMainLoop *loop;
@@ -176,6 +177,9 @@
         json_boolean(cs_store_router_is_relayed(daemon->router)));
     json_object_set_new(status, "open_requests",
                         json_integer(open_requests(daemon)));
+    if (daemon->dispatch)
+        json_object_set_new(status, "executors",
+                            cs_dispatch_status(daemon->dispatch));
     text = json_dumps(status, JSON_COMPACT);
     cs_http_reply(request, 200, "application/json", text, strlen(text));
     free(text);
@@ -349,7 +353,8 @@
                                    .link = cs_peer_link_port_of(daemon->link),
                                    .members = daemon->members,
                                    .own_name = daemon->settings.name,
-                                   .direct_max = DIRECT_WORKERS_MAX,
+                                   .direct_max =
+                                       (uint32_t)daemon->direct_workers,
                                    .now = read_now,
                                    .counters = daemon->counters};
 
@@ -498,11 +503,13 @@
 main(int argc, char **argv)
 {
     const char *path = g_getenv(PLATFORM_SETTINGS_VARIABLE);
+    struct daemon daemon = {.direct_workers = DIRECT_WORKERS};
     const cs_setting table[] = {
         {"settings", CS_SETTING_TEXT, &path, 1, 4096, false,
          "settings file that the platform writes"},
+        {"direct-workers", CS_SETTING_NUMBER, &daemon.direct_workers, 0,
+         100000, false, "more workers than these are called by other VMs"},
     };
-    struct daemon daemon = {0};
     cs_settings_next next;
     int status;
 
--- a/src/programs/csctl_fleet.c
+++ b/src/programs/csctl_fleet.c
@@ -45,6 +45,26 @@
     }
 }
 
+static void
+print_executors(const json_t *executors)
+{
+    const json_t *item;
+    size_t i;
+
+    if (json_array_size(executors) == 0)
+        return;
+    printf("\n%-22s %-16s %-7s %8s %6s\n", "EXECUTOR", "ZONE", "STATE",
+           "WORKERS", "CORES");
+    json_array_foreach(executors, i, item)
+    {
+        printf("%-22s %-16s %-7s %8d %6.2f\n", text_of(item, "address"),
+               text_of(item, "zone"),
+               json_is_true(json_object_get(item, "up")) ? "up" : "silent",
+               number_of(item, "workers"),
+               number_of(item, "cpu_milli") / 1000.0);
+    }
+}
+
 static void
 print_fleet(const json_t *body)
 {
@@ -59,6 +79,7 @@
     printf("jobs: %d active, %d ended, %d not recorded yet\n",
            number_of(body, "active_jobs"), number_of(body, "ended_jobs"),
            number_of(body, "unrecorded_jobs"));
+    print_executors(json_object_get(body, "executors"));
     print_workers(json_object_get(body, "workers"));
 }
 
--- a/tests/test_process.c
+++ b/tests/test_process.c
@@ -32,7 +32,8 @@
     char *text = g_strdup_printf(
         "{\"node\":\"%s\",\"zone\":\"z\",\"listen\":{\"front\":"
         "\"127.0.0.1:0\",\"ready\":\"127.0.0.1:0\",\"control\":"
-        "\"127.0.0.1:0\"},\"seeds\":[],\"heartbeatMs\":1500,\"platform\":{"
+        "\"127.0.0.1:0\"},\"ip\":\"127.0.0.1\",\"portRange\":[0,0],"
+        "\"seeds\":[],\"heartbeatMs\":1500,\"platform\":{"
         "\"addr\":\"%s\"},\"advice\":\"%s\",\"bounds\":{\"holdMaxMs\":6000,"
         "\"stopMs\":900,"
         "\"gangMs\":3000,\"graceS\":6,\"configApplyMs\":2000,\"status_s\":"
@@ -81,6 +82,9 @@
     }
 }
 
+/* Workers that the holder calls by itself: all, or none. */
+static const char *direct_workers = "1000";
+
 static int
 start_all(void **state)
 {
@@ -91,7 +95,8 @@
     store = harness_start(h, "standin-deployment", "--workers", "8", NULL);
     for (i = 0; i < 2; i++) {
         files[i] = write_settings(i ? "vm-b" : "vm-a", store);
-        vms[i] = harness_start(h, "cs-fleetd", "--settings", files[i], NULL);
+        vms[i] = harness_start(h, "cs-fleetd", "--settings", files[i],
+                               "--direct-workers", direct_workers, NULL);
     }
     wait_state(0, "/q0/", NULL);
     return 0;
@@ -210,5 +215,8 @@
         cmocka_unit_test(process__cancelled_job_ends),
     };
 
-    return cmocka_run_group_tests(tests, start_all, stop_all);
+    int failed = cmocka_run_group_tests(tests, start_all, stop_all);
+
+    direct_workers = "0";
+    return failed + cmocka_run_group_tests(tests, start_all, stop_all);
 }
