A holder that the store turns away hands its cell over

Change: after 0.8 s through peers, with a change recorded that way, the holder offers the cell; VMs that the store serves go first. Peers are tried strongest first. Changes are of at most 128 KB, and their patience grows with their size. Each repeated change is logged with its size and the age of the lease.

fleet__refused_holder_hands_over fails without it.

--- a/include/corianderstair/fleet_board.h
+++ b/include/corianderstair/fleet_board.h
@@ -66,6 +66,7 @@
     double store_write_us;   /**< mean time of a write; 0 unknown */
     int64_t store_answer_us; /**< boot clock of the last answer; 0 never */
     cs_cell_view cell;
+    bool relayed;  /**< the store turns this VM away; peers pass calls on */
     bool draining; /**< this process was asked to stop */
 } cs_fleet_board;
 
--- a/include/corianderstair/vm_settings.h
+++ b/include/corianderstair/vm_settings.h
@@ -14,6 +14,7 @@
     int64_t stop_ms;         /**< longest time that a stop takes */
     int64_t grace_ms;        /**< between SIGTERM and SIGKILL */
     int64_t config_ms;       /**< a configuration is in force after that */
+    int64_t restore_ms;      /**< work that a resumed run has to repeat */
     int64_t retention_ms;    /**< states of ended jobs are answered */
 } cs_vm_bounds;
 
--- a/src/fleet/commit.c
+++ b/src/fleet/commit.c
@@ -11,7 +11,10 @@
    put, besides the epoch's condition and the puts of lease and speeds. */
 #define ENTRIES_MAX 100
 #define ROWS_MAX ((ENTRIES_MAX - 3) / 2 - EXPIRED_MAX)
-#define BYTES_MAX (400 * 1024)
+#define BYTES_MAX (128 * 1024)
+/* Beside the time of an answer: what the writing of a large change takes on a
+   VM with little of a core, and the store's part. */
+#define BYTES_PER_MS 2048
 #define RENEW_US (450 * CS_MS_US)
 /* Rows of old jobs that one change removes, besides. */
 #define EXPIRED_MAX 10
@@ -377,6 +380,15 @@
         tenure_lost(fleet, "the store refuses the change as wrong");
         return;
     }
+    cs_log_event("commit-repeated",
+                 "%s after %" PRId64 " ms, %u jobs, %zu bytes, lease written "
+                 "%" PRId64 " ms ago%s",
+                 cs_error_name(answer->code),
+                 (fleet_now(fleet).boot_us - sent_us) / CS_MS_US,
+                 commit->jobs->len, commit->sent_bytes,
+                 (fleet_now(fleet).boot_us - fleet->lease_written_us) /
+                     CS_MS_US,
+                 fleet->board->relayed ? ", through a peer" : "");
     if (answer->code == CS_E_UNKNOWN) {
         commit->unanswered = true;
         cs_fleet_board_store_wrote(fleet->board, fleet_now(fleet).boot_us -
@@ -389,6 +401,20 @@
     commit->next_us = fleet_now(fleet).boot_us + commit->backoff_us;
 }
 
+static size_t
+count_bytes(const struct commit *commit)
+{
+    size_t bytes = 0;
+    guint i;
+
+    for (i = 0; i < commit->values->len; i++) {
+        const GByteArray *value = g_ptr_array_index(commit->values, i);
+
+        bytes += value->len;
+    }
+    return bytes;
+}
+
 static void
 send(cs_fleet *fleet)
 {
@@ -403,11 +429,13 @@
         .removal_count = commit->removals->len};
 
     commit->open = true;
+    commit->sent_bytes = count_bytes(commit);
     if (commit->first_us == 0)
         commit->first_us = fleet_now(fleet).boot_us;
     store->change(store->self, &change,
                   fleet_now(fleet).boot_us +
-                      cs_fleet_board_write_patience_us(fleet->board),
+                      cs_fleet_board_write_patience_us(fleet->board) +
+                      (int64_t)(commit->sent_bytes / BYTES_PER_MS) * CS_MS_US,
                   on_committed, call_create(fleet, NULL));
 }
 
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -147,6 +147,7 @@
     int64_t next_us;
     int64_t backoff_us;
     int64_t first_us;  /* boot clock of the first attempt; 0 none yet */
+    size_t sent_bytes; /* of the values */
     bool unanswered;   /* an earlier attempt of these rows got no answer */
     GPtrArray *jobs;   /* of struct job, in the change */
     GPtrArray *values; /* of GByteArray */
@@ -192,6 +193,8 @@
     int64_t created_us; /* boot clock */
     int64_t ranked_us;  /* boot clock; 0 while our strength is not compared */
     /* Holding. */
+    int64_t relayed_us; /* boot clock since when the store turns this VM
+                           away; 0 it does not */
     int64_t next_lease_us;
     int64_t lease_written_us;
     uint64_t lease_serial;
@@ -336,7 +339,8 @@
 /* Stops what a gang has started, after one member did not. */
 void step_break(cs_fleet *fleet, struct step *step);
 /* Core-seconds that a stop of the task now would throw away. */
-double task_loss(const struct task *task, int64_t now_us);
+double task_loss(const cs_fleet *fleet, const struct task *task,
+                 int64_t now_us);
 /* Run time of a step's tasks: as learned from its queue, else as declared. */
 double fleet_expected_ms(const cs_fleet *fleet, const char *queue,
                          const cs_job_step *step);
--- a/src/fleet/task.c
+++ b/src/fleet/task.c
@@ -5,9 +5,6 @@
 
 /* Core-seconds that an accelerator-second counts for when thrown away. */
 #define ACCELERATOR_CORES 8.0
-/* Work lost when a checkpointing task stops: since its last checkpoint, and
-   for the restore. */
-#define CHECKPOINT_LOSS_S 0.6
 
 /* Cores, with accelerators counted as some. */
 static double
@@ -18,14 +15,17 @@
 }
 
 double
-task_loss(const struct task *task, int64_t now_us)
+task_loss(const cs_fleet *fleet, const struct task *task, int64_t now_us)
 {
+    double restore_s =
+        (double)fleet->board->settings.bounds.restore_ms / 1000.0;
     double run_s = 0;
 
     if (task->started_us)
         run_s = (double)(now_us - task->started_us) / (double)CS_SEC_US;
+    /* A stop makes a checkpoint; the restore is lost. */
     if (task->step->spec->checkpoint)
-        run_s = MIN(run_s, CHECKPOINT_LOSS_S);
+        run_s = MIN(run_s, restore_s);
     return run_s * demand_cores(&task->step->spec->demand);
 }
 
@@ -344,7 +344,7 @@
                  "task %s run %u worker %s %s at %" PRId64
                  "%%, %.0f core-seconds lost, queue %s",
                  name, task->run, task->worker->id, words[how], task->percent,
-                 task_loss(task, fleet_now(fleet).boot_us),
+                 task_loss(fleet, task, fleet_now(fleet).boot_us),
                  task->step->job->spec.queue);
 }
 
--- a/src/fleet/tenure.c
+++ b/src/fleet/tenure.c
@@ -26,6 +26,10 @@
 #define OUTDONE_WAIT_US (400 * CS_MS_US)
 /* Until the other VMs' rows are read, which takes less than a second. */
 #define UNRANKED_WAIT_US (900 * CS_MS_US)
+/* The store turned this VM away for so long that it is likely to go on. */
+#define RELAYED_MAX_US (800 * CS_MS_US)
+/* Others go first then. */
+#define RELAYED_WAIT_US (1500 * CS_MS_US)
 #define RECORD_VERSION 1
 
 struct cell_rows {
@@ -266,7 +270,7 @@
 }
 
 static int64_t
-stagger_us(const cs_fleet *fleet)
+rank_wait_us(const cs_fleet *fleet)
 {
     const cs_vm_rank *rank = &fleet->board->rank;
     uint32_t steps = g_str_hash(fleet->board->incarnation) % STAGGER_STEPS;
@@ -280,6 +284,12 @@
            (STAGGER_STEPS + steps) * STAGGER_US;
 }
 
+static int64_t
+stagger_us(const cs_fleet *fleet)
+{
+    return rank_wait_us(fleet) + (fleet->board->relayed ? RELAYED_WAIT_US : 0);
+}
+
 /*
  * What the store's clock tells of the silence, for a process that has not
  * seen a renewal since its start. The holder knows that clock from its last
@@ -385,10 +395,34 @@
     fleet_count(fleet, "cs_cell_lost_total");
     fleet_forget(fleet);
     fleet->tenure = TENURE_FOLLOWING;
+    fleet->relayed_us = 0;
+    /* A process that stops stays released. */
+    fleet->release_wanted = fleet->board->draining;
     fleet->ended_epoch = fleet->epoch;
     fleet->lease_seen_us = 0;
 }
 
+/* A VM that the store serves records sooner than one whose calls are passed
+   on; a hand-over takes less than a second. */
+static void
+leave_to_others(cs_fleet *fleet)
+{
+    int64_t now_us = fleet_now(fleet).boot_us;
+
+    if (!fleet->board->relayed) {
+        fleet->relayed_us = 0;
+        return;
+    }
+    if (fleet->relayed_us == 0)
+        fleet->relayed_us = now_us;
+    /* Where no peer is served either, the store itself is away. */
+    if (now_us - fleet->relayed_us < RELAYED_MAX_US ||
+        fleet->lease_written_us <= fleet->relayed_us || fleet->release_wanted)
+        return;
+    cs_log_event("cell-offered", "the store turns this VM away");
+    fleet->release_wanted = true;
+}
+
 void
 tenure_tick(cs_fleet *fleet)
 {
@@ -400,6 +434,7 @@
         return;
     case TENURE_LOADING:
     case TENURE_HOLDING:
+        leave_to_others(fleet);
         if (fleet->next_lease_us == 0)
             fleet->next_lease_us = fleet_now(fleet).boot_us;
         return;
--- a/src/fleet/turn_preempt.c
+++ b/src/fleet/turn_preempt.c
@@ -20,9 +20,9 @@
     uint32_t i;
 
     if (!step->spec->gang)
-        return task_loss(task, turn->now.boot_us);
+        return task_loss(turn->fleet, task, turn->now.boot_us);
     for (i = 0; i < step->spec->task_count; i++)
-        sum += task_loss(&step->tasks[i], turn->now.boot_us);
+        sum += task_loss(turn->fleet, &step->tasks[i], turn->now.boot_us);
     return sum;
 }
 
--- a/src/members/members.c
+++ b/src/members/members.c
@@ -119,10 +119,23 @@
     members->board->rank = rank;
 }
 
+/* The holder's changes are large; a weak VM would pass them on slowly. */
+static void
+add_ways(cs_members *members)
+{
+    guint i;
+
+    for (i = 0; i < members->list->len; i++) {
+        const cs_member *m = g_ptr_array_index(members->list, i);
+
+        if (strcmp(m->name, members->board->settings.name) != 0)
+            cs_store_router_add_peer(members->router, m->peer_address);
+    }
+}
+
 static void
 take_rows(cs_members *members, const cs_store_answer *answer)
 {
-    const cs_vm_settings *settings = &members->board->settings;
     cs_member member;
     int64_t written_ms;
     size_t i;
@@ -137,10 +150,9 @@
         if (answer->now_ms - written_ms > FRESH_MS)
             continue;
         g_ptr_array_add(members->list, g_memdup2(&member, sizeof(member)));
-        if (strcmp(member.name, settings->name) != 0)
-            cs_store_router_add_peer(members->router, member.peer_address);
     }
     g_ptr_array_sort(members->list, compare);
+    add_ways(members);
 }
 
 static void
@@ -244,6 +256,7 @@
 {
     int64_t now = now_us(members);
 
+    members->board->relayed = cs_store_router_is_relayed(members->router);
     if (members->open || !members->board->settings.peer_address[0])
         return;
     /* The store's clock, which a row tells, is known from the first read. */
--- a/standins/fake_fleet.c
+++ b/standins/fake_fleet.c
@@ -107,6 +107,7 @@
                                           .stop_ms = 900,
                                           .grace_ms = 6000,
                                           .config_ms = 2000,
+                                          .restore_ms = 600,
                                           .retention_ms = 120000}};
 
     g_snprintf(settings.name, sizeof(settings.name), "vm-%u", vm->number);
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -511,6 +511,50 @@
 }
 
 /* More jobs change at once than one change of the store may hold. */
+/* A holder that the store turns away records through a peer only until a VM
+   that the store serves has taken the cell. */
+static void
+fleet__refused_holder_hands_over(void **state)
+{
+    static const fake_vm_faults refused = {.store_refuses = true};
+    fake_fleet *world = world_new(17);
+    int32_t holder = fake_fleet_holder(world);
+    int32_t successor;
+
+    submit(world, 0, 1, 1, 6, 8, true);
+    fake_fleet_run(world, 500 * CS_MS_US);
+    fake_fleet_set_faults(world, holder, &refused);
+    fake_fleet_run(world, 3 * CS_SEC_US);
+    successor = fake_fleet_holder(world);
+    assert_int_not_equal(successor, -1);
+    assert_int_not_equal(successor, holder);
+    fake_fleet_run(world, 5 * CS_SEC_US);
+    assert_int_equal(fake_fleet_holder(world), successor);
+    expect_state(world, 1, CS_PROGRESS_COMPLETED);
+    assert_int_equal(fake_fleet_starts(world, "0000000000000001"), 6);
+    expect_no_violation(world);
+    fake_fleet_destroy(world);
+}
+
+/* Where the store is away for all there is nobody to hand over to. */
+static void
+fleet__holder_stays_while_the_store_is_away(void **state)
+{
+    static const fake_vm_faults refused = {.store_refuses = true};
+    static const fake_vm_faults none = {0};
+    fake_fleet *world = world_new(18);
+    int32_t holder = fake_fleet_holder(world);
+    uint64_t epoch = fake_fleet_epoch(world, (uint32_t)holder);
+
+    fake_fleet_set_faults(world, -1, &refused);
+    fake_fleet_run(world, 5 * CS_SEC_US);
+    fake_fleet_set_faults(world, -1, &none);
+    fake_fleet_run(world, 3 * CS_SEC_US);
+    assert_int_equal(fake_fleet_holder(world), holder);
+    assert_int_equal(fake_fleet_epoch(world, (uint32_t)holder), epoch);
+    fake_fleet_destroy(world);
+}
+
 static void
 fleet__many_jobs_fit_several_changes(void **state)
 {
@@ -562,6 +606,8 @@
         cmocka_unit_test(fleet__idle_room_is_used_over_racks),
         cmocka_unit_test(fleet__job_cancelled_before_it_is_read),
         cmocka_unit_test(fleet__refused_vm_goes_through_a_peer),
+        cmocka_unit_test(fleet__refused_holder_hands_over),
+        cmocka_unit_test(fleet__holder_stays_while_the_store_is_away),
         cmocka_unit_test(fleet__many_jobs_fit_several_changes),
     };
 
