Refused VMs use different peers; their calls do not hold up those of the peer

Change: the first peer follows from the VM's name. A feed that was asked for before the way changed no longer changes it back.

store_router__refused_vms_use_different_peers fails without it.

--- a/include/corianderstair/store_router.h
+++ b/include/corianderstair/store_router.h
@@ -22,6 +22,7 @@
     const cs_store_port *direct;
     cs_store_open open; /**< the port of a peer that passes calls on */
     void *open_data;
+    const char *own_name; /**< of this VM; decides which peer it tries first */
     cs_now (*now)(void *data);
     void *now_data;
     cs_counters *counters; /**< borrowed */
--- a/src/members/store_router.c
+++ b/src/members/store_router.c
@@ -23,6 +23,7 @@
     cs_store_port port;
     GPtrArray *peers;  /* of char * */
     int32_t way;       /* DIRECT or the index of a peer */
+    uint64_t turns;    /* changes of the way so far */
     uint32_t failures; /* of the present way, in a row */
     uint32_t tried;    /* peers that failed since one has worked */
     int64_t probe_us;  /* boot clock of the next direct call */
@@ -34,6 +35,7 @@
 struct routed {
     cs_store_router *router;
     int32_t way;
+    uint64_t turns; /* of the router when it was sent */
     cs_store_done done;
     void *data;
 };
@@ -62,6 +64,7 @@
 take_way(cs_store_router *router, int32_t way)
 {
     router->way = way;
+    router->turns++;
     router->failures = 0;
     (*router->switches)++;
     cs_log_event("store-way", "%s",
@@ -70,6 +73,17 @@
                      : (char *)g_ptr_array_index(router->peers, (guint)way));
 }
 
+/*
+ * The store may turn many VMs away at once. Each starts with another peer, so
+ * that none of them has to pass on the calls of all.
+ */
+static int32_t
+first_peer(const cs_store_router *router)
+{
+    return (int32_t)(g_str_hash(router->settings.own_name) %
+                     router->peers->len);
+}
+
 static void
 next_peer(cs_store_router *router)
 {
@@ -82,6 +96,8 @@
             take_way(router, DIRECT);
         return;
     }
+    if (router->way == DIRECT)
+        next = first_peer(router);
     if (next >= (int32_t)router->peers->len)
         next = 0;
     router->probe_us = now_us(router) + PROBE_US;
@@ -104,10 +120,11 @@
         next_peer(router);
 }
 
+/* A feed that was asked for before the store turned us away says nothing. */
 static void
-note_answer(cs_store_router *router, int32_t way)
+note_answer(cs_store_router *router, int32_t way, uint64_t turns)
 {
-    if (way == DIRECT && router->way != DIRECT)
+    if (way == DIRECT && router->way != DIRECT && turns == router->turns)
         take_way(router, DIRECT);
     if (way != router->way)
         return;
@@ -121,7 +138,7 @@
     struct routed *routed = data;
 
     if (has_answered(answer->code))
-        note_answer(routed->router, routed->way);
+        note_answer(routed->router, routed->way, routed->turns);
     else
         note_failure(routed->router, routed->way);
     routed->done(routed->data, answer);
@@ -160,6 +177,7 @@
 
     routed->router = router;
     routed->way = way;
+    routed->turns = router->turns;
     routed->done = done;
     routed->data = data;
     return routed;
--- a/src/programs/cs_fleetd.c
+++ b/src/programs/cs_fleetd.c
@@ -29,6 +29,8 @@
 
 #define TICK_MS 20
 #define STORE_CONNECTIONS 12
+/* Calls of peers wait for each other, not ours for them. */
+#define RELAY_CONNECTIONS 8
 /* One for the open look at a worker, the others for orders. */
 #define WORKER_CONNECTIONS 4
 /* Workers that a holder calls by itself; 350 took a third of a core. */
@@ -49,6 +51,7 @@
     cs_net *net;
     cs_http_client *client;        /* to the store and to peers */
     cs_http_client *worker_client; /* to workers */
+    cs_http_client *relay_client;  /* to the store, for peers */
     cs_http_server *callers;
     cs_http_server *ready;
     cs_http_server *peers;
@@ -273,6 +276,7 @@
         .direct = platform_store_port(daemon->store),
         .open = open_peer,
         .open_data = daemon,
+        .own_name = daemon->settings.name,
         .now = read_now,
         .counters = daemon->counters};
     size_t i;
@@ -287,7 +291,7 @@
         if (*seed && strcmp(seed, daemon->settings.peer_address) != 0)
             cs_store_router_add_peer(daemon->router, seed);
     }
-    daemon->relay.client = daemon->client;
+    daemon->relay.client = daemon->relay_client;
     daemon->relay.store_address = daemon->settings.store_address;
 }
 
@@ -412,6 +416,9 @@
     if (!rc)
         rc = cs_http_client_create(&daemon->worker_client, daemon->net,
                                    WORKER_CONNECTIONS);
+    if (!rc)
+        rc = cs_http_client_create(&daemon->relay_client, daemon->net,
+                                   RELAY_CONNECTIONS);
     if (!rc)
         rc = create_link(daemon);
     if (rc)
@@ -440,10 +447,13 @@
         cs_http_client_close(daemon->client);
     if (daemon->worker_client)
         cs_http_client_close(daemon->worker_client);
+    if (daemon->relay_client)
+        cs_http_client_close(daemon->relay_client);
     cs_net_destroy(daemon->net);
     cs_dispatch_close(daemon->dispatch);
     cs_http_client_destroy(daemon->client);
     cs_http_client_destroy(daemon->worker_client);
+    cs_http_client_destroy(daemon->relay_client);
     cs_fleet_destroy(daemon->fleet);
     cs_entry_destroy(daemon->entry);
     cs_http_server_destroy(daemon->callers);
--- a/standins/fake_fleet.c
+++ b/standins/fake_fleet.c
@@ -92,6 +92,7 @@
     cs_store_router_settings routes = {.direct = &vm->ways[vm->number].port,
                                        .open = open_peer,
                                        .open_data = vm,
+                                       .own_name = vm->name,
                                        .now = vm_now,
                                        .now_data = vm};
     cs_fleet_ports ports = {.workers = &vm->workers,
@@ -110,7 +111,8 @@
                                           .restore_ms = 600,
                                           .retention_ms = 120000}};
 
-    g_snprintf(settings.name, sizeof(settings.name), "vm-%u", vm->number);
+    g_snprintf(vm->name, sizeof(vm->name), "vm-%u", vm->number);
+    g_strlcpy(settings.name, vm->name, sizeof(settings.name));
     vm->up = true;
     vm->stopped_us = 0;
     g_snprintf(settings.peer_address, sizeof(settings.peer_address),
--- a/standins/fake_fleet_internal.h
+++ b/standins/fake_fleet_internal.h
@@ -90,6 +90,7 @@
 struct fake_vm {
     fake_fleet *world;
     uint32_t number;
+    char name[16];
     bool up;
     int64_t frozen_until_us;
     int64_t stopped_us; /* asked to stop; 0 not */
