--- a/src/programs/cs_fleetd.c
+++ b/src/programs/cs_fleetd.c
@@ -1,24 +1,5 @@
 /* The process of a VM on the users' platform: entry and holder in one. */
-#include "corianderstair/config_follower.h"
-#include "corianderstair/dispatch.h"
-#include "corianderstair/executor.h"
-#include "corianderstair/entry.h"
-#include "corianderstair/errors.h"
-#include "corianderstair/file_watch.h"
-#include "corianderstair/fleet.h"
-#include "corianderstair/http_client.h"
-#include "corianderstair/http_server.h"
-#include "corianderstair/log.h"
-#include "corianderstair/members.h"
-#include "corianderstair/settings.h"
-
-#include "adviser.h"
-#include "callers.h"
-#include "config.h"
-#include "relay.h"
-#include "settings.h"
-#include "store.h"
-#include "workers.h"
+#include "fleetd.h"
 
 #include <glib-unix.h>
 #include <inttypes.h>
@@ -41,45 +22,14 @@
 #define CLOSE_RESERVE_US (1000 * CS_MS_US)
 #define EXIT_CUT 3
 
-struct daemon {
-    cs_vm_settings settings;
-    int64_t direct_workers; /* more are called through executors */
-    cs_file_watch *watch;   /* of the settings file */
-    cs_fleet_board board;
-    cs_counters *counters;
-    GMainLoop *loop;
-    cs_net *net;
-    cs_http_client *client;        /* to the store and to peers */
-    cs_http_client *worker_client; /* to workers */
-    cs_http_client *relay_client;  /* to the store, for peers */
-    cs_http_server *callers;
-    cs_http_server *ready;
-    cs_http_server *peers;
-    platform_store *store;
-    GHashTable *peer_stores; /* address to platform_store */
-    platform_relay relay;
-    cs_store_router *router;
-    cs_members *members;
-    platform_workers *workers;
-    cs_peer_link *link;    /* NULL without an address for it */
-    cs_executor *executor; /* carries out orders of another holder */
-    cs_dispatch *dispatch; /* gives our orders to others */
-    platform_adviser *adviser;
-    cs_config_follower *follower;
-    cs_entry *entry;
-    cs_fleet *fleet;
-    int64_t stop_us; /* boot clock of SIGTERM; 0 none */
-    int status;
-};
-
-static cs_now
-read_now(void *data)
+cs_now
+daemon_now(void *data)
 {
     return cs_now_read();
 }
 
-static uint32_t
-open_requests(const struct daemon *daemon)
+uint32_t
+daemon_open_requests(const struct daemon *daemon)
 {
     return cs_http_server_open(daemon->callers);
 }
@@ -93,13 +43,14 @@
 
     if (now_us - daemon->stop_us < LINGER_US)
         return;
-    if (open_requests(daemon) > 0 && now_us - daemon->stop_us < grace_us)
+    if (daemon_open_requests(daemon) > 0 &&
+        now_us - daemon->stop_us < grace_us)
         return;
     if (!cs_fleet_is_released(daemon->fleet) &&
         now_us - daemon->stop_us < grace_us)
         return;
-    daemon->status = open_requests(daemon) > 0 ? EXIT_CUT : 0;
-    cs_log_event("stop", "open requests %u", open_requests(daemon));
+    daemon->status = daemon_open_requests(daemon) > 0 ? EXIT_CUT : 0;
+    cs_log_event("stop", "open requests %u", daemon_open_requests(daemon));
     g_main_loop_quit(daemon->loop);
 }
 
@@ -120,15 +71,6 @@
                  fresh.bounds.worker_lease_ms);
 }
 
-static void
-tick_dispatch(struct daemon *daemon)
-{
-    cs_peer_link_tick(daemon->link);
-    cs_executor_tick(daemon->executor);
-    cs_dispatch_tick(daemon->dispatch, !cs_fleet_is_released(daemon->fleet),
-                     cs_fleet_worker_count(daemon->fleet));
-}
-
 static gboolean
 on_tick(gpointer data)
 {
@@ -141,7 +83,7 @@
     cs_entry_tick(daemon->entry);
     cs_fleet_tick(daemon->fleet);
     if (daemon->link)
-        tick_dispatch(daemon);
+        daemon_tick_dispatch(daemon);
     if (daemon->stop_us)
         close_down(daemon);
     return G_SOURCE_CONTINUE;
@@ -158,7 +100,7 @@
     daemon->board.draining = true;
     cs_fleet_release(daemon->fleet);
     cs_http_server_end_connections(daemon->callers);
-    cs_log_event("stopping", "open requests %u", open_requests(daemon));
+    cs_log_event("stopping", "open requests %u", daemon_open_requests(daemon));
     return G_SOURCE_CONTINUE;
 }
 
@@ -169,79 +111,6 @@
     return G_SOURCE_CONTINUE;
 }
 
-static void
-reply_status(struct daemon *daemon, cs_http_request *request)
-{
-    json_t *status = cs_fleet_status(daemon->fleet);
-    char *text;
-
-    json_object_set_new(
-        status, "relayed",
-        json_boolean(cs_store_router_is_relayed(daemon->router)));
-    json_object_set_new(status, "open_requests",
-                        json_integer(open_requests(daemon)));
-    if (daemon->dispatch)
-        json_object_set_new(status, "executors",
-                            cs_dispatch_status(daemon->dispatch));
-    text = json_dumps(status, JSON_COMPACT);
-    cs_http_reply(request, 200, "application/json", text, strlen(text));
-    free(text);
-    json_decref(status);
-}
-
-#define JOBS_PREFIX "/v1/fleet/jobs/"
-
-static void
-reply_job(struct daemon *daemon, cs_http_request *request)
-{
-    const char *id = cs_http_request_path(request) + strlen(JOBS_PREFIX);
-    json_t *job = cs_fleet_explain(daemon->fleet, id);
-    char *text;
-
-    if (!job)
-        job = json_pack("{s:i,s:s,s:s}", "code", CS_E_NOT_FOUND, "name",
-                        cs_error_name(CS_E_NOT_FOUND), "message",
-                        cs_fleet_is_holder(daemon->fleet)
-                            ? "no such job"
-                            : "this VM does not hold the cell");
-    text = json_dumps(job, JSON_COMPACT);
-    cs_http_reply(request, json_object_get(job, "code") ? 404 : 200,
-                  "application/json", text, strlen(text));
-    free(text);
-    json_decref(job);
-}
-
-static void
-reply_metrics(struct daemon *daemon, cs_http_request *request)
-{
-    GString *text = g_string_new(NULL);
-
-    cs_counters_print(daemon->counters, text);
-    cs_http_reply(request, 200, "text/plain", text->str, text->len);
-    g_string_free(text, TRUE);
-}
-
-/* The address for peers and operators. */
-static void
-on_peer_request(cs_http_request *request, void *data)
-{
-    static const char missing[] = "{\"error\":\"not-found\"}\n";
-    struct daemon *daemon = data;
-    const char *path = cs_http_request_path(request);
-
-    if (platform_relay_takes(request))
-        platform_relay_handle(request, &daemon->relay);
-    else if (strcmp(path, "/metrics") == 0)
-        reply_metrics(daemon, request);
-    else if (strcmp(path, "/v1/fleet") == 0)
-        reply_status(daemon, request);
-    else if (g_str_has_prefix(path, JOBS_PREFIX))
-        reply_job(daemon, request);
-    else
-        cs_http_reply(request, 404, "application/json", missing,
-                      sizeof(missing) - 1);
-}
-
 static int
 listen_on(cs_http_server **out, struct daemon *daemon, const char *address,
           cs_http_handler handler, void *data)
@@ -277,7 +146,7 @@
         .open = open_peer,
         .open_data = daemon,
         .own_name = daemon->settings.name,
-        .now = read_now,
+        .now = daemon_now,
         .counters = daemon->counters};
     size_t i;
 
@@ -309,69 +178,11 @@
                ip, cs_http_server_port(daemon->peers));
 }
 
-static void
-on_peer_message(void *data, const char *from, uint8_t kind, const void *bytes,
-                size_t size_bytes)
-{
-    struct daemon *daemon = data;
-
-    switch (kind) {
-    case CS_PEER_ORDERS:
-        cs_executor_receive(daemon->executor, from, bytes, size_bytes);
-        return;
-    case CS_PEER_ANSWERS:
-        cs_dispatch_receive(daemon->dispatch, from, bytes, size_bytes);
-        return;
-    default:
-        return;
-    }
-}
-
-/* Port 0 lets the kernel choose; peers have to know which. */
-static int
-create_link(struct daemon *daemon)
-{
-    cs_vm_settings *settings = &daemon->settings;
-    int rc;
-
-    if (!settings->link_address[0])
-        return 0;
-    rc = cs_peer_link_create(&daemon->link, daemon->counters,
-                             settings->link_address, on_peer_message, daemon);
-    if (!rc)
-        g_strlcpy(settings->link_address, cs_peer_link_address(daemon->link),
-                  sizeof(settings->link_address));
-    return rc;
-}
-
-static void
-create_dispatch(struct daemon *daemon)
-{
-    const cs_worker_port *direct = platform_workers_port(daemon->workers);
-    cs_executor_settings carrying = {.workers = direct,
-                                     .link =
-                                         cs_peer_link_port_of(daemon->link),
-                                     .now = read_now,
-                                     .counters = daemon->counters};
-    cs_dispatch_settings giving = {.direct = direct,
-                                   .link = cs_peer_link_port_of(daemon->link),
-                                   .members = daemon->members,
-                                   .own_name = daemon->settings.name,
-                                   .direct_max =
-                                       (uint32_t)daemon->direct_workers,
-                                   .now = read_now,
-                                   .counters = daemon->counters};
-
-    daemon->executor = cs_executor_create(&carrying);
-    daemon->dispatch = cs_dispatch_create(&giving);
-    daemon->board.ports.workers = cs_dispatch_port(daemon->dispatch);
-}
-
 static void
 create_parts(struct daemon *daemon)
 {
     cs_fleet_ports ports = {
-        .now = read_now,
+        .now = daemon_now,
         .decode_config = platform_config_decode,
         .config_table = PLATFORM_CONFIG_TABLE,
         .config_key = PLATFORM_CONFIG_KEY,
@@ -396,7 +207,7 @@
                         daemon->counters);
     daemon->members = cs_members_create(&daemon->board, daemon->router);
     if (daemon->link)
-        create_dispatch(daemon);
+        daemon_create_dispatch(daemon);
     daemon->follower = cs_config_follower_create(&daemon->board);
     daemon->entry = cs_entry_create(&daemon->board);
     daemon->fleet = cs_fleet_create(&daemon->board);
@@ -420,7 +231,7 @@
         rc = cs_http_client_create(&daemon->relay_client, daemon->net,
                                    RELAY_CONNECTIONS);
     if (!rc)
-        rc = create_link(daemon);
+        rc = daemon_create_link(daemon);
     if (rc)
         return rc;
     create_parts(daemon);
@@ -434,7 +245,7 @@
                        platform_ready_handle, daemon->entry);
     if (!rc && daemon->settings.peer_address[0])
         rc = listen_on(&daemon->peers, daemon, daemon->settings.peer_address,
-                       on_peer_request, daemon);
+                       daemon_on_peer_request, daemon);
     if (!rc && daemon->peers)
         publish_peer_address(daemon);
     return rc;
@@ -469,9 +280,7 @@
     platform_store_destroy(daemon->store);
     platform_workers_destroy(daemon->workers);
     platform_adviser_destroy(daemon->adviser);
-    cs_dispatch_destroy(daemon->dispatch);
-    cs_executor_destroy(daemon->executor);
-    cs_peer_link_destroy(daemon->link);
+    daemon_destroy_dispatch(daemon);
     cs_counters_destroy(daemon->counters);
     g_main_loop_unref(daemon->loop);
 }
