--- a/src/peer/link.c
+++ b/src/peer/link.c
@@ -181,8 +181,9 @@
                    sizeof(most_bytes));
     g_snprintf(endpoint, sizeof(endpoint), "tcp://%s", address);
     if (zmq_bind(link->inbox, endpoint))
-        return cs_error_set(CS_E_SYSTEM, "cannot listen for peers on %s: %s",
-                            address, zmq_strerror(zmq_errno()));
+        return cs_error_set(CS_E_SYSTEM,
+                            "peers at %s cannot be listened for: %s", address,
+                            zmq_strerror(zmq_errno()));
     note_own_address(link);
     zmq_getsockopt(link->inbox, ZMQ_FD, &fd, &size);
     link->source = g_unix_fd_add(fd, G_IO_IN, on_readable, link);
--- a/src/programs/cs_fleetd.c
+++ b/src/programs/cs_fleetd.c
@@ -230,10 +230,9 @@
     if (!rc)
         rc = cs_http_client_create(&daemon->relay_client, daemon->net,
                                    RELAY_CONNECTIONS);
-    if (!rc)
-        rc = daemon_create_link(daemon);
     if (rc)
         return rc;
+    daemon_create_link(daemon);
     create_parts(daemon);
     rc = listen_on(&daemon->callers, daemon, daemon->settings.caller_address,
                    platform_callers_handle, daemon->entry);
--- a/src/programs/fleetd.h
+++ b/src/programs/fleetd.h
@@ -63,8 +63,8 @@
 void daemon_on_peer_request(cs_http_request *request, void *data);
 
 /* fleetd_dispatch.c */
-/* Opens the link to other VMs, unless the settings name no address. */
-int daemon_create_link(struct daemon *daemon);
+/* Opens the link to other VMs, if the settings name its address. */
+void daemon_create_link(struct daemon *daemon);
 /* Calls workers through executors from now on, where there is a link. */
 void daemon_create_dispatch(struct daemon *daemon);
 void daemon_tick_dispatch(struct daemon *daemon);
--- a/src/programs/fleetd_dispatch.c
+++ b/src/programs/fleetd_dispatch.c
@@ -21,21 +21,23 @@
     }
 }
 
-/* Port 0 lets the kernel choose; peers have to know which. */
-int
+/* Port 0 lets the kernel choose; peers have to know which. Without a link the
+   process serves callers, and calls workers itself if it holds the cell. */
+void
 daemon_create_link(struct daemon *daemon)
 {
     cs_vm_settings *settings = &daemon->settings;
-    int rc;
 
     if (!settings->link_address[0])
-        return 0;
-    rc = cs_peer_link_create(&daemon->link, daemon->counters,
-                             settings->link_address, on_peer_message, daemon);
-    if (!rc)
-        g_strlcpy(settings->link_address, cs_peer_link_address(daemon->link),
-                  sizeof(settings->link_address));
-    return rc;
+        return;
+    if (cs_peer_link_create(&daemon->link, daemon->counters,
+                            settings->link_address, on_peer_message, daemon)) {
+        cs_log_event("link-unavailable", "%s", cs_error_last());
+        settings->link_address[0] = '\0';
+        return;
+    }
+    g_strlcpy(settings->link_address, cs_peer_link_address(daemon->link),
+              sizeof(settings->link_address));
 }
 
 void
--- a/tests/harness.c
+++ b/tests/harness.c
@@ -74,7 +74,7 @@
 static char *
 find_address(const char *line)
 {
-    const char *at = strstr(line, "ready ");
+    const char *at = strstr(line, "ready 127.");
     size_t length;
 
     if (at)
--- a/tests/test_process.c
+++ b/tests/test_process.c
@@ -1,9 +1,12 @@
 /* The program of a VM against the platform's interfaces over HTTP. */
+#include <netinet/in.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
 #include <stdbool.h>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <cmocka.h>
 
 #include "harness.h"
@@ -25,20 +28,20 @@
 static char *files[2];
 
 static char *
-write_settings(const char *name, const char *store)
+write_settings(const char *name, const char *store, int link_port)
 {
     char *path = g_strdup_printf("%s/cs-%s-%d.json", g_get_tmp_dir(), name,
                                  (int)g_random_int_range(0, 1 << 30));
     char *text = g_strdup_printf(
         "{\"node\":\"%s\",\"zone\":\"z\",\"listen\":{\"front\":"
         "\"127.0.0.1:0\",\"ready\":\"127.0.0.1:0\",\"control\":"
-        "\"127.0.0.1:0\"},\"ip\":\"127.0.0.1\",\"portRange\":[0,0],"
+        "\"127.0.0.1:0\"},\"ip\":\"127.0.0.1\",\"portRange\":[%d,0],"
         "\"seeds\":[],\"heartbeatMs\":1500,\"platform\":{"
         "\"addr\":\"%s\"},\"advice\":\"%s\",\"bounds\":{\"holdMaxMs\":6000,"
         "\"stopMs\":900,"
         "\"gangMs\":3000,\"graceS\":6,\"configApplyMs\":2000,\"status_s\":"
         "120,\"early_ms\":250}}",
-        name, store, store);
+        name, link_port, store, store);
 
     assert_true(g_file_set_contents(path, text, -1, NULL));
     g_free(text);
@@ -82,19 +85,39 @@
     }
 }
 
+static int taken; /* a socket, so that its port cannot be listened on */
+
 /* Workers that the holder calls by itself: all, or none. */
 static const char *direct_workers = "1000";
 
+/* A port that is taken: one VM cannot open its link. */
+static int
+take_port(void)
+{
+    struct sockaddr_in address = {.sin_family = AF_INET,
+                                  .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    socklen_t size = sizeof(address);
+
+    taken = socket(AF_INET, SOCK_STREAM, 0);
+    assert_int_equal(bind(taken, (struct sockaddr *)&address, size), 0);
+    assert_int_equal(listen(taken, 1), 0);
+    assert_int_equal(getsockname(taken, (struct sockaddr *)&address, &size),
+                     0);
+    return ntohs(address.sin_port);
+}
+
 static int
 start_all(void **state)
 {
+    int link_port = taken ? 0 : take_port();
     const char *store;
     uint32_t i;
 
     h = harness_create();
     store = harness_start(h, "standin-deployment", "--workers", "8", NULL);
     for (i = 0; i < 2; i++) {
-        files[i] = write_settings(i ? "vm-b" : "vm-a", store);
+        files[i] =
+            write_settings(i ? "vm-b" : "vm-a", store, i ? 0 : link_port);
         vms[i] = harness_start(h, "cs-fleetd", "--settings", files[i],
                                "--direct-workers", direct_workers, NULL);
     }
@@ -218,5 +241,7 @@
     int failed = cmocka_run_group_tests(tests, start_all, stop_all);
 
     direct_workers = "0";
-    return failed + cmocka_run_group_tests(tests, start_all, stop_all);
+    failed += cmocka_run_group_tests(tests, start_all, stop_all);
+    close(taken);
+    return failed;
 }
