--- a/include/corianderstair/fleet_board.h
+++ b/include/corianderstair/fleet_board.h
@@ -43,7 +43,7 @@
 } cs_cell_view;
 
 /** VMs of each zone that are the first to take the cell: its strongest. */
-#define CS_CANDIDATES_PER_ZONE 3
+#define CS_CANDIDATES_PER_ZONE 2
 
 /** Where this VM stands among all, by share of a core. */
 typedef struct {
