A client's destruction ends the calls that give their connections back; calls of a fake VM end in order

Found by the sanitizers' build: test_process, which now uses two clients one after the other, read a freed call in an idle source; and the golden session's order of lines at a killed process followed the addresses of its calls.

--- a/src/http/client.c
+++ b/src/http/client.c
@@ -28,6 +28,7 @@
     struct lane lanes[MAX_LANES];
     uint32_t lane_count;
     GHashTable *targets;
+    GHashTable *ended; /* set of struct call, told and not released yet */
     uint32_t open_calls;
     uint32_t queued;
     bool closing;
@@ -225,6 +226,7 @@
     struct call *call = data;
 
     call->timer = 0;
+    g_hash_table_remove(call->client->ended, call);
     release(call);
     return G_SOURCE_REMOVE;
 }
@@ -238,6 +240,7 @@
     call->wsi = NULL;
     tell_end(call, 0);
     call->timer = g_idle_add_full(G_PRIORITY_DEFAULT, on_idle, call, NULL);
+    g_hash_table_add(call->client->ended, call);
     return call->once ? -1 : 0;
 }
 
@@ -424,6 +427,7 @@
     client->protocols[0].callback = client_callback;
     client->targets =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, target_destroy);
+    client->ended = g_hash_table_new(g_direct_hash, g_direct_equal);
     rc = create_lanes(client);
     if (rc) {
         cs_http_client_destroy(client);
@@ -459,8 +463,15 @@
 void
 cs_http_client_destroy(cs_http_client *client)
 {
+    GHashTableIter iter;
+    gpointer call;
+
     if (!client)
         return;
+    g_hash_table_iter_init(&iter, client->ended);
+    while (g_hash_table_iter_next(&iter, &call, NULL))
+        call_destroy(call);
+    g_hash_table_destroy(client->ended);
     g_hash_table_destroy(client->targets);
     g_free(client);
 }
--- a/standins/fake_fleet.c
+++ b/standins/fake_fleet.c
@@ -134,19 +134,46 @@
     vm->fleet = cs_fleet_create(&vm->board);
 }
 
+void
+fake_open_add(struct fake_vm *vm, void *call, fake_event abort_call)
+{
+    struct fake_open *open = g_new0(struct fake_open, 1);
+
+    open->abort = abort_call;
+    open->serial = ++vm->world->serial;
+    g_hash_table_insert(vm->open, call, open);
+}
+
+/* The oldest call, so that sessions do not depend on addresses. */
+static struct fake_open *
+find_oldest(struct fake_vm *vm, gpointer *call)
+{
+    struct fake_open *oldest = NULL;
+    GHashTableIter iter;
+    gpointer key;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, vm->open);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        struct fake_open *open = value;
+
+        if (oldest && oldest->serial < open->serial)
+            continue;
+        oldest = open;
+        *call = key;
+    }
+    return oldest;
+}
+
 /* Calls on their way end with the process. */
 static void
 abort_calls(struct fake_vm *vm)
 {
-    GHashTableIter iter;
     gpointer call;
-    gpointer abort_function;
+    struct fake_open *open;
 
-    while (g_hash_table_size(vm->open) > 0) {
-        g_hash_table_iter_init(&iter, vm->open);
-        g_hash_table_iter_next(&iter, &call, &abort_function);
-        ((fake_event)abort_function)(call);
-    }
+    while ((open = find_oldest(vm, &call)) != NULL)
+        open->abort(call);
 }
 
 static void
@@ -301,7 +328,8 @@
         vm->world = world;
         vm->number = i;
         vm->cpu_milli = cpu_milli_of(settings, i);
-        vm->open = g_hash_table_new(g_direct_hash, g_direct_equal);
+        vm->open =
+            g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
         fake_store_port(vm);
         fake_worker_port(vm);
         fake_adviser_port(vm);
@@ -390,7 +418,8 @@
     if (!vm->open) {
         vm->world = world;
         vm->up = true;
-        vm->open = g_hash_table_new(g_direct_hash, g_direct_equal);
+        vm->open =
+            g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
         fake_store_port(vm);
         fake_worker_port(vm);
         fake_adviser_port(vm);
--- a/standins/fake_fleet_adviser.c
+++ b/standins/fake_fleet_adviser.c
@@ -133,7 +133,7 @@
     question->busy = ++vm->world->questions > QUESTIONS_MAX;
     if (count > CS_ADVICE_WORKERS_MAX)
         fake_violate(vm->world, "advice: %zu workers asked about", count);
-    g_hash_table_insert(vm->open, question, abort_question);
+    fake_open_add(vm, question, abort_question);
     fake_at(vm->world, vm->world->now_us + took_us * vm->world->questions,
             answer, question);
 }
--- a/standins/fake_fleet_internal.h
+++ b/standins/fake_fleet_internal.h
@@ -106,7 +106,7 @@
     int64_t spent_us;
     cs_executor *executor;
     cs_dispatch *dispatch;
-    GHashTable *open; /* calls without an answer to their abort functions */
+    GHashTable *open; /* calls without an answer to struct fake_open */
     cs_counters *counters;
     cs_store_router *router;
     cs_members *members;
@@ -149,7 +149,15 @@
     char *violation;
 };
 
+/* A call without an answer. */
+struct fake_open {
+    fake_event abort;
+    uint64_t serial;
+};
+
 /* fake_fleet.c */
+/* Notes a call of a VM, which ends with its process. */
+void fake_open_add(struct fake_vm *vm, void *call, fake_event abort_call);
 void fake_at(fake_fleet *world, int64_t us, fake_event event, void *data);
 void fake_violate(fake_fleet *world, const char *fmt, ...)
     __attribute__((format(printf, 2, 3)));
--- a/standins/fake_fleet_store.c
+++ b/standins/fake_fleet_store.c
@@ -521,7 +521,7 @@
     call->deadline_us = deadline_us;
     call->done = done;
     call->data = data;
-    g_hash_table_insert(vm->open, call, abort_call);
+    fake_open_add(vm, call, abort_call);
     return call;
 }
 
--- a/standins/fake_fleet_worker.c
+++ b/standins/fake_fleet_worker.c
@@ -683,7 +683,7 @@
     order->deadline_us = deadline_us;
     order->done = done;
     order->data = data;
-    g_hash_table_insert(vm->open, order, abort_order);
+    fake_open_add(vm, order, abort_order);
     vm->most_open = MAX(vm->most_open, g_hash_table_size(vm->open));
     return order;
 }
