An order that shares the text of an unreadable one is passed over

A damaged message could have let a task start with the text of an earlier job in the same message. dispatch__shared_text_goes_with_its_order fails without it.

--- a/include/corianderstair/peer_link.h
+++ b/include/corianderstair/peer_link.h
@@ -26,8 +26,8 @@
                                       size_t size_bytes);
 
 /** Kinds of messages. */
-#define CS_PEER_ORDERS 1  /**< from the holder to a executor */
-#define CS_PEER_ANSWERS 2 /**< from a executor to the holder */
+#define CS_PEER_ORDERS 1  /**< from the holder to an executor */
+#define CS_PEER_ANSWERS 2 /**< from an executor to the holder */
 
 typedef struct cs_peer_link cs_peer_link;
 
--- a/src/dispatch/batch_read.c
+++ b/src/dispatch/batch_read.c
@@ -155,6 +155,9 @@
     for (i = 0; i < count && next_item(&reader, &message); i++) {
         if (read_order(&order, &reader, &spec))
             take(data, &order);
+        else
+            /* What shares the text of an unreadable order has none. */
+            g_clear_pointer(&spec, g_free);
     }
     g_free(spec);
     msgpack_unpacked_destroy(&message.unpacked);
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -116,6 +116,45 @@
     g_free(text);
 }
 
+/* The head of a start's array, its type behind it. */
+static guint8 *
+find_start(guint8 *at)
+{
+    while (at[0] != 0x9c || at[1] != CS_DISPATCH_START)
+        at++;
+    return at;
+}
+
+/* An order that shares the text of an unreadable one is passed over too; it
+   must not start with the text of an earlier job. */
+static void
+dispatch__shared_text_goes_with_its_order(void **state)
+{
+    GByteArray *bytes = g_byte_array_new();
+    struct seen seen = {0};
+    cs_dispatch_head head;
+    cs_dispatch_order order = make_start(1, "first");
+    cs_dispatch_writer writer;
+    guint8 *second;
+
+    cs_dispatch_writer_init(&writer);
+    cs_dispatch_add_order(&writer, &order);
+    order = make_start(2, "second");
+    cs_dispatch_add_order(&writer, &order);
+    order.number = 3;
+    cs_dispatch_add_order(&writer, &order);
+    cs_dispatch_finish(&writer, bytes, 1, 1);
+    second = find_start(find_start(bytes->data) + 1);
+    second[1] = 0x7f;
+    assert_int_equal(cs_dispatch_read_orders(&head, bytes->data, bytes->len,
+                                             take_order, &seen),
+                     0);
+    assert_int_equal(seen.count, 1);
+    assert_string_equal(seen.spec, "first");
+    cs_dispatch_writer_dispose(&writer);
+    g_byte_array_unref(bytes);
+}
+
 struct answered {
     uint32_t count;
     uint64_t number;
@@ -375,6 +414,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(dispatch__orders_are_read_as_written),
         cmocka_unit_test(dispatch__text_of_a_job_is_sent_once),
+        cmocka_unit_test(dispatch__shared_text_goes_with_its_order),
         cmocka_unit_test(dispatch__answers_are_read_as_written),
         cmocka_unit_test(dispatch__broken_messages_are_refused),
         cmocka_unit_test(dispatch__answer_names_the_order),
