--- a/include/corianderstair/dispatch_batch.h
+++ b/include/corianderstair/dispatch_batch.h
@@ -54,20 +54,17 @@
 void cs_dispatch_add_answer(cs_dispatch_writer *writer, uint64_t number,
                             const cs_worker_answer *answer);
 
-/**
- * Ends a message and empties the writer.
- * @param serial of the message; in answers that of the newest orders received
- * @param clock_us the sender's boot clock
- */
-void cs_dispatch_finish(cs_dispatch_writer *writer, GByteArray *out,
-                        uint64_t serial, int64_t clock_us);
-
 /** What a message says besides its items. */
 typedef struct {
-    uint64_t serial;
-    int64_t clock_us;
+    uint64_t serial;  /**< in answers that of the newest orders received */
+    int64_t clock_us; /**< the sender's boot clock */
+    bool leaving;     /**< the sender will stop, and takes no new orders */
 } cs_dispatch_head;
 
+/** Ends a message and empties the writer. */
+void cs_dispatch_finish(cs_dispatch_writer *writer, GByteArray *out,
+                        const cs_dispatch_head *head);
+
 typedef void (*cs_dispatch_on_order)(void *data,
                                      const cs_dispatch_order *order);
 typedef void (*cs_dispatch_on_answer)(void *data, uint64_t number,
--- a/include/corianderstair/executor.h
+++ b/include/corianderstair/executor.h
@@ -30,7 +30,11 @@
 void cs_executor_receive(cs_executor *executor, const char *from,
                          const void *bytes, size_t size_bytes);
 
-/** Sends the answers that have come since the last call. */
-void cs_executor_tick(cs_executor *executor);
+/**
+ * Sends the answers that have come since the last call.
+ * @param leaving whether this process will stop: holders are told to use
+ *                others, and what is open is answered
+ */
+void cs_executor_tick(cs_executor *executor, bool leaving);
 
 #endif
--- a/src/dispatch/batch_read.c
+++ b/src/dispatch/batch_read.c
@@ -68,6 +68,7 @@
         return refuse(message);
     head->serial = (uint64_t)cs_record_read_int(&reader);
     head->clock_us = cs_record_read_int(&reader);
+    head->leaving = cs_record_read_int(&reader) != 0;
     *count = (uint32_t)cs_record_read_int(&reader);
     return reader.failed ? refuse(message) : 0;
 }
--- a/src/dispatch/batch_write.c
+++ b/src/dispatch/batch_write.c
@@ -1,7 +1,7 @@
 /*
- * A message is an array: version, serial, clock, number of items; the items
- * follow it as arrays of their own, so that they can be written before their
- * number is known. Texts carry their terminator and are read in place.
+ * A message is an array: version, serial, clock, leaving, number of items; the
+ * items follow it as arrays of their own, so that they can be written before
+ * their number is known. Texts carry their terminator and are read in place.
  */
 #include "batch.h"
 #include "corianderstair/record.h"
@@ -170,15 +170,16 @@
 
 void
 cs_dispatch_finish(cs_dispatch_writer *writer, GByteArray *out,
-                   uint64_t serial, int64_t clock_us)
+                   const cs_dispatch_head *head)
 {
     msgpack_packer packer;
 
     cs_record_begin(&packer, out);
-    msgpack_pack_array(&packer, 4);
+    msgpack_pack_array(&packer, 5);
     msgpack_pack_int64(&packer, MESSAGE_VERSION);
-    msgpack_pack_uint64(&packer, serial);
-    msgpack_pack_int64(&packer, clock_us);
+    msgpack_pack_uint64(&packer, head->serial);
+    msgpack_pack_int64(&packer, head->clock_us);
+    msgpack_pack_int64(&packer, head->leaving);
     msgpack_pack_uint32(&packer, writer->count);
     g_byte_array_append(out, writer->items->data, writer->items->len);
     g_byte_array_set_size(writer->items, 0);
--- a/src/dispatch/dispatch_internal.h
+++ b/src/dispatch/dispatch_internal.h
@@ -14,6 +14,7 @@
     int64_t cpu_milli;
     cs_dispatch_writer orders;
     bool up;
+    bool leaving;            /* gets no new orders, but answers open ones */
     uint32_t routes;         /* workers that are called through it */
     uint64_t sent_serial;    /* of the newest message to it */
     uint64_t asked_serial;   /* whose echo is waited for; 0 none */
--- a/src/dispatch/executor.c
+++ b/src/dispatch/executor.c
@@ -146,13 +146,13 @@
 }
 
 static void
-send_answers(cs_executor *executor, struct sender *sender)
+send_answers(cs_executor *executor, struct sender *sender, bool leaving)
 {
     const cs_peer_link_port *link = executor->settings.link;
     GByteArray *message = g_byte_array_new();
+    cs_dispatch_head head = {sender->serial, now_us(executor), leaving};
 
-    cs_dispatch_finish(&sender->answers, message, sender->serial,
-                       now_us(executor));
+    cs_dispatch_finish(&sender->answers, message, &head);
     sender->heard = false;
     link->send(link->self, sender->address, CS_PEER_ANSWERS, message->data,
                message->len);
@@ -160,7 +160,7 @@
 }
 
 void
-cs_executor_tick(cs_executor *executor)
+cs_executor_tick(cs_executor *executor, bool leaving)
 {
     const cs_peer_link_port *link = executor->settings.link;
     int64_t now = now_us(executor);
@@ -176,7 +176,7 @@
             g_hash_table_iter_remove(&iter);
         }
         else if (sender->heard || sender->answers.count > 0) {
-            send_answers(executor, sender);
+            send_answers(executor, sender, leaving);
         }
     }
 }
--- a/src/dispatch/executors.c
+++ b/src/dispatch/executors.c
@@ -63,7 +63,8 @@
     for (i = 0; i < dispatch->executors->len; i++) {
         const struct executor *e = g_ptr_array_index(dispatch->executors, i);
 
-        if (strcmp(e->zone, zone) == 0 && (e->up || now_us >= e->retry_us))
+        if (strcmp(e->zone, zone) == 0 && !e->leaving &&
+            (e->up || now_us >= e->retry_us))
             count++;
     }
     return count;
@@ -118,9 +119,9 @@
 {
     const cs_peer_link_port *link = dispatch->settings.link;
     GByteArray *message = g_byte_array_new();
+    cs_dispatch_head head = {++executor->sent_serial, now_us, false};
 
-    cs_dispatch_finish(&executor->orders, message, ++executor->sent_serial,
-                       now_us);
+    cs_dispatch_finish(&executor->orders, message, &head);
     executor->sent_us = now_us;
     if (executor->asked_serial == 0) {
         executor->asked_serial = executor->sent_serial;
@@ -151,7 +152,7 @@
 {
     const cs_peer_link_port *link = dispatch->settings.link;
 
-    if (executor->up) {
+    if (executor->up && !executor->leaving) {
         cs_log_event("executor-lost",
                      "%s, zone %s, %u workers, silent for %" G_GINT64_FORMAT
                      " ms",
@@ -160,6 +161,7 @@
         (*dispatch->downs)++;
     }
     executor->up = false;
+    executor->leaving = false;
     executor->asked_serial = 0;
     executor->retry_us = now_us + RETRY_US;
     link->close(link->self, executor->address);
@@ -201,6 +203,12 @@
                      "%s, zone %s, %" G_GINT64_FORMAT " thousandths of a core",
                      executor->address, executor->zone, executor->cpu_milli);
     executor->up = true;
+    if (head->leaving && !executor->leaving) {
+        cs_log_event("executor-leaving", "%s, zone %s, %u workers",
+                     executor->address, executor->zone, executor->routes);
+        routes_leave(dispatch, executor);
+    }
+    executor->leaving = head->leaving;
 }
 
 /* Workers that it would have for each thousandth of a core. */
@@ -220,7 +228,8 @@
     for (i = 0; i < dispatch->executors->len; i++) {
         struct executor *e = g_ptr_array_index(dispatch->executors, i);
 
-        if (!e->up || e == avoid || (zone && strcmp(e->zone, zone) != 0))
+        if (!e->up || e->leaving || e == avoid ||
+            (zone && strcmp(e->zone, zone) != 0))
             continue;
         if (!best || load_of(e) < load_of(best))
             best = e;
--- a/src/programs/fleetd_dispatch.c
+++ b/src/programs/fleetd_dispatch.c
@@ -67,7 +67,7 @@
 daemon_tick_dispatch(struct daemon *daemon)
 {
     cs_peer_link_tick(daemon->link);
-    cs_executor_tick(daemon->executor);
+    cs_executor_tick(daemon->executor, daemon->board.draining);
     cs_dispatch_tick(daemon->dispatch, !cs_fleet_is_released(daemon->fleet),
                      cs_fleet_worker_count(daemon->fleet));
 }
--- a/standins/fake_fleet_link.c
+++ b/standins/fake_fleet_link.c
@@ -155,7 +155,7 @@
 void
 fake_link_tick(struct fake_vm *vm)
 {
-    cs_executor_tick(vm->executor);
+    cs_executor_tick(vm->executor, vm->board.draining);
     cs_dispatch_tick(vm->dispatch, !cs_fleet_is_released(vm->fleet),
                      cs_fleet_worker_count(vm->fleet));
 }
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -48,6 +48,15 @@
     return order;
 }
 
+static void
+finish(cs_dispatch_writer *writer, GByteArray *out, uint64_t serial,
+       int64_t clock_us)
+{
+    cs_dispatch_head head = {serial, clock_us, false};
+
+    cs_dispatch_finish(writer, out, &head);
+}
+
 static GByteArray *
 write_orders(void)
 {
@@ -65,7 +74,7 @@
                                 .target = {"10.9.0.1:80", "w-1", true, NULL},
                                 .u.hold = {4, 9, 6000, 2000}};
     cs_dispatch_add_order(&writer, &order);
-    cs_dispatch_finish(&writer, out, 11, 1234);
+    finish(&writer, out, 11, 1234);
     assert_int_equal(writer.count, 0);
     cs_dispatch_writer_dispose(&writer);
     return out;
@@ -105,10 +114,10 @@
 
     cs_dispatch_writer_init(&writer);
     cs_dispatch_add_order(&writer, &order);
-    cs_dispatch_finish(&writer, one, 1, 1);
+    finish(&writer, one, 1, 1);
     for (i = 0; i < 50; i++)
         cs_dispatch_add_order(&writer, &order);
-    cs_dispatch_finish(&writer, many, 2, 1);
+    finish(&writer, many, 2, 1);
     assert_true(many->len < 3 * one->len);
     cs_dispatch_writer_dispose(&writer);
     g_byte_array_unref(one);
@@ -143,7 +152,7 @@
     cs_dispatch_add_order(&writer, &order);
     order.number = 3;
     cs_dispatch_add_order(&writer, &order);
-    cs_dispatch_finish(&writer, bytes, 1, 1);
+    finish(&writer, bytes, 1, 1);
     second = find_start(find_start(bytes->data) + 1);
     second[1] = 0x7f;
     assert_int_equal(cs_dispatch_read_orders(&head, bytes->data, bytes->len,
@@ -195,7 +204,7 @@
 
     cs_dispatch_writer_init(&writer);
     cs_dispatch_add_answer(&writer, 5, &answer);
-    cs_dispatch_finish(&writer, out, 3, 99);
+    finish(&writer, out, 3, 99);
     cs_dispatch_writer_dispose(&writer);
     return out;
 }
@@ -310,7 +319,7 @@
 
     cs_dispatch_writer_init(&writer);
     cs_dispatch_add_order(&writer, &order);
-    cs_dispatch_finish(&writer, bytes, serial, 0);
+    finish(&writer, bytes, serial, 0);
     cs_executor_receive(executor, "10.7.0.1:7000", bytes->data, bytes->len);
     cs_dispatch_writer_dispose(&writer);
     g_byte_array_unref(bytes);
@@ -360,11 +369,13 @@
     b.bench.now_us = 1000;
     receive(b.executor, 21);
     assert_int_equal(b.bench.started, 1);
-    cs_executor_tick(b.executor);
+    cs_executor_tick(b.executor, false);
     assert_int_equal(b.bench.head.serial, 21);
     assert_int_equal(b.bench.answered.count, 0);
+    assert_false(b.bench.head.leaving);
     b.bench.done(b.bench.done_data, &answer);
-    cs_executor_tick(b.executor);
+    cs_executor_tick(b.executor, true);
+    assert_true(b.bench.head.leaving);
     assert_int_equal(b.bench.answered.count, 1);
     assert_int_equal(b.bench.answered.number, 6);
     assert_int_equal(b.bench.answered.last.clock_ms, 50);
@@ -381,7 +392,7 @@
     b.bench.now_us = 5000;
     receive(b.executor, 1);
     assert_int_equal(b.bench.started, 0);
-    cs_executor_tick(b.executor);
+    cs_executor_tick(b.executor, false);
     assert_int_equal(b.bench.answered.count, 1);
     assert_int_equal(b.bench.answered.last.code, CS_E_CONNECT);
     bench_dispose(&b);
@@ -397,10 +408,10 @@
     bench_init(&b);
     receive(b.executor, 1);
     b.bench.now_us = 60 * CS_SEC_US;
-    cs_executor_tick(b.executor);
+    cs_executor_tick(b.executor, false);
     assert_int_equal(b.bench.closed, 1);
     b.bench.done(b.bench.done_data, &answer);
-    cs_executor_tick(b.executor);
+    cs_executor_tick(b.executor, false);
     assert_int_equal(b.bench.sent, 0);
     b.bench.now_us = 0;
     receive(b.executor, 2);
--- a/tests/test_scale.c
+++ b/tests/test_scale.c
@@ -195,6 +195,22 @@
     fake_fleet_destroy(world);
 }
 
+/* An executor that is to stop says so: no order of its workers is lost. */
+static void
+scale__stopped_executor_loses_no_order(void **state)
+{
+    fake_fleet *world = middle_world(8);
+    uint32_t holder = (uint32_t)fake_fleet_holder(world);
+
+    fake_fleet_stop(world, find_executor(world));
+    submit_some(world, 41, 20);
+    fake_fleet_run(world, 12 * CS_SEC_US);
+    expect_completed(world, 1, 60);
+    assert_int_equal(
+        fake_fleet_counter(world, holder, "cs_dispatch_lost_total"), 0);
+    fake_fleet_destroy(world);
+}
+
 static void
 scale__cut_executor_costs_no_job(void **state)
 {
@@ -291,6 +307,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(scale__burst_of_gangs_takes_no_cell_away),
         cmocka_unit_test(scale__killed_executor_costs_no_job),
+        cmocka_unit_test(scale__stopped_executor_loses_no_order),
         cmocka_unit_test(scale__cut_executor_costs_no_job),
         cmocka_unit_test(scale__executor_without_workers_is_passed_over),
         cmocka_unit_test(scale__frozen_executor_costs_no_job),
