One clock of a fake VM, one share of a core, no routes where workers are called directly

The fakes' clock stood twice, the own share of a core was computed twice, a counter of spent time had no reader, and on small fleets each order made or looked up a route that nothing used.

--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -64,13 +64,11 @@
     }
 }
 
-/* The executor for a worker, or NULL where it is called directly. */
+/* The executor for a worker, or NULL where none is up. */
 static struct executor *
 find_way(cs_dispatch *dispatch, struct route *route,
          const cs_worker_target *target)
 {
-    if (dispatch->workers <= dispatch->settings.direct_max)
-        return NULL;
     if (!route->executor || route->failures >= FAILURES_MAX)
         set_executor(
             route, executors_choose(dispatch, target->zone, route->executor));
@@ -134,10 +132,14 @@
       const cs_worker_target *target, int64_t deadline_us, cs_worker_done done,
       void *data)
 {
-    struct route *route = get_route(dispatch, target->address);
-    struct executor *executor = find_way(dispatch, route, target);
+    struct executor *executor;
     struct open_call *call;
+    struct route *route;
 
+    if (dispatch->workers <= dispatch->settings.direct_max)
+        return false;
+    route = get_route(dispatch, target->address);
+    executor = find_way(dispatch, route, target);
     if (!executor)
         return false;
     call = g_new0(struct open_call, 1);
--- a/src/dispatch/executors.c
+++ b/src/dispatch/executors.c
@@ -8,8 +8,8 @@
 
 #include <string.h>
 
-/* Workers that one VM of half a core carries at a tenth of its time: 0.2 ms
-   for each of about two calls a second and worker at full load. */
+/* 3% of a core: 0.35 ms for each of 1.2 calls a second and worker at full load
+   (docs/design/scale.md). */
 #define WORKERS_EACH 75
 #define FILL_US (500 * CS_MS_US)
 #define ASK_US (200 * CS_MS_US)
--- a/src/members/members.c
+++ b/src/members/members.c
@@ -40,6 +40,12 @@
     return cs_fleet_board_now(members->board).boot_us;
 }
 
+static int64_t
+own_cpu_milli(const cs_members *members)
+{
+    return (int64_t)(members->board->settings.cpu_share * 1000.0);
+}
+
 static void
 encode_own(const cs_members *members, GByteArray *out)
 {
@@ -53,7 +59,7 @@
     cs_record_text(&packer, settings->peer_address);
     cs_record_text(&packer, settings->link_address);
     cs_record_text(&packer, settings->zone);
-    msgpack_pack_int64(&packer, (int64_t)(settings->cpu_share * 1000.0));
+    msgpack_pack_int64(&packer, own_cpu_milli(members));
     msgpack_pack_int64(&packer, members->store_ms + since_us / CS_MS_US);
 }
 
@@ -96,7 +102,6 @@
 {
     const cs_vm_settings *settings = &members->board->settings;
     cs_vm_rank rank = {.known = true};
-    int64_t own_milli = (int64_t)(settings->cpu_share * 1000.0);
     GHashTable *zones = g_hash_table_new(g_str_hash, g_str_equal);
     guint i;
 
@@ -110,7 +115,7 @@
         }
         if (before < CS_CANDIDATES_PER_ZONE) {
             rank.candidates_before++;
-            rank.outdone |= m->cpu_milli > own_milli;
+            rank.outdone |= m->cpu_milli > own_cpu_milli(members);
         }
         g_hash_table_insert(zones, (gpointer)m->zone,
                             GUINT_TO_POINTER(before + 1));
@@ -119,7 +124,7 @@
     members->board->rank = rank;
 }
 
-/* The holder's changes are large; a weak VM would pass them on slowly. */
+/* The router knows a limited number of peers; it gets the strongest. */
 static void
 add_ways(cs_members *members)
 {
--- a/standins/fake_fleet.c
+++ b/standins/fake_fleet.c
@@ -69,8 +69,8 @@
     return share > 0 && g_rand_double(world->random) < share;
 }
 
-static cs_now
-vm_now(void *data)
+cs_now
+fake_vm_now(void *data)
 {
     const struct fake_vm *vm = data;
     cs_now now = {vm->world->now_us, FAKE_WALL_US + vm->world->now_us};
@@ -93,11 +93,11 @@
                                        .open = open_peer,
                                        .open_data = vm,
                                        .own_name = vm->name,
-                                       .now = vm_now,
+                                       .now = fake_vm_now,
                                        .now_data = vm};
     cs_fleet_ports ports = {.workers = &vm->workers,
                             .adviser = &vm->adviser,
-                            .now = vm_now,
+                            .now = fake_vm_now,
                             .now_data = vm,
                             .decode_config = platform_config_decode,
                             .config_table = PLATFORM_CONFIG_TABLE,
@@ -507,12 +507,6 @@
     return world->vms[vm].board.cell.epoch;
 }
 
-int64_t
-fake_fleet_spent_us(const fake_fleet *world, uint32_t vm)
-{
-    return world->vms[vm].spent_us;
-}
-
 void
 fake_fleet_compact(fake_fleet *world)
 {
--- a/standins/fake_fleet.h
+++ b/standins/fake_fleet.h
@@ -89,8 +89,6 @@
 void fake_fleet_stop(fake_fleet *world, uint32_t vm);
 /** @return the epoch as the VM knows it: one more with each takeover */
 uint64_t fake_fleet_epoch(const fake_fleet *world, uint32_t vm);
-/** @return time that a VM's calls have taken, on a whole core */
-int64_t fake_fleet_spent_us(const fake_fleet *world, uint32_t vm);
 /** @return the VM that holds the cell, or -1 */
 int32_t fake_fleet_holder(const fake_fleet *world);
 
--- a/standins/fake_fleet_internal.h
+++ b/standins/fake_fleet_internal.h
@@ -103,7 +103,6 @@
     uint64_t life; /* rises with each start of the process */
     int64_t cpu_milli;
     int64_t busy_until_us;
-    int64_t spent_us;
     cs_executor *executor;
     cs_dispatch *dispatch;
     GHashTable *open; /* calls without an answer to struct fake_open */
@@ -156,6 +155,7 @@
 };
 
 /* fake_fleet.c */
+cs_now fake_vm_now(void *data); /* of a struct fake_vm */
 /* Notes a call of a VM, which ends with its process. */
 void fake_open_add(struct fake_vm *vm, void *call, fake_event abort_call);
 void fake_at(fake_fleet *world, int64_t us, fake_event event, void *data);
--- a/standins/fake_fleet_link.c
+++ b/standins/fake_fleet_link.c
@@ -33,7 +33,6 @@
         return now_us;
     vm->busy_until_us = MAX(vm->busy_until_us, now_us) +
                         cost_us * 1000 / MAX(vm->cpu_milli, 1);
-    vm->spent_us += cost_us;
     return vm->busy_until_us;
 }
 
@@ -104,21 +103,12 @@
 {
 }
 
-static cs_now
-vm_now(void *data)
-{
-    const struct fake_vm *vm = data;
-    cs_now now = {vm->world->now_us, FAKE_WALL_US + vm->world->now_us};
-
-    return now;
-}
-
 void
 fake_link_start(struct fake_vm *vm, uint32_t direct_max)
 {
     cs_executor_settings carrying = {.workers = &vm->workers,
                                      .link = &vm->link,
-                                     .now = vm_now,
+                                     .now = fake_vm_now,
                                      .now_data = vm,
                                      .counters = vm->counters};
     cs_dispatch_settings giving = {.direct = &vm->workers,
@@ -126,7 +116,7 @@
                                    .members = vm->members,
                                    .own_name = vm->board.settings.name,
                                    .direct_max = direct_max,
-                                   .now = vm_now,
+                                   .now = fake_vm_now,
                                    .now_data = vm,
                                    .counters = vm->counters};
 
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -510,7 +510,6 @@
     fake_fleet_destroy(world);
 }
 
-/* More jobs change at once than one change of the store may hold. */
 /* A holder that the store turns away records through a peer only until a VM
    that the store serves has taken the cell. */
 static void
@@ -555,6 +554,7 @@
     fake_fleet_destroy(world);
 }
 
+/* More jobs change at once than one change of the store may hold. */
 static void
 fleet__many_jobs_fit_several_changes(void **state)
 {
