fleet: a gang waits for its rack after a takeover

Cause: whether any rack could hold a same-rack gang was decided with the workers that are usable at the moment. A new holder has not heard from most workers yet, so it dropped the rack for every gang that waited; a gang on several racks takes three times as long.

Change: listed workers that are not leaving count as expected back, as long as the step has waited less than twice its run time. A gang that is spread anyway is logged and counted (cs_gangs_spread_total).

The test fails without the change.

--- a/src/fleet/cycle.c
+++ b/src/fleet/cycle.c
@@ -44,6 +44,25 @@
         use, used_share(capacity->total.memory_mb, capacity->free.memory_mb));
 }
 
+/*
+ * A worker that has not answered a new holder yet, or that is paused, is not
+ * usable now but will be soon. What the fleet can hold at all is decided with
+ * these workers, else a gang is spread over racks after each takeover.
+ */
+static void
+build_expected_cell(struct cycle *cycle)
+{
+    const GPtrArray *list = cycle->fleet->worker_list;
+    guint i;
+
+    cycle->expected_cell = cycle->cell;
+    cycle->expected_cell.workers = g_memdup2(
+        cycle->cell.workers, (list->len + 1) * sizeof(cs_binpack_worker));
+    for (i = 0; i < list->len; i++)
+        cycle->expected_cell.workers[i].usable =
+            worker_is_expected(g_ptr_array_index(list, i));
+}
+
 static void
 build_cell(struct cycle *cycle)
 {
@@ -72,6 +91,7 @@
         cs_demand_add(&capacity.free, &binpack_worker->free);
     }
     cs_binpack_cell_index(&cycle->cell);
+    build_expected_cell(cycle);
     cycle->urgent_only_racks =
         cs_headroom_racks(&fleet->headroom, &cycle->cell);
     if (capacity.total.accelerators > 0)
@@ -124,6 +144,19 @@
     }
 }
 
+static bool
+spans_racks(const struct cycle *cycle, const uint32_t *workers, uint32_t count)
+{
+    uint32_t i;
+
+    for (i = 1; i < count; i++) {
+        if (cycle->cell.workers[workers[i]].rack !=
+            cycle->cell.workers[workers[0]].rack)
+            return true;
+    }
+    return false;
+}
+
 static void
 place_tasks(struct cycle *cycle, struct step *step, const uint32_t *workers,
             uint32_t count)
@@ -131,6 +164,7 @@
     cs_fleet *fleet = cycle->fleet;
     uint32_t run = step_next_run(step);
     uint32_t placed = 0;
+    bool spread;
     uint32_t i;
 
     for (i = 0; i < step->spec->task_count && placed < count; i++) {
@@ -147,11 +181,15 @@
     cs_counters_observe_ms(fleet->state->counters, "cs_step_wait_ms",
                            (cycle->now.boot_us - step->ready_us) / CS_MS_US);
     job_set_dirty(fleet, step->job);
+    spread = step->spec->same_rack && spans_racks(cycle, workers, count);
+    if (spread)
+        fleet_increment_counter(fleet, "cs_gangs_spread_total");
     cs_log_event("step-placed",
-                 "job %s step %u.%u: %u of %u tasks, waited %" PRId64 " ms",
+                 "job %s step %u.%u: %u of %u tasks, waited %" PRId64 " ms%s",
                  step->job->spec.id, step->occurrence, step->number, count,
                  step->spec->task_count,
-                 (cycle->now.boot_us - step->ready_us) / CS_MS_US);
+                 (cycle->now.boot_us - step->ready_us) / CS_MS_US,
+                 spread ? ", on several racks" : "");
 }
 
 /*
@@ -248,6 +286,7 @@
         schedule_candidate(
             &cycle, &g_array_index(cycle.candidates, struct candidate, i));
     cs_binpack_cell_unindex(&cycle.cell);
+    g_free(cycle.expected_cell.workers);
     g_free(cycle.cell.workers);
     g_array_free(cycle.failed_requests, TRUE);
     g_array_free(cycle.candidates, TRUE);
--- a/src/fleet/cycle_internal.h
+++ b/src/fleet/cycle_internal.h
@@ -19,6 +19,8 @@
     cs_fleet *fleet;
     cs_now now;
     cs_binpack_cell cell;
+    cs_binpack_cell expected_cell; /* the same, but usable are all workers that
+                                      are listed and not leaving */
     GArray *candidates;         /* of struct candidate, in scheduling order */
     GHashTable *guarantee_used; /* organisation's config to the accelerators
                                    of its guarantee that are used */
--- a/src/fleet/cycle_request.c
+++ b/src/fleet/cycle_request.c
@@ -13,6 +13,9 @@
 /* A step waits for the rack of its data for up to this many times its expected
    run time. */
 #define DATA_RACK_WAIT_FACTOR 1.5
+/* Run times triple for a gang on several racks, so up to twice its run time it
+   costs no more to wait for the workers of a rack that are expected back. */
+#define RACK_WAIT_FACTOR 2
 /* Maximum wait for the rack of the data while capacity is idle. The
    requirements allow 3 s then. */
 #define IDLE_RACK_WAIT_S 1.5
@@ -85,12 +88,31 @@
     return waited_seconds(cycle, step) < wait_limit_s;
 }
 
-/* Returns whether no single rack could hold the step, even an empty one. */
+/* Returns whether the cell could hold the request if it were empty. */
+static bool
+is_possible(const cs_binpack_cell *cell, const cs_binpack_request *request,
+            const bool *allowed)
+{
+    cs_binpack_request allowed_request = *request;
+
+    allowed_request.allowed = allowed;
+    return cs_binpack_is_possible(cell, &allowed_request);
+}
+
+/*
+ * Returns whether no single rack could hold the step, even an empty one. Racks
+ * whose workers are expected to be usable soon are waited for, as long as that
+ * costs less than to run on several racks.
+ */
 static bool
 exceeds_every_rack(const struct cycle *cycle, struct step *step,
                    const cs_binpack_request *request)
 {
-    cs_binpack_request any_rack_request = *request;
+    double rack_wait_s =
+        RACK_WAIT_FACTOR * cycle_expected_run_s(cycle->fleet, step);
+    const cs_binpack_cell *cell = waited_seconds(cycle, step) < rack_wait_s
+                                      ? &cycle->expected_cell
+                                      : &cycle->cell;
     bool *allowed = NULL;
 
     if (step->rack_check_us != 0 && !request->allowed &&
@@ -98,10 +120,8 @@
         return step->exceeds_racks;
     if (request->allowed)
         allowed = advice_eligible_workers(cycle->fleet, step);
-    any_rack_request.allowed = allowed;
     step->rack_check_us = cycle->now.boot_us;
-    step->exceeds_racks =
-        !cs_binpack_is_possible(&cycle->cell, &any_rack_request);
+    step->exceeds_racks = !is_possible(cell, request, allowed);
     g_free(allowed);
     return step->exceeds_racks;
 }
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -310,6 +310,8 @@
  */
 void worker_limit_adoption(const cs_fleet *fleet, struct worker *worker);
 void worker_unlist(cs_fleet *fleet, struct worker *worker);
+/* Returns whether the worker will get new tasks again, if not now. */
+bool worker_is_expected(const struct worker *worker);
 /* Returns whether the worker may get new tasks. */
 bool worker_is_usable(const cs_fleet *fleet, const struct worker *worker);
 /* Returns the estimated time on the worker's clock; -1 if unknown. */
--- a/src/fleet/worker.c
+++ b/src/fleet/worker.c
@@ -248,12 +248,18 @@
                  worker->tasks->len);
 }
 
+bool
+worker_is_expected(const struct worker *worker)
+{
+    return worker->listed && !worker->draining;
+}
+
 bool
 worker_is_usable(const cs_fleet *fleet, const struct worker *worker)
 {
     int64_t now_us = fleet_now(fleet).boot_us;
 
-    if (!worker->listed || worker->draining || !worker->answered ||
+    if (!worker_is_expected(worker) || !worker->answered ||
         worker->failed_heartbeats > 0)
         return false;
     if (now_us < worker->paused_until_us)
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -183,6 +183,41 @@
     fake_fleet_destroy(deployment);
 }
 
+/*
+ * Guards against spreading a gang over racks, which triples its run time,
+ * because most workers have not answered a new holder yet.
+ */
+static void
+fleet__gang_waits_for_a_rack_after_a_takeover(void **state)
+{
+    fake_fleet *deployment = create_deployment(21);
+    int32_t holder = fake_fleet_holder(deployment);
+    int32_t reply;
+    fake_job job;
+    uint32_t i;
+
+    for (i = 2; i < 16; i++)
+        fake_fleet_set_worker_disconnected(deployment, i, true);
+    fake_fleet_kill(deployment, (uint32_t)holder, 60 * CS_SEC_US);
+    fake_fleet_run(deployment, 4 * CS_SEC_US);
+    holder = fake_fleet_holder(deployment);
+    assert_int_not_equal(holder, -1);
+    fake_job_init(&job, 1, 1, 2, 8, 2000);
+    job.spec.steps[0].gang = true;
+    job.spec.steps[0].same_rack = true;
+    fake_fleet_submit(deployment, (uint32_t)holder, &job, &reply);
+    fake_fleet_run(deployment, CS_SEC_US);
+    for (i = 2; i < 16; i++)
+        fake_fleet_set_worker_disconnected(deployment, i, false);
+    fake_fleet_run(deployment, 5 * CS_SEC_US);
+    expect_state(deployment, 1, CS_PROGRESS_COMPLETED);
+    assert_int_equal(fake_fleet_counter(deployment, (uint32_t)holder,
+                                        "cs_gangs_spread_total"),
+                     0);
+    expect_no_violation(deployment);
+    fake_fleet_destroy(deployment);
+}
+
 /* The adviser allows half of the workers, so the tasks run in two rounds. */
 static void
 fleet__advised_step_runs_on_allowed_workers(void **state)
@@ -647,6 +682,7 @@
         cmocka_unit_test(fleet__cold_start_adopts_tasks_before_leases_end),
         cmocka_unit_test(fleet__silent_worker_gets_no_tasks),
         cmocka_unit_test(fleet__success_seen_late_completes_the_task),
+        cmocka_unit_test(fleet__gang_waits_for_a_rack_after_a_takeover),
         cmocka_unit_test(fleet__advised_step_runs_on_allowed_workers),
         cmocka_unit_test(fleet__advised_gang_may_span_racks),
         cmocka_unit_test(fleet__advice_is_requested_again_after_a_crash),
