binpack: a gang without a rack limit is placed in one zone if it fits

Cause: a gang that may span racks took the best workers of all zones.

Change: the zone whose slowest member is the fastest is tried first, then the whole cell as before.

--- a/include/corianderstair/binpack.h
+++ b/include/corianderstair/binpack.h
@@ -22,6 +22,8 @@
     uint64_t labels; /**< a bit for each label */
     double speed;    /**< relative to the mean of the fleet, which is 1 */
     bool usable;     /**< new tasks may be placed on it */
+    uint32_t zone;   /**< number of its zone; all racks of a number are in one
+                          place that may be cut off from the others */
 } cs_binpack_worker;
 
 /** The workers of a cell. The caller owns the workers. */
@@ -70,7 +72,8 @@
 void cs_demand_subtract(cs_demand *sum, const cs_demand *part);
 
 /**
- * Places tasks and subtracts their demands from free of the workers.
+ * Places tasks and subtracts their demands from free of the workers. A request
+ * for all tasks that may span racks is placed in one zone if one can hold it.
  * @param out buffer for request->count worker indexes, one for each task
  * @return the number of tasks placed; 0 or all if the request is to be placed
  *         as a whole or in one rack
--- a/src/fleet/cycle.c
+++ b/src/fleet/cycle.c
@@ -82,6 +82,7 @@
         binpack_worker->free = worker->capacity;
         cs_demand_subtract(&binpack_worker->free, &worker->used);
         binpack_worker->rack = worker->rack;
+        binpack_worker->zone = worker->zone_number;
         binpack_worker->labels = worker->labels;
         binpack_worker->speed = exp(worker->speed.log_speed);
         binpack_worker->usable = worker_is_usable(fleet, worker);
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -53,6 +53,7 @@
     char id[CS_JOB_NAME_BYTES];
     char address[48];
     char zone[CS_JOB_NAME_BYTES];
+    uint32_t zone_number; /* unique to the zone's name in this process */
     char service[CS_JOB_NAME_BYTES];
     uint32_t index; /* in fleet->worker_list and the bin packing's cell */
     uint32_t rack;
--- a/src/fleet/worker.c
+++ b/src/fleet/worker.c
@@ -225,6 +225,7 @@
     worker->capacity = entry->capacity;
     g_strlcpy(worker->address, entry->address, sizeof(worker->address));
     g_strlcpy(worker->zone, entry->zone, sizeof(worker->zone));
+    worker->zone_number = g_quark_from_string(worker->zone);
     g_strlcpy(worker->service, entry->service, sizeof(worker->service));
     apply_labels(fleet, worker, entry);
 }
--- a/src/policy/binpack.c
+++ b/src/policy/binpack.c
@@ -15,6 +15,7 @@
     uint32_t worker;
     uint32_t slots; /* number of tasks that fit */
     double score;   /* lower is better */
+    uint32_t zone;
 };
 
 bool
@@ -126,6 +127,7 @@
     if (candidate.slots == 0)
         return;
     candidate.score = worker_score(worker, request);
+    candidate.zone = worker->zone;
     g_array_append_val(list, candidate);
 }
 
@@ -151,9 +153,11 @@
     return list;
 }
 
-/* Assigns up to count tasks to the candidates in their order. */
+/* Assigns up to count tasks to the candidates of a zone, or of all zones for
+   CS_BINPACK_ANY, in their order. */
 static uint32_t
-fill_slots(uint32_t *out, const GArray *candidates, uint32_t count)
+fill_slots(uint32_t *out, const GArray *candidates, uint32_t zone,
+           uint32_t count)
 {
     uint32_t placed = 0;
     uint32_t k;
@@ -163,6 +167,8 @@
         const struct candidate *candidate =
             &g_array_index(candidates, struct candidate, i);
 
+        if (zone != CS_BINPACK_ANY && candidate->zone != zone)
+            continue;
         for (k = 0; k < candidate->slots && placed < count; k++)
             out[placed++] = candidate->worker;
     }
@@ -250,7 +256,7 @@
         if (!rack_may_hold(cell, request, rack))
             continue;
         candidates = find_candidates(cell, request, rack);
-        placed = fill_slots(trial, candidates, request->count);
+        placed = fill_slots(trial, candidates, CS_BINPACK_ANY, request->count);
         g_array_free(candidates, TRUE);
         if (placed < request->count)
             continue;
@@ -265,13 +271,72 @@
     return found;
 }
 
+/* Zones beyond this number are not tried one by one; the largest region of
+   the design size has fewer. */
+#define ZONES_MAX 32
+
+static uint32_t
+list_zones(uint32_t *zones, const GArray *candidates)
+{
+    uint32_t count = 0;
+    uint32_t k;
+    guint i;
+
+    for (i = 0; i < candidates->len && count < ZONES_MAX; i++) {
+        uint32_t zone = g_array_index(candidates, struct candidate, i).zone;
+
+        for (k = 0; k < count && zones[k] != zone; k++)
+            continue;
+        if (k == count)
+            zones[count++] = zone;
+    }
+    return count;
+}
+
+/*
+ * Places a gang in the zone in which its slowest member is the fastest. A gang
+ * that spans zones ends with the first zone that is cut off.
+ */
+static uint32_t
+place_in_zone(uint32_t *out, const cs_binpack_cell *cell,
+              const cs_binpack_request *request, const GArray *candidates)
+{
+    uint32_t *trial = g_new(uint32_t, request->count);
+    uint32_t zones[ZONES_MAX];
+    uint32_t zone_count = list_zones(zones, candidates);
+    double best = INFINITY;
+    uint32_t found = 0;
+    uint32_t i;
+
+    for (i = 0; i < zone_count; i++) {
+        uint32_t placed =
+            fill_slots(trial, candidates, zones[i], request->count);
+        double score;
+
+        if (placed < request->count)
+            continue;
+        score = -request->speed_weight * slowest_speed(cell, trial, placed);
+        if (score >= best)
+            continue;
+        best = score;
+        found = placed;
+        memcpy(out, trial, placed * sizeof(*out));
+    }
+    g_free(trial);
+    return found;
+}
+
 static uint32_t
 place_anywhere(uint32_t *out, const cs_binpack_cell *cell,
                const cs_binpack_request *request)
 {
     GArray *candidates = find_candidates(cell, request, request->data_rack);
-    uint32_t placed = fill_slots(out, candidates, request->count);
+    uint32_t placed = 0;
 
+    if (request->all_or_nothing)
+        placed = place_in_zone(out, cell, request, candidates);
+    if (placed == 0)
+        placed = fill_slots(out, candidates, CS_BINPACK_ANY, request->count);
     g_array_free(candidates, TRUE);
     return placed;
 }
--- a/tests/test_binpack.c
+++ b/tests/test_binpack.c
@@ -70,6 +70,33 @@
         assert_true(out[i] == 5 || out[i] == 9);
 }
 
+/* Guards against gangs that break when one of several zones is cut off. */
+static void
+binpack__gang_is_placed_in_one_zone_if_it_fits(void **state)
+{
+    cs_binpack_cell cell = make_cell();
+    cs_binpack_request request = make_request(6, 8);
+    uint32_t out[10];
+    uint32_t i;
+
+    /* Racks 0 and 2 are in zone 0, rack 1 alone is in zone 1 and has the
+       fullest worker, which a placement by best fit takes first. */
+    for (i = RACK_WORKERS; i < 2 * RACK_WORKERS; i++)
+        workers[i].zone = 1;
+    workers[RACK_WORKERS].capacity.accelerators = 9;
+    workers[RACK_WORKERS].free.accelerators = 8;
+    request.all_or_nothing = true;
+    assert_int_equal(cs_binpack_place(out, &cell, &request), 6);
+    for (i = 0; i < 6; i++)
+        assert_int_equal(workers[out[i]].zone, 0);
+    /* Only both zones together hold a gang of 10, which must not wait. */
+    cell = make_cell();
+    for (i = RACK_WORKERS; i < 2 * RACK_WORKERS; i++)
+        workers[i].zone = 1;
+    request.count = 10;
+    assert_int_equal(cs_binpack_place(out, &cell, &request), 10);
+}
+
 static void
 binpack__same_rack_gang_is_placed_in_one_rack_or_not_at_all(void **state)
 {
@@ -262,6 +289,7 @@
         cmocka_unit_test(binpack__small_tasks_fill_partly_used_workers),
         cmocka_unit_test(
             binpack__same_rack_gang_is_placed_in_one_rack_or_not_at_all),
+        cmocka_unit_test(binpack__gang_is_placed_in_one_zone_if_it_fits),
         cmocka_unit_test(binpack__fullest_rack_goes_first),
         cmocka_unit_test(binpack__speed_weight_prefers_fast_workers),
         cmocka_unit_test(binpack__limits_of_a_request_are_respected),
