fleet: tasks of a worker that has left are lost at once

Cause: when a worker's entry is removed its tasks waited for the end of their leases, up to 10 s, as a silent worker may run on. But a draining worker removes its entry when it has left, and nothing runs there any more.

Change: cs_departure_is_certain() compares the last write of the entry with the three intervals of silence after which the store removes one. If silence is ruled out for a draining worker its started tasks end as lapsed.

Test: fails without the change; the second one starts a task twice if silence is not ruled out.

--- a/src/fleet/feeds.c
+++ b/src/fleet/feeds.c
@@ -118,6 +118,7 @@
         return;
     feed->part_number = 0;
     feed->followed_version = feed->read_version;
+    feed->followed_until_us = 0;
     feed->loaded = true;
 }
 
@@ -155,11 +156,13 @@
 {
     struct call *call = user_data;
     cs_fleet *fleet = call->fleet;
+    int64_t sent_us = call->sent_us;
     struct feed *feed = end_call(call, answer);
 
     if (!feed)
         return;
     apply_rows(fleet, feed, answer);
+    feed->followed_until_us = sent_us;
     feed->followed_version = MAX(feed->followed_version, answer->version);
 }
 
@@ -234,6 +237,10 @@
     worker_apply(fleet, row->key, &entry);
     cs_worker_entry_dispose(&entry);
     worker = g_hash_table_lookup(fleet->workers, row->key);
+    /* A read of the table does not tell when a row was written. A change is
+       newer than those that were followed before. */
+    worker->entry_written_after_us =
+        fleet->worker_feed.loaded ? fleet->worker_feed.followed_until_us : 0;
     worker->read_serial = fleet->worker_read_serial;
     speeds_restore(fleet, worker);
 }
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -62,6 +62,8 @@
     cs_demand used;       /* by the tasks placed on the worker */
     bool listed;          /* has an entry in the store */
     uint64_t read_serial; /* of the last complete read with its entry */
+    int64_t entry_written_after_us; /* its entry was last written after this
+                                       time; 0 unknown */
     bool draining;
     int64_t drain_seen_us; /* when draining was first seen */
     int64_t remaining_ms;  /* minimum time left at drain_seen_us; -1 unknown */
@@ -197,6 +199,8 @@
                                            for the first page */
     uint64_t read_version;     /* of the store when the first page was read */
     uint64_t followed_version; /* changes up to it were applied */
+    int64_t followed_until_us; /* changes that were made before this time were
+                                  applied; 0 unknown */
 };
 
 struct cs_fleet {
--- a/src/fleet/worker.c
+++ b/src/fleet/worker.c
@@ -3,6 +3,7 @@
  * the end of its leases, and its quarantine after failures.
  */
 #include "fleet_internal.h"
+#include "corianderstair/departure.h"
 
 /* Minimum rate of a worker's clock relative to this VM's. A lease ends by
    the worker's clock, so it lasts longer where that clock runs slow. */
@@ -238,15 +239,37 @@
     worker->adoption_deadline_us = MIN(worker->adoption_deadline_us, end_us);
 }
 
+/* Returns whether the removal of the worker's entry shows that nothing runs on
+   it any more. While the tenure loads, jobs are not complete. */
+static bool
+has_left(const cs_fleet *fleet, const struct worker *worker)
+{
+    cs_departure departure = {
+        .draining = worker->draining,
+        .written_after_us = worker->entry_written_after_us,
+        .removal_read_us = fleet_now(fleet).boot_us,
+        .heartbeat_ms = fleet->state->settings.worker_heartbeat_ms};
+
+    return fleet->tenure == TENURE_HOLDING &&
+           cs_departure_is_certain(&departure);
+}
+
 void
 worker_unlist(cs_fleet *fleet, struct worker *worker)
 {
+    bool left;
+
     if (!worker->listed)
         return;
     worker->listed = false;
     worker_limit_adoption(fleet, worker);
-    cs_log_event("worker-unlisted", "worker %s, %u tasks", worker->id,
-                 worker->tasks->len);
+    left = has_left(fleet, worker);
+    cs_log_event("worker-unlisted", "worker %s, %u tasks%s", worker->id,
+                 worker->tasks->len, left ? ", it has left" : "");
+    if (!left)
+        return;
+    fleet_increment_counter(fleet, "cs_workers_left_total");
+    worker_end_started_tasks(fleet, worker, "it has left");
 }
 
 bool
--- a/standins/fake_fleet.c
+++ b/standins/fake_fleet.c
@@ -131,6 +131,7 @@
                       vm->number);
     g_snprintf(settings.zone, sizeof(settings.zone), "z%u", vm->number % 3);
     settings.cpu_share = (double)vm->cpu_milli / 1000.0;
+    settings.worker_heartbeat_ms = ENTRY_INTERVAL_US / CS_MS_US;
     vm->busy_until_us = 0;
     vm->counters = cs_counters_create();
     routes.counters = vm->counters;
@@ -584,6 +585,20 @@
     fake_store_remove(deployment, PLATFORM_WORKERS_TABLE, "", worker->id);
 }
 
+void
+fake_fleet_drain_worker(fake_fleet *deployment, uint32_t number)
+{
+    deployment->workers[number].draining = true;
+    fake_fleet_worker_publish(&deployment->workers[number]);
+}
+
+void
+fake_fleet_expire_entry(fake_fleet *deployment, uint32_t number)
+{
+    fake_store_remove(deployment, PLATFORM_WORKERS_TABLE, "",
+                      deployment->workers[number].id);
+}
+
 void
 fake_fleet_set_worker_disconnected(fake_fleet *deployment, uint32_t worker,
                                    bool disconnected)
--- a/standins/fake_fleet.h
+++ b/standins/fake_fleet.h
@@ -128,6 +128,11 @@
                              int64_t down_us);
 /** Kills a worker permanently and deletes its entry from the store. */
 void fake_fleet_remove_worker(fake_fleet *deployment, uint32_t worker);
+/** Lets a worker announce that it leaves; its runs continue. */
+void fake_fleet_drain_worker(fake_fleet *deployment, uint32_t worker);
+/** Deletes the entry of a worker that runs on, as the store does after
+    silence. Until the worker is disconnected it writes the entry again. */
+void fake_fleet_expire_entry(fake_fleet *deployment, uint32_t worker);
 /** Cuts or restores the network of a worker; its runs continue. */
 void fake_fleet_set_worker_disconnected(fake_fleet *deployment,
                                         uint32_t worker, bool cut);
--- a/standins/fake_fleet_internal.h
+++ b/standins/fake_fleet_internal.h
@@ -77,6 +77,7 @@
     int64_t lease_end_us;   /* 0 without a lease */
     bool up;
     bool disconnected;
+    bool draining;
     bool failing; /* every run fails */
     double speed;
     uint64_t entry_sequence;       /* "seq" of its entry in the store */
--- a/standins/fake_fleet_worker.c
+++ b/standins/fake_fleet_worker.c
@@ -116,11 +116,12 @@
 {
     char *text = g_strdup_printf(
         "{\"service\":\"lab\",\"addr\":\"%s\",\"zone\":\"z%u\",\"version\":"
-        "\"v1\",\"slots\":8,\"state\":\"ready\",\"coldLeftMs\":0,"
+        "\"v1\",\"slots\":8,\"state\":\"%s\",\"coldLeftMs\":0,"
         "\"capacity\":{\"cpu\":64000,\"memMb\":131072,\"gpu\":8},"
         "\"labels\":[\"a\",\"r1-%u\"],\"clockMs\":1,\"seq\":%u,\"born\":"
         "%" G_GUINT64_FORMAT "}",
         worker->address, worker->number % 3,
+        worker->draining ? "draining" : "ready",
         worker->number % worker->deployment->rack_count,
         (unsigned)++worker->entry_sequence, worker->incarnation_ms);
 
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -183,6 +183,65 @@
     fake_fleet_destroy(deployment);
 }
 
+/* Starts a gang on workers 0 to 14 of 16, the first of which then drains. */
+static void
+start_gang_and_drain_member(fake_fleet *deployment)
+{
+    fake_job job;
+    int32_t reply;
+
+    fake_job_init(&job, 1, 1, 15, 8, 12 * 1000);
+    job.spec.steps[0].gang = true;
+    fake_fleet_submit(deployment, 0, &job, &reply);
+    fake_fleet_run(deployment, CS_SEC_US);
+    assert_int_equal(fake_fleet_start_count(deployment, "0000000000000001"),
+                     15);
+    fake_fleet_drain_worker(deployment, 0);
+    fake_fleet_run(deployment, 2 * CS_SEC_US);
+}
+
+/*
+ * Guards against a gang that waits for the end of the leases of a member whose
+ * worker has left, while nothing of it runs.
+ */
+static void
+fleet__gang_restarts_when_a_draining_worker_has_left(void **state)
+{
+    fake_fleet *deployment = create_deployment(22);
+
+    start_gang_and_drain_member(deployment);
+    fake_fleet_remove_worker(deployment, 0);
+    fake_fleet_run(deployment, 1500 * CS_MS_US);
+    assert_int_equal(fake_fleet_start_count(deployment, "0000000000000001"),
+                     30);
+    expect_no_violation(deployment);
+    fake_fleet_destroy(deployment);
+}
+
+/*
+ * Guards against starting a task twice at the same time: a draining worker
+ * that is cut off loses its entry by silence, and runs on.
+ */
+static void
+fleet__gang_waits_for_the_leases_of_a_silent_draining_worker(void **state)
+{
+    fake_fleet *deployment = create_deployment(23);
+    int64_t silence_us = 3 * INT64_C(1500) * CS_MS_US;
+
+    start_gang_and_drain_member(deployment);
+    fake_fleet_set_worker_disconnected(deployment, 0, true);
+    fake_fleet_run(deployment, silence_us);
+    fake_fleet_expire_entry(deployment, 0);
+    fake_fleet_run(deployment, 500 * CS_MS_US);
+    assert_int_equal(fake_fleet_start_count(deployment, "0000000000000001"),
+                     15);
+    fake_fleet_run(deployment, 8 * CS_SEC_US);
+    assert_int_equal(fake_fleet_start_count(deployment, "0000000000000001"),
+                     30);
+    expect_no_violation(deployment);
+    fake_fleet_destroy(deployment);
+}
+
 /*
  * Guards against spreading a gang over racks, which triples its run time,
  * because most workers have not answered a new holder yet.
@@ -682,6 +741,9 @@
         cmocka_unit_test(fleet__cold_start_adopts_tasks_before_leases_end),
         cmocka_unit_test(fleet__silent_worker_gets_no_tasks),
         cmocka_unit_test(fleet__success_seen_late_completes_the_task),
+        cmocka_unit_test(fleet__gang_restarts_when_a_draining_worker_has_left),
+        cmocka_unit_test(
+            fleet__gang_waits_for_the_leases_of_a_silent_draining_worker),
         cmocka_unit_test(fleet__gang_waits_for_a_rack_after_a_takeover),
         cmocka_unit_test(fleet__advised_step_runs_on_allowed_workers),
         cmocka_unit_test(fleet__advised_gang_may_span_racks),
