entry: the set of evacuated zones is read and followed

Cause: the rows evacuate/ZONE of the table op were skipped, so that a zone which the operator had evacuated went on to get tasks.

Change: cs_evacuations keeps the zones, whether they are known and when the store confirmed them last. The follower of the configuration reads their range first, then the configuration, and follows both. The settings may contain the bound evacuateMs, 5,000 ms by default. Nothing uses the set yet.

--- a/include/corianderstair/config_follower.h
+++ b/include/corianderstair/config_follower.h
@@ -1,7 +1,7 @@
 /**
  * @file config_follower.h
- * Follows the configuration row in the store and applies each newer version
- * to the shared state of the process.
+ * Follows the configuration row and the evacuated zones in the store and
+ * applies each change to the shared state of the process.
  */
 #ifndef CS_CONFIG_FOLLOWER_H
 #define CS_CONFIG_FOLLOWER_H
@@ -11,8 +11,9 @@
 typedef struct cs_config_follower cs_config_follower;
 
 /**
- * Creates a follower. It replaces the configuration in the shared state of the
- * process, which is borrowed and must outlive the follower.
+ * Creates a follower. It changes the configuration and the evacuated zones in
+ * the shared state of the process, which is borrowed and must outlive the
+ * follower.
  */
 cs_config_follower *cs_config_follower_create(cs_fleet_state *fleet_state);
 
--- a/include/corianderstair/fleet_state.h
+++ b/include/corianderstair/fleet_state.h
@@ -12,6 +12,7 @@
 #include "corianderstair/adviser_port.h"
 #include "corianderstair/clock.h"
 #include "corianderstair/counters.h"
+#include "corianderstair/evacuations.h"
 #include "corianderstair/fleet_config.h"
 #include "corianderstair/store_port.h"
 #include "corianderstair/vm_settings.h"
@@ -30,6 +31,8 @@
                          size_t size_bytes);
     const char *config_table;
     const char *config_key; /**< row that holds the configuration */
+    /** Rows of config_table with this prefix name the evacuated zones. */
+    const char *evacuation_prefix;
     /** Decodes the entry of a worker. */
     int (*decode_worker)(cs_worker_entry *out, const void *bytes,
                          size_t size_bytes);
@@ -66,10 +69,11 @@
     cs_fleet_ports ports;
     cs_vm_settings settings;
     cs_vm_rank rank;
-    char incarnation[96];    /**< unique to this run of the process */
-    cs_counters *counters;   /**< borrowed */
-    cs_fleet_config *config; /**< NULL until a version has been read */
-    double mean_write_us;    /**< duration of store writes; 0 if unknown */
+    char incarnation[96];        /**< unique to this run of the process */
+    cs_counters *counters;       /**< borrowed */
+    cs_fleet_config *config;     /**< NULL until a version has been read */
+    cs_evacuations *evacuations; /**< zones in which nothing is started */
+    double mean_write_us;        /**< duration of store writes; 0 if unknown */
     int64_t
         last_store_answer_us; /**< boot clock of the last answer; 0 if none */
     cs_cell_view cell;
--- a/include/corianderstair/vm_settings.h
+++ b/include/corianderstair/vm_settings.h
@@ -9,6 +9,10 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/** evacuate_ms of a deployment whose settings do not contain it; the figure of
+    docs/design/heavy-load.md. */
+#define CS_EVACUATE_MS 5000
+
 /** Time bounds of the deployment, all in milliseconds. */
 typedef struct {
     int64_t worker_lease_ms; /**< longest lease that a worker grants */
@@ -17,6 +21,9 @@
     int64_t config_apply_ms; /**< until a new configuration is in force */
     int64_t restore_ms;      /**< work that a resumed run has to repeat */
     int64_t retention_ms;    /**< how long ended jobs can be queried */
+    /** Until no task is started in an evacuated zone. */
+    int64_t evacuate_ms;
+    bool evacuate_given; /**< the settings contain evacuate_ms */
 } cs_vm_bounds;
 
 /** The settings of a process. Addresses are "IP:PORT". */
--- a/src/entry/config_follower.c
+++ b/src/entry/config_follower.c
@@ -18,8 +18,10 @@
 struct cs_config_follower {
     cs_fleet_state *fleet_state;
     bool call_in_flight;
-    bool row_loaded; /* false: read the row before following changes */
+    bool evacuations_loaded; /* false: read the range of evacuated zones */
+    bool row_loaded;         /* false: read the row before following changes */
     uint64_t followed_version; /* store version up to which it is current */
+    int64_t sent_us;           /* boot clock; when the open call was sent */
     int64_t next_call_us;      /* boot clock; earliest time of the next call */
     int64_t *applied;
     int64_t *rejected;
@@ -53,32 +55,77 @@
     (*follower->applied)++;
 }
 
+/* Ends a call. Returns whether its answer has rows to apply. */
+static bool
+end_call(cs_config_follower *follower, const cs_store_answer *answer)
+{
+    follower->call_in_flight = false;
+    cs_fleet_state_record_store_answer(follower->fleet_state, answer->code);
+    if (answer->code == 0)
+        return true;
+    /* The store may drop changes from its history before the retry, so the
+       rows themselves are read again. */
+    follower->evacuations_loaded = false;
+    follower->row_loaded = false;
+    if (answer->code != CS_E_TOO_OLD)
+        follower->next_call_us =
+            cs_fleet_state_now(follower->fleet_state).boot_us + RETRY_DELAY_US;
+    return false;
+}
+
 static void
-on_config_rows(void *user_data, const cs_store_answer *answer)
+on_evacuations(void *user_data, const cs_store_answer *answer)
 {
     cs_config_follower *follower = user_data;
+    cs_evacuations *evacuations = follower->fleet_state->evacuations;
     int64_t now_us = cs_fleet_state_now(follower->fleet_state).boot_us;
-    size_t i;
 
-    follower->call_in_flight = false;
-    cs_fleet_state_record_store_answer(follower->fleet_state, answer->code);
-    if (answer->code == CS_E_TOO_OLD) {
-        follower->row_loaded = false;
+    if (!end_call(follower, answer))
         return;
-    }
-    if (answer->code) {
-        /* The store may drop changes from its history before the retry, so
-           the row itself is read again. */
-        follower->row_loaded = false;
+    if (!cs_evacuations_replace(evacuations, answer, now_us)) {
         follower->next_call_us = now_us + RETRY_DELAY_US;
         return;
     }
+    cs_evacuations_confirm(evacuations, follower->sent_us);
+    follower->followed_version = answer->version;
+    follower->evacuations_loaded = true;
+    /* Reads the configuration row at once, as a process that has started
+       serves nothing without it. */
+    cs_config_follower_tick(follower);
+}
+
+static void
+on_config_row(void *user_data, const cs_store_answer *answer)
+{
+    cs_config_follower *follower = user_data;
+    size_t i;
+
+    if (!end_call(follower, answer))
+        return;
     for (i = 0; i < answer->row_count; i++)
         apply_row(follower, &answer->rows[i]);
-    follower->followed_version = answer->version;
     follower->row_loaded = true;
 }
 
+static void
+on_changes(void *user_data, const cs_store_answer *answer)
+{
+    cs_config_follower *follower = user_data;
+    cs_evacuations *evacuations = follower->fleet_state->evacuations;
+    int64_t now_us = cs_fleet_state_now(follower->fleet_state).boot_us;
+    size_t i;
+
+    if (!end_call(follower, answer))
+        return;
+    for (i = 0; i < answer->row_count; i++) {
+        apply_row(follower, &answer->rows[i]);
+        cs_evacuations_apply(evacuations, &answer->rows[i], now_us);
+    }
+    cs_evacuations_confirm(evacuations, follower->sent_us);
+    follower->followed_version = answer->version;
+    follower->evacuations_loaded = cs_evacuations_is_known(evacuations);
+}
+
 cs_config_follower *
 cs_config_follower_create(cs_fleet_state *fleet_state)
 {
@@ -105,6 +152,8 @@
     int64_t now_us = cs_fleet_state_now(follower->fleet_state).boot_us;
     int64_t wait_ms =
         follower->fleet_state->settings.bounds.config_apply_ms / WAIT_DIVISOR;
+    cs_row_range zones = cs_evacuations_range(
+        follower->fleet_state->evacuations, ports->config_table);
     cs_row_range range = {.table = ports->config_table,
                           .part = "",
                           .from = ports->config_key,
@@ -113,13 +162,22 @@
     if (follower->call_in_flight || now_us < follower->next_call_us)
         return;
     follower->call_in_flight = true;
-    if (follower->row_loaded)
+    follower->sent_us = now_us;
+    /* Changes are followed from the version of the first read, so that some
+       are applied after the second one has shown them. An old version of the
+       configuration is skipped then, but an old change of an evacuation would
+       return its zone, so the evacuations are read first. */
+    if (!follower->evacuations_loaded)
+        ports->store->read(ports->store->self, &zones,
+                           now_us + ANSWER_TIMEOUT_US, on_evacuations,
+                           follower);
+    else if (follower->row_loaded)
         ports->store->follow(ports->store->self, ports->config_table,
                              follower->followed_version, wait_ms,
                              now_us + wait_ms * CS_MS_US + ANSWER_TIMEOUT_US,
-                             on_config_rows, follower);
+                             on_changes, follower);
     else
         ports->store->read(ports->store->self, &range,
-                           now_us + ANSWER_TIMEOUT_US, on_config_rows,
+                           now_us + ANSWER_TIMEOUT_US, on_config_row,
                            follower);
 }
--- a/src/model/fleet_state.c
+++ b/src/model/fleet_state.c
@@ -15,6 +15,7 @@
     state->ports = *ports;
     state->settings = *settings;
     state->counters = counters;
+    state->evacuations = cs_evacuations_create(ports->evacuation_prefix);
     state->cell.waiting_jobs =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     now = cs_fleet_state_now(state);
@@ -26,6 +27,7 @@
 cs_fleet_state_dispose(cs_fleet_state *state)
 {
     cs_fleet_config_unref(state->config);
+    cs_evacuations_destroy(state->evacuations);
     g_hash_table_destroy(state->cell.waiting_jobs);
 }
 
--- a/src/programs/cs_fleetd.c
+++ b/src/programs/cs_fleetd.c
@@ -200,6 +200,7 @@
         .decode_config = platform_config_decode,
         .config_table = PLATFORM_CONFIG_TABLE,
         .config_key = PLATFORM_CONFIG_KEY,
+        .evacuation_prefix = PLATFORM_EVACUATION_PREFIX,
         .decode_worker = platform_worker_entry_decode,
         .workers_table = PLATFORM_WORKERS_TABLE,
     };
--- a/standins/fake_fleet.c
+++ b/standins/fake_fleet.c
@@ -111,6 +111,7 @@
                             .decode_config = platform_config_decode,
                             .config_table = PLATFORM_CONFIG_TABLE,
                             .config_key = PLATFORM_CONFIG_KEY,
+                            .evacuation_prefix = PLATFORM_EVACUATION_PREFIX,
                             .decode_worker = platform_worker_entry_decode,
                             .workers_table = PLATFORM_WORKERS_TABLE};
     cs_vm_settings settings = {
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -432,6 +432,22 @@
     assert_string_equal(settings.seeds[0], "10.0.0.2:3");
     assert_int_equal(settings.bounds.grace_ms, 1500);
     assert_int_equal(settings.bounds.worker_lease_ms, 6000);
+    assert_false(settings.bounds.evacuate_given);
+    assert_int_equal(settings.bounds.evacuate_ms, 5000);
+}
+
+/* Guards against a deployment whose own bound for evacuations is ignored. */
+static void
+platform__bound_of_evacuations_is_optional(void **state)
+{
+    GString *text = g_string_new(valid_settings);
+    cs_vm_settings settings;
+
+    g_string_replace(text, "\"early_ms\":250", "\"evacuateMs\":4000", 1);
+    assert_int_equal(platform_settings_decode(&settings, text->str), 0);
+    assert_true(settings.bounds.evacuate_given);
+    assert_int_equal(settings.bounds.evacuate_ms, 4000);
+    g_string_free(text, TRUE);
 }
 
 static void
@@ -475,6 +491,7 @@
         cmocka_unit_test(platform__store_reply_maps_to_result_code),
         cmocka_unit_test(platform__change_is_encoded),
         cmocka_unit_test(platform__settings_are_decoded),
+        cmocka_unit_test(platform__bound_of_evacuations_is_optional),
         cmocka_unit_test(platform__invalid_settings_name_the_field),
     };
 
