headroom: racks without usable workers do not count

Cause: the racks for urgent work are the last ones by index. If they are all in an evacuated zone, no urgent work can use them.

Change: a rack with workers of which none is usable is not counted, and as many racks before it are reserved instead. Racks without workers count as before.

Result: headroom__racks_without_usable_workers_do_not_count fails without the rule.

--- a/include/corianderstair/headroom.h
+++ b/include/corianderstair/headroom.h
@@ -22,9 +22,11 @@
 void cs_headroom_advance(cs_headroom *headroom, double seconds);
 
 /**
- * @return the number of racks to reserve for urgent work: at least one and at
- *         most half of them, or 0 in a cell with a single rack or no usable
- *         accelerators
+ * Racks with workers of which none is usable are not counted.
+ * @param cell indexed
+ * @return how many of the cell's last racks to reserve for urgent work: so
+ * many that at least one and at most half of all counted racks are reserved,
+ *         or 0 in a cell with a single counted rack or no usable accelerators
  */
 uint32_t cs_headroom_racks(const cs_headroom *headroom,
                            const cs_binpack_cell *cell);
--- a/tests/test_headroom.c
+++ b/tests/test_headroom.c
@@ -175,6 +175,29 @@
     load_dispose(&load);
 }
 
+/* Guards against headroom that consists of racks in an evacuated zone, whose
+   workers are not usable. */
+static void
+headroom__racks_without_usable_workers_do_not_count(void **state)
+{
+    struct load load;
+    cs_headroom unused = {0};
+    cs_headroom saturated = {0};
+    uint32_t i;
+
+    load_init(&load);
+    saturated.used_accelerators = (int64_t)WORKERS * 8;
+    cs_headroom_advance(&saturated, 1000);
+    for (i = 0; i < WORKERS; i++)
+        load.workers[i].usable = load.workers[i].rack < 4;
+    assert_int_equal(cs_headroom_racks(&unused, &load.cell), 3);
+    assert_int_equal(cs_headroom_racks(&saturated, &load.cell), 4);
+    for (i = 0; i < WORKERS; i++)
+        load.workers[i].usable = load.workers[i].rack < 1;
+    assert_int_equal(cs_headroom_racks(&saturated, &load.cell), 0);
+    load_dispose(&load);
+}
+
 static void
 headroom__mean_follows_use_within_seconds(void **state)
 {
@@ -197,6 +220,7 @@
             headroom__urgent_gangs_start_at_once_among_long_tasks),
         cmocka_unit_test(
             headroom__reserved_racks_are_at_least_one_at_most_half),
+        cmocka_unit_test(headroom__racks_without_usable_workers_do_not_count),
         cmocka_unit_test(headroom__mean_follows_use_within_seconds),
     };
 
