executor: a start in an evacuated zone is not sent

Cause: an order may be delayed on its way to the executor until after an evacuation that the holder had not seen.

Change: a start order carries the worker's zone in an optional last field. An executor answers a start in an evacuated zone with CS_E_CONNECT, as an expired order, and counts it in cs_executor_withheld_total. It does not refuse by a set that it has not confirmed for 5 s, which could block a zone after its return.

Result: executor__start_in_evacuated_zone_is_not_sent fails without the check. The test that patches an encoded start order finds it by its new length.

--- a/include/corianderstair/executor.h
+++ b/include/corianderstair/executor.h
@@ -8,6 +8,7 @@
 
 #include "corianderstair/clock.h"
 #include "corianderstair/counters.h"
+#include "corianderstair/evacuations.h"
 #include "corianderstair/peer_link.h"
 #include "corianderstair/worker_port.h"
 
@@ -15,8 +16,9 @@
 
 /** Settings; everything they point to is borrowed. */
 typedef struct {
-    const cs_worker_port *workers;  /**< calls workers from this process */
-    const cs_peer_link_port *link;  /**< carries the answers */
+    const cs_worker_port *workers; /**< calls workers from this process */
+    const cs_peer_link_port *link; /**< carries the answers */
+    const cs_evacuations *evacuations;
     cs_now (*now)(void *user_data); /**< clock */
     void *now_data;
     cs_counters *counters;
@@ -33,7 +35,9 @@
 
 /**
  * Executes a batch of orders. An order past its deadline is not sent to its
- * worker, and is answered with CS_E_CONNECT.
+ * worker, and is answered with CS_E_CONNECT. So is a start on a worker of an
+ * evacuated zone, so that an order which the holder sent before the evacuation
+ * is dropped.
  * @param sender_address of the sender's peer link, where the answers go
  */
 void cs_executor_receive(cs_executor *executor, const char *sender_address,
--- a/src/dispatch/batch_read.c
+++ b/src/dispatch/batch_read.c
@@ -135,6 +135,9 @@
     switch (order->type) {
     case CS_DISPATCH_START:
         read_start_order(&order->u.start, reader, spec);
+        /* Older holders do not send the zone. */
+        if (reader->next < reader->count)
+            order->target.zone = read_optional_text(reader);
         break;
     case CS_DISPATCH_STOP:
         read_stop_order(&order->u.stop, reader);
--- a/src/dispatch/batch_write.c
+++ b/src/dispatch/batch_write.c
@@ -35,7 +35,7 @@
 }
 
 /* Lengths of the order arrays, including the fields of pack_order_header. */
-#define START_FIELDS 12
+#define START_FIELDS 13
 #define STOP_FIELDS 8
 #define HEARTBEAT_FIELDS 9
 
@@ -69,7 +69,7 @@
 
 static void
 pack_start_order(cs_batch_writer *writer, msgpack_packer *packer,
-                 const cs_start_order *start)
+                 const cs_start_order *start, const char *zone)
 {
     pack_text(packer, start->task);
     msgpack_pack_uint32(packer, start->run);
@@ -78,6 +78,7 @@
     pack_text(packer, start->ticket);
     msgpack_pack_int64(packer, start->lease_end_ms);
     msgpack_pack_uint64(packer, start->epoch);
+    pack_text(packer, zone);
 }
 
 static void
@@ -108,7 +109,7 @@
     switch (order->type) {
     case CS_DISPATCH_START:
         pack_order_header(&packer, order, START_FIELDS);
-        pack_start_order(writer, &packer, &order->u.start);
+        pack_start_order(writer, &packer, &order->u.start, order->target.zone);
         break;
     case CS_DISPATCH_STOP:
         pack_order_header(&packer, order, STOP_FIELDS);
--- a/src/dispatch/executor.c
+++ b/src/dispatch/executor.c
@@ -8,6 +8,10 @@
 /* A holder sends a batch several times a second. One that is silent has lost
    the cell or uses other executors. */
 #define SENDER_TIMEOUT_US (10 * CS_SEC_US)
+/* An executor that is cut off from the store must not refuse starts in a zone
+   that was returned meanwhile. Past this age it relies on the holder, which
+   does not start tasks without a current set. */
+#define EVACUATIONS_AGE_MAX_US (5 * CS_SEC_US)
 
 /* A process that sends orders: the holder of the cell, or a former one. */
 struct sender {
@@ -24,8 +28,9 @@
     GHashTable *open_calls;        /* set of struct worker_call */
     struct sender *current_sender; /* of the batch that is being read */
     int64_t *orders_total;
-    int64_t *late_total;    /* orders that arrived past their deadline */
-    int64_t *refused_total; /* batches that could not be decoded */
+    int64_t *late_total;     /* orders that arrived past their deadline */
+    int64_t *refused_total;  /* batches that could not be decoded */
+    int64_t *withheld_total; /* starts in evacuated zones */
 };
 
 /* A call to a worker whose answer is outstanding. */
@@ -96,20 +101,44 @@
     return call;
 }
 
+/* Answers that nothing was sent, so the holder may retry safely. */
+static void
+drop_order(cs_executor *executor, const cs_dispatch_order *order)
+{
+    cs_worker_answer not_sent = {.code = CS_E_CONNECT, .clock_ms = -1};
+
+    cs_batch_add_answer(&executor->current_sender->answers, order->id,
+                        &not_sent);
+}
+
+static bool
+is_start_in_evacuated_zone(const cs_executor *executor,
+                           const cs_dispatch_order *order)
+{
+    const cs_evacuations *evacuations = executor->settings.evacuations;
+
+    return order->type == CS_DISPATCH_START &&
+           cs_evacuations_contains(evacuations, order->target.zone) &&
+           cs_evacuations_is_current(evacuations, now_us(executor),
+                                     EVACUATIONS_AGE_MAX_US);
+}
+
 static void
 on_order(void *user_data, const cs_dispatch_order *order)
 {
     cs_executor *executor = user_data;
     const cs_worker_port *port = executor->settings.workers;
-    cs_worker_answer expired = {.code = CS_E_CONNECT, .clock_ms = -1};
     struct worker_call *call;
 
     (*executor->orders_total)++;
-    /* Answers that nothing was sent, so the holder may retry safely. */
     if (now_us(executor) >= order->deadline_us) {
         (*executor->late_total)++;
-        cs_batch_add_answer(&executor->current_sender->answers, order->id,
-                            &expired);
+        drop_order(executor, order);
+        return;
+    }
+    if (is_start_in_evacuated_zone(executor, order)) {
+        (*executor->withheld_total)++;
+        drop_order(executor, order);
         return;
     }
     call = begin_call(executor, order->id);
@@ -200,6 +229,8 @@
     executor->late_total = cs_counters_get(counters, "cs_executor_late_total");
     executor->refused_total =
         cs_counters_get(counters, "cs_executor_refused_total");
+    executor->withheld_total =
+        cs_counters_get(counters, "cs_executor_withheld_total");
     return executor;
 }
 
--- a/src/programs/fleetd_dispatch.c
+++ b/src/programs/fleetd_dispatch.c
@@ -50,6 +50,7 @@
     cs_executor_settings executor_settings = {
         .workers = direct,
         .link = cs_peer_link_port_of(daemon->peer_link),
+        .evacuations = daemon->state.evacuations,
         .now = daemon_now,
         .counters = daemon->counters};
     cs_dispatch_settings dispatch_settings = {
--- a/standins/fake_fleet_link.c
+++ b/standins/fake_fleet_link.c
@@ -114,6 +114,8 @@
 {
     cs_executor_settings executor_settings = {.workers = &vm->workers,
                                               .link = &vm->link,
+                                              .evacuations =
+                                                  vm->state.evacuations,
                                               .now = fake_vm_now,
                                               .now_data = vm,
                                               .counters = vm->counters};
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -130,12 +130,12 @@
     g_free(spec);
 }
 
-/* Returns the next encoded start order: a msgpack array header for 12 fields,
+/* Returns the next encoded start order: a msgpack array header for 13 fields,
    followed by the order type. */
 static guint8 *
 find_start_order(guint8 *at)
 {
-    while (at[0] != 0x9c || at[1] != CS_DISPATCH_START)
+    while (at[0] != 0x9d || at[1] != CS_DISPATCH_START)
         at++;
     return at;
 }
@@ -342,6 +342,7 @@
     cs_worker_port workers;
     cs_peer_link_port link;
     cs_counters *counters;
+    cs_evacuations *evacuations;
     cs_executor *executor;
 };
 
@@ -361,6 +362,8 @@
     fixture->link.close = fake_close;
     fixture->counters = cs_counters_create();
     settings.counters = fixture->counters;
+    fixture->evacuations = cs_evacuations_create("e/");
+    settings.evacuations = fixture->evacuations;
     fixture->executor = cs_executor_create(&settings);
 }
 
@@ -368,6 +371,7 @@
 fixture_dispose(struct executor_fixture *fixture)
 {
     cs_executor_destroy(fixture->executor);
+    cs_evacuations_destroy(fixture->evacuations);
     cs_counters_destroy(fixture->counters);
 }
 
@@ -411,6 +415,31 @@
     fixture_dispose(&fixture);
 }
 
+/* Guards against a delayed start in an evacuated zone, and against an executor
+   that goes on refusing starts by a set which it can no longer read. */
+static void
+executor__start_in_evacuated_zone_is_not_sent(void **state)
+{
+    cs_worker_answer started = {.clock_ms = 50};
+    cs_store_answer none = {0};
+    cs_row row = {.key = "e/z1"};
+    struct executor_fixture fixture;
+
+    fixture_init(&fixture);
+    fixture.ports.now_us = 4000;
+    cs_evacuations_replace(fixture.evacuations, &none, 0);
+    cs_evacuations_apply(fixture.evacuations, &row, 0);
+    receive_start_order(fixture.executor, 1);
+    assert_int_equal(fixture.ports.start_calls, 1);
+    fixture.ports.done(fixture.ports.done_data, &started);
+    cs_evacuations_confirm(fixture.evacuations, 4000);
+    receive_start_order(fixture.executor, 2);
+    assert_int_equal(fixture.ports.start_calls, 1);
+    cs_executor_tick(fixture.executor, false);
+    assert_int_equal(fixture.ports.answers.last_answer.code, CS_E_CONNECT);
+    fixture_dispose(&fixture);
+}
+
 /* A call to a worker may still be open when the executor removes the holder
    that ordered it, and even when the executor is destroyed. */
 static void
@@ -444,6 +473,7 @@
         cmocka_unit_test(batch__truncated_or_invalid_items_are_skipped),
         cmocka_unit_test(executor__answer_carries_the_order_id),
         cmocka_unit_test(executor__expired_order_is_not_sent_to_the_worker),
+        cmocka_unit_test(executor__start_in_evacuated_zone_is_not_sent),
         cmocka_unit_test(executor__silent_holder_is_removed),
     };
 
