fleet: nothing is started in an evacuated zone

Cause: the holder did not use the evacuated zones.

Change: workers of an evacuated zone are not usable, and reservations on them are dropped. A task whose run was recorded meanwhile is released, a gang as a whole. The holder starts nothing before the zones are known, nor while they were not confirmed for evacuateMs less the duration of an order; it keeps the cell and running work. csctl fleet shows the zones. The checker of the simulated deployment records later starts in an evacuated zone.

--- a/src/fleet/commit.c
+++ b/src/fleet/commit.c
@@ -237,6 +237,7 @@
 {
     uint32_t k;
 
+    start_gate_release(fleet, step);
     for (k = 0; k < step->spec->task_count; k++) {
         struct task *task = &step->tasks[k];
 
--- a/src/fleet/cycle.c
+++ b/src/fleet/cycle.c
@@ -106,6 +106,22 @@
     step->reserved_workers = NULL;
 }
 
+static bool
+is_reserved_in_evacuated_zone(const struct cycle *cycle,
+                              const struct step *step)
+{
+    const GPtrArray *workers = cycle->fleet->worker_list;
+    uint32_t i;
+
+    for (i = 0; i < step->spec->task_count; i++) {
+        if (start_gate_is_closed_at(
+                cycle->fleet,
+                g_ptr_array_index(workers, step->reserved_workers[i])))
+            return true;
+    }
+    return false;
+}
+
 static void
 apply_reservations(struct cycle *cycle)
 {
@@ -117,7 +133,8 @@
 
         if (!step->reserved_workers)
             continue;
-        if (cycle->now.boot_us - step->reserved_us > RESERVATION_US)
+        if (cycle->now.boot_us - step->reserved_us > RESERVATION_US ||
+            is_reserved_in_evacuated_zone(cycle, step))
             drop_reservation(step);
         else
             cycle_apply_reservation(cycle, step, true);
@@ -234,7 +251,7 @@
     guint i;
 
     fleet->cycle_requested = false;
-    if (!fleet->state->config)
+    if (!fleet->state->config || !start_gate_is_open(fleet))
         return;
     cycle.candidates = g_array_new(FALSE, FALSE, sizeof(struct candidate));
     cycle.failed_requests =
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -93,6 +93,7 @@
     fleet->advice_pending = false;
     fleet->idle_heartbeats = 0;
     fleet->headroom.used_accelerators = 0;
+    fleet->starts_held = false;
 }
 
 cs_fleet *
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -26,6 +26,8 @@
 #define LEASE_KEY "lease"
 /* The store normally answers within tens of milliseconds. */
 #define STORE_TIMEOUT_US (900 * CS_MS_US)
+/* Maximum duration of an order to a worker. */
+#define ORDER_TIMEOUT_US (900 * CS_MS_US)
 
 typedef enum {
     TENURE_FOLLOWING, /* stand-by: another process or none holds the cell */
@@ -253,6 +255,7 @@
     bool advice_pending;      /* a query to the adviser is in flight */
     int64_t next_timed_work_us;
     cs_headroom headroom; /* of the urgent tasks that are placed */
+    bool starts_held;     /* the evacuations were not confirmed in time */
 };
 
 /* Run times of the tasks of a queue. */
@@ -297,6 +300,18 @@
 void feeds_init(cs_fleet *fleet);
 void feeds_tick(cs_fleet *fleet);
 
+/* start_gate.c */
+/* Returns whether the worker's zone is evacuated, so that nothing starts on
+   the worker. */
+bool start_gate_is_closed_at(const cs_fleet *fleet,
+                             const struct worker *worker);
+/* Returns whether tasks may start in zones that are not known to be evacuated.
+ */
+bool start_gate_is_open(cs_fleet *fleet);
+/* Releases the recorded tasks of a step that must not start, a gang as a
+   whole. */
+void start_gate_release(cs_fleet *fleet, struct step *step);
+
 /* worker.c */
 /* Returns the worker with the id, creating it if necessary. */
 struct worker *worker_get(cs_fleet *fleet, const char *id);
--- a/src/fleet/run.c
+++ b/src/fleet/run.c
@@ -1,7 +1,6 @@
 /* Starts and stops runs on workers and handles the answers. */
 #include "fleet_internal.h"
 
-#define ORDER_TIMEOUT_US (900 * CS_MS_US)
 /* A worker that refuses a start for lack of capacity probably has a run that
    has ended but is not listed yet, so a short pause suffices. */
 #define NO_SPACE_PAUSE_US (150 * CS_MS_US)
--- /dev/null
+++ b/src/fleet/start_gate.c
@@ -0,0 +1,95 @@
+/*
+ * Where and when tasks may start: not in an evacuated zone, and nowhere while
+ * an evacuation may have been missed. Only starts are held back. Running work
+ * goes on, its leases are extended and the cell is kept.
+ */
+#include "fleet_internal.h"
+
+/* Lower limit of the age at which the evacuations are too old to start tasks.
+   The follower confirms them with each poll, and a poll takes up to 1.2 s. */
+#define EVACUATIONS_AGE_MIN_US (1500 * CS_MS_US)
+
+bool
+start_gate_is_closed_at(const cs_fleet *fleet, const struct worker *worker)
+{
+    return cs_evacuations_contains(fleet->state->evacuations, worker->zone);
+}
+
+/* Returns whether the evacuations are known well enough. An order that is sent
+   now may take effect until ORDER_TIMEOUT_US later. */
+static bool
+are_evacuations_current(const cs_fleet *fleet)
+{
+    const cs_evacuations *evacuations = fleet->state->evacuations;
+    const cs_vm_bounds *bounds = &fleet->state->settings.bounds;
+    int64_t max_age_us = bounds->evacuate_ms * CS_MS_US - ORDER_TIMEOUT_US;
+
+    if (!bounds->evacuate_given)
+        return cs_evacuations_is_known(evacuations);
+    return cs_evacuations_is_current(evacuations, fleet_now(fleet).boot_us,
+                                     MAX(max_age_us, EVACUATIONS_AGE_MIN_US));
+}
+
+bool
+start_gate_is_open(cs_fleet *fleet)
+{
+    bool held = !are_evacuations_current(fleet);
+
+    if (held && !fleet->starts_held) {
+        cs_log_event("starts-held",
+                     "the evacuations were not confirmed in time");
+        fleet_increment_counter(fleet, "cs_starts_held_total");
+    }
+    else if (!held && fleet->starts_held) {
+        cs_log_event("starts-resumed", "the evacuations are confirmed");
+    }
+    fleet->starts_held = held;
+    return !held;
+}
+
+static bool
+must_withhold(cs_fleet *fleet, const struct task *task)
+{
+    return task->state == TASK_RECORDING &&
+           (!start_gate_is_open(fleet) ||
+            start_gate_is_closed_at(fleet, task->worker));
+}
+
+/* Lets a recorded task wait again. Its run was never sent to a worker. */
+static void
+withhold_start(cs_fleet *fleet, struct task *task)
+{
+    char name[TASK_NAME_BYTES];
+
+    task_name(name, task);
+    cs_log_event("start-withheld", "task %s run %u worker %s, %s", name,
+                 task->run, task->worker->id,
+                 fleet->starts_held
+                     ? "the evacuations were not confirmed in time"
+                     : task->worker->zone);
+    fleet_increment_counter(fleet, "cs_starts_withheld_total");
+    task_release(fleet, task);
+}
+
+void
+start_gate_release(cs_fleet *fleet, struct step *step)
+{
+    bool any = false;
+    uint32_t i;
+
+    if (job_is_final(step->job))
+        return;
+    for (i = 0; i < step->spec->task_count; i++)
+        any = any || must_withhold(fleet, &step->tasks[i]);
+    if (!any)
+        return;
+    for (i = 0; i < step->spec->task_count; i++) {
+        struct task *task = &step->tasks[i];
+
+        if (must_withhold(fleet, task) ||
+            (step->spec->gang && task->state == TASK_RECORDING))
+            withhold_start(fleet, task);
+    }
+    if (step->spec->gang)
+        step_stop_members(fleet, step);
+}
--- a/src/fleet/status.c
+++ b/src/fleet/status.c
@@ -23,11 +23,11 @@
     int64_t now_us = fleet_now(fleet).boot_us;
 
     return json_pack(
-        "{s:s,s:s,s:b,s:b,s:b,s:i,s:I,s:I,s:f}", "id", worker->id, "zone",
+        "{s:s,s:s,s:b,s:b,s:b,s:b,s:i,s:I,s:I,s:f}", "id", worker->id, "zone",
         worker->zone, "listed", worker->listed, "draining", worker->draining,
-        "usable", worker_is_usable(fleet, worker), "tasks",
-        (int)worker->tasks->len, "used", (json_int_t)worker->used.accelerators,
-        "answered_ms_ago",
+        "evacuated", start_gate_is_closed_at(fleet, worker), "usable",
+        worker_is_usable(fleet, worker), "tasks", (int)worker->tasks->len,
+        "used", (json_int_t)worker->used.accelerators, "answered_ms_ago",
         (json_int_t)((now_us - worker->last_answer_us) / CS_MS_US),
         "log_speed", worker->speed.log_speed);
 }
@@ -54,7 +54,7 @@
     int64_t now_us = fleet_now(fleet).boot_us;
 
     return json_pack(
-        "{s:s,s:s,s:s,s:I,s:s,s:I,s:I,s:b,s:i,s:i,s:i,s:o}", "vm",
+        "{s:s,s:s,s:s,s:I,s:s,s:I,s:I,s:b,s:i,s:i,s:i,s:b,s:o,s:o}", "vm",
         state->settings.name, "zone", state->settings.zone, "tenure",
         tenure_name(fleet->tenure), "epoch", (json_int_t)state->cell.epoch,
         "holder", state->cell.holder, "config",
@@ -64,7 +64,9 @@
         "draining", state->draining, "active_jobs",
         (int)fleet->active_jobs->len, "ended_jobs",
         (int)fleet->final_jobs->len, "unrecorded_jobs",
-        (int)g_queue_get_length((GQueue *)&fleet->dirty_jobs), "workers",
+        (int)g_queue_get_length((GQueue *)&fleet->dirty_jobs), "starts_held",
+        fleet->starts_held, "evacuations",
+        cs_evacuations_status(state->evacuations, now_us), "workers",
         list_workers(fleet));
 }
 
@@ -103,12 +105,15 @@
 }
 
 static const char *
-step_reason(const struct job *job, const struct step *step)
+step_reason(const cs_fleet *fleet, const struct job *job,
+            const struct step *step)
 {
     if (step->waiting_count == 0)
         return "every task is placed or done";
     if (!job_step_is_ready(job, step))
         return "an earlier step is not done";
+    if (fleet->starts_held)
+        return "starts are held, as the evacuated zones are not known";
     if (step->reserved_workers)
         return "others are being stopped for it";
     if (step->exceeds_racks)
@@ -126,12 +131,13 @@
 
     for (i = 0; i < step->spec->task_count; i++)
         json_array_append_new(tasks, task_status(&step->tasks[i]));
-    return json_pack(
-        "{s:i,s:i,s:s,s:I,s:o}", "occurrence", (int)step->occurrence, "step",
-        (int)step->number, "reason", step_reason(job, step), "waited_ms",
-        (json_int_t)(step->ready_us ? (now_us - step->ready_us) / CS_MS_US
-                                    : 0),
-        "tasks", tasks);
+    return json_pack("{s:i,s:i,s:s,s:I,s:o}", "occurrence",
+                     (int)step->occurrence, "step", (int)step->number,
+                     "reason", step_reason(fleet, job, step), "waited_ms",
+                     (json_int_t)(step->ready_us
+                                      ? (now_us - step->ready_us) / CS_MS_US
+                                      : 0),
+                     "tasks", tasks);
 }
 
 json_t *
--- a/src/fleet/worker.c
+++ b/src/fleet/worker.c
@@ -254,7 +254,8 @@
     int64_t now_us = fleet_now(fleet).boot_us;
 
     if (!worker->listed || worker->draining || !worker->answered ||
-        worker->failed_heartbeats > 0)
+        worker->failed_heartbeats > 0 ||
+        start_gate_is_closed_at(fleet, worker))
         return false;
     if (now_us < worker->paused_until_us)
         return false;
--- a/src/programs/csctl_fleet.c
+++ b/src/programs/csctl_fleet.c
@@ -37,6 +37,8 @@
             state = "draining";
         else if (!json_is_true(json_object_get(item, "listed")))
             state = "gone";
+        else if (json_is_true(json_object_get(item, "evacuated")))
+            state = "evacuated";
         else if (json_is_true(json_object_get(item, "usable")))
             state = "usable";
         printf("%-20s %-16s %-9s %5d %5d %12d\n", string_member(item, "id"),
@@ -66,6 +68,22 @@
     }
 }
 
+static void
+print_evacuations(const json_t *body)
+{
+    const json_t *evacuations = json_object_get(body, "evacuations");
+    const json_t *item;
+    size_t i;
+
+    json_array_foreach(evacuations, i, item)
+    {
+        printf("zone %s is evacuated, for %d ms\n",
+               string_member(item, "zone"), integer_member(item, "for_ms"));
+    }
+    if (json_is_true(json_object_get(body, "starts_held")))
+        printf("no task is started: the evacuated zones are not known\n");
+}
+
 static void
 print_fleet(const json_t *body)
 {
@@ -83,6 +101,7 @@
            integer_member(body, "active_jobs"),
            integer_member(body, "ended_jobs"),
            integer_member(body, "unrecorded_jobs"));
+    print_evacuations(body);
     print_executors(json_object_get(body, "executors"));
     print_workers(json_object_get(body, "workers"));
 }
--- a/standins/fake_fleet.c
+++ b/standins/fake_fleet.c
@@ -120,6 +120,8 @@
                    .grace_ms = 6000,
                    .config_apply_ms = 2000,
                    .restore_ms = 600,
+                   .evacuate_ms = FAKE_EVACUATE_MS,
+                   .evacuate_given = true,
                    .retention_ms = 120000}};
 
     g_snprintf(vm->name, sizeof(vm->name), "vm-%u", vm->number);
@@ -130,7 +132,8 @@
                PEER_ADDRESS_PREFIX "%u", vm->number);
     fake_link_address(settings.link_address, sizeof(settings.link_address),
                       vm->number);
-    g_snprintf(settings.zone, sizeof(settings.zone), "z%u", vm->number % 3);
+    g_snprintf(settings.zone, sizeof(settings.zone), "z%u",
+               vm->number % FAKE_ZONES);
     settings.cpu_share = (double)vm->cpu_milli / 1000.0;
     vm->busy_until_us = 0;
     vm->counters = cs_counters_create();
@@ -296,6 +299,21 @@
     g_free(text);
 }
 
+void
+fake_fleet_evacuate(fake_fleet *deployment, uint32_t zone, bool evacuate)
+{
+    char key[32];
+
+    g_snprintf(key, sizeof(key), PLATFORM_EVACUATION_PREFIX "z%u", zone);
+    if (evacuate == (deployment->evacuated_us[zone] >= 0))
+        return;
+    if (evacuate)
+        fake_store_put(deployment, PLATFORM_CONFIG_TABLE, "", key, "{}", 2);
+    else
+        fake_store_remove(deployment, PLATFORM_CONFIG_TABLE, "", key);
+    deployment->evacuated_us[zone] = evacuate ? deployment->now_us : -1;
+}
+
 static int64_t
 vm_cpu_milli(const fake_fleet_settings *settings, uint32_t vm)
 {
@@ -338,6 +356,8 @@
                                          : UINT32_MAX;
     deployment->call_us = settings->call_us;
     deployment->message_us = settings->message_us;
+    for (i = 0; i < FAKE_ZONES; i++)
+        deployment->evacuated_us[i] = -1;
     fake_store_init(deployment);
     fake_fleet_configure(deployment, 1);
     for (i = 0; i < deployment->worker_count; i++) {
@@ -758,6 +778,12 @@
     return fake_store_get(deployment, CS_TABLE_JOBS, part, id) != NULL;
 }
 
+uint32_t
+fake_fleet_zone_starts(const fake_fleet *deployment, uint32_t zone)
+{
+    return deployment->zone_starts[zone];
+}
+
 uint32_t
 fake_fleet_start_count(const fake_fleet *deployment, const char *id)
 {
--- a/standins/fake_fleet.h
+++ b/standins/fake_fleet.h
@@ -26,8 +26,10 @@
 
 /** Faults on the network links of one VM; all zero means none. */
 typedef struct {
-    bool store_unreachable;          /**< calls to the store never arrive */
-    bool store_refuses;              /**< the store answers 503 */
+    bool store_unreachable; /**< calls to the store never arrive */
+    bool store_refuses;     /**< the store answers 503 */
+    bool config_unanswered; /**< calls for the table of the configuration are
+                                 not answered */
     double unanswered_changes_share; /**< share of changes applied but never
                                         answered */
     double late_changes_share; /**< share of changes applied seconds later and
@@ -46,7 +48,8 @@
     FAKE_ALL_PROTECTIONS,
     FAKE_WITHOUT_CONDITION_CHECK, /**< the store ignores conditions */
     FAKE_WITHOUT_EPOCH_CHECK,     /**< workers accept stale epochs */
-    FAKE_WITHOUT_OLD_RUN_CHECK    /**< workers restart finished runs */
+    FAKE_WITHOUT_OLD_RUN_CHECK,   /**< workers restart finished runs */
+    FAKE_WITHOUT_EVACUATIONS /**< the store hides the rows of evacuations */
 } fake_disabled_protection;
 
 typedef struct {
@@ -120,6 +123,14 @@
 /** Writes the configuration to the store under a version number. */
 void fake_fleet_configure(fake_fleet *deployment, uint64_t version);
 
+/** Number of zones; VM or worker n is in zone n modulo this number. */
+#define FAKE_ZONES 3
+/**
+ * Writes or removes the row that evacuates a zone. The checker records a
+ * violation if a task is started there later than evacuate_ms after the write.
+ */
+void fake_fleet_evacuate(fake_fleet *deployment, uint32_t zone, bool evacuate);
+
 /**
  * Kills a worker; after down_us it returns with the same id and a new
  * incarnation.
@@ -170,6 +181,9 @@
 /** @return whether the store has a row for the job */
 bool fake_fleet_job_is_stored(const fake_fleet *deployment, const char *id);
 
+/** @return number of runs that workers of a zone have started */
+uint32_t fake_fleet_zone_starts(const fake_fleet *deployment, uint32_t zone);
+
 /** @return number of runs that workers started for the tasks of a job */
 uint32_t fake_fleet_start_count(const fake_fleet *deployment, const char *id);
 
--- a/standins/fake_fleet_check.c
+++ b/standins/fake_fleet_check.c
@@ -89,9 +89,29 @@
     }
 }
 
+/* Checks that the zone of the worker is not evacuated. */
+static void
+check_evacuation(fake_fleet *deployment,
+                 const struct fake_fleet_worker *worker,
+                 const struct fake_run *run, int64_t ordered_us)
+{
+    uint32_t zone = worker->number % FAKE_ZONES;
+    int64_t evacuated_us = deployment->evacuated_us[zone];
+
+    deployment->zone_starts[zone]++;
+    if (evacuated_us >= 0 &&
+        ordered_us - evacuated_us > FAKE_EVACUATE_MS * CS_MS_US)
+        fake_record_violation(
+            deployment,
+            "evacuation: %s run %u started on %s %.3f s after the evacuation "
+            "of its zone",
+            run->task, run->run, worker->id,
+            (double)(ordered_us - evacuated_us) / CS_SEC_US);
+}
+
 void
 fake_check_start(fake_fleet *deployment, struct fake_fleet_worker *worker,
-                 const struct fake_run *run)
+                 const struct fake_run *run, int64_t ordered_us)
 {
     struct fake_job_record *record =
         fake_job_record_find(deployment, run->job);
@@ -116,6 +136,7 @@
             deployment,
             "retry budget: %s run %u started after all attempts failed",
             run->task, run->run);
+    check_evacuation(deployment, worker, run, ordered_us);
     check_single_run(deployment, worker, run);
     check_capacity(deployment, worker);
     check_dependencies(deployment, record, run);
--- a/standins/fake_fleet_internal.h
+++ b/standins/fake_fleet_internal.h
@@ -13,6 +13,8 @@
 /* Delay of a message in one direction. */
 #define FAKE_NETWORK_DELAY_US (500)
 #define FAKE_WORKER_LEASE_MS 6000
+/* Bound for the last start in an evacuated zone. */
+#define FAKE_EVACUATE_MS 5000
 /* Time that a run takes to stop. */
 #define FAKE_STOP_TIME_US (300 * CS_MS_US)
 /* A run of a gang ends if the gang is not complete after this time. */
@@ -149,6 +151,8 @@
     uint32_t max_direct_workers;
     int64_t call_us;
     int64_t message_us;
+    int64_t evacuated_us[FAKE_ZONES]; /* when its row was written, or -1 */
+    uint32_t zone_starts[FAKE_ZONES];
     bool shutting_down;               /* messages are freed, not delivered */
     uint64_t call_count;              /* store changes and worker orders */
     uint32_t pending_advice_requests; /* not yet answered by the adviser */
@@ -219,8 +223,10 @@
                           const char *step, const char *ticket);
 
 /* fake_fleet_check.c */
+/* ordered_us is when the order arrived, or would have without a fault of the
+   network. */
 void fake_check_start(fake_fleet *deployment, struct fake_fleet_worker *worker,
-                      const struct fake_run *run);
+                      const struct fake_run *run, int64_t ordered_us);
 void fake_check_end(fake_fleet *deployment, struct fake_fleet_worker *worker,
                     const struct fake_run *run, cs_run_outcome outcome);
 /* Records a job that another process wrote to the store. */
--- a/standins/fake_fleet_store.c
+++ b/standins/fake_fleet_store.c
@@ -4,6 +4,8 @@
  */
 #include "fake_fleet_internal.h"
 
+#include "config.h"
+
 #define STORE_LATENCY_US (4 * CS_MS_US)
 #define MAX_CHANGE_ROWS 100
 /* Delay of a change that a fault makes late. */
@@ -138,6 +140,14 @@
     send_answer(call, &answer);
 }
 
+static bool
+is_hidden(const struct store_call *call, const struct fake_row *row)
+{
+    return call->deployment->disabled_protection == FAKE_WITHOUT_EVACUATIONS &&
+           strcmp(row->table, PLATFORM_CONFIG_TABLE) == 0 &&
+           g_str_has_prefix(row->key, PLATFORM_EVACUATION_PREFIX);
+}
+
 static void
 send_rows(struct store_call *call, int code, GPtrArray *rows, bool has_more)
 {
@@ -145,21 +155,24 @@
                               .version = call->deployment->store.version,
                               .now_ms =
                                   call->deployment->now_us / CS_MS_US + 1,
-                              .row_count = rows->len,
                               .has_more = has_more};
     cs_row *list = g_new0(cs_row, rows->len + 1);
     guint i;
 
     for (i = 0; i < rows->len; i++) {
         const struct fake_row *row = g_ptr_array_index(rows, i);
+        cs_row *out = &list[answer.row_count];
 
-        list[i].table = row->table;
-        list[i].part = row->part;
-        list[i].key = row->key;
-        list[i].value = row->value->data;
-        list[i].size_bytes = row->value->len;
-        list[i].version = row->version;
-        list[i].deleted = row->deleted;
+        if (is_hidden(call, row))
+            continue;
+        out->table = row->table;
+        out->part = row->part;
+        out->key = row->key;
+        out->value = row->value->data;
+        out->size_bytes = row->value->len;
+        out->version = row->version;
+        out->deleted = row->deleted;
+        answer.row_count++;
     }
     answer.rows = list;
     send_answer(call, &answer);
@@ -502,7 +515,9 @@
     if (faults->store_refuses || !call->relay->up) {
         fake_schedule(deployment, at_us, refuse_call, call);
     }
-    else if (!faults->store_unreachable) {
+    else if (!faults->store_unreachable &&
+             !(faults->config_unanswered && call->table &&
+               strcmp(call->table, PLATFORM_CONFIG_TABLE) == 0)) {
         if (writes &&
             fake_random_bool(deployment, faults->unanswered_changes_share))
             fake_schedule(deployment, at_us, execute_unanswered, call);
--- a/standins/fake_fleet_worker.c
+++ b/standins/fake_fleet_worker.c
@@ -34,6 +34,7 @@
     uint64_t incarnation_ms; /* of the worker when the order was sent */
     bool answered;
     bool is_waiting;
+    int64_t ordered_us;  /* when it arrives; when it was sent if it is late */
     bool answer_is_lost; /* an order that is executed late is not answered */
     char ticket[CS_TICKET_BYTES];
     cs_worker_done done;
@@ -120,7 +121,7 @@
         "\"capacity\":{\"cpu\":64000,\"memMb\":131072,\"gpu\":8},"
         "\"labels\":[\"a\",\"r1-%u\"],\"clockMs\":1,\"seq\":%u,\"born\":"
         "%" G_GUINT64_FORMAT "}",
-        worker->address, worker->number % 3,
+        worker->address, worker->number % FAKE_ZONES,
         worker->number % worker->deployment->rack_count,
         (unsigned)++worker->entry_sequence, worker->incarnation_ms);
 
@@ -566,7 +567,7 @@
     run->started_us = worker->deployment->now_us;
     g_ptr_array_add(worker->runs, run);
     extend_lease(worker, order->lease_end_ms);
-    fake_check_start(worker->deployment, worker, run);
+    fake_check_start(worker->deployment, worker, run, order->ordered_us);
     start_work_if_complete(worker, run);
     send_answer(order, &answer);
 }
@@ -704,6 +705,7 @@
     bool late = fake_random_bool(deployment, faults->late_orders_share);
 
     order->answer_is_lost = late;
+    order->ordered_us = late ? deployment->now_us : at_us;
     if (worker && worker->up)
         order->incarnation_ms = worker->incarnation_ms;
 
