--- a/tests/test_fleet_faults.c
+++ b/tests/test_fleet_faults.c
@@ -15,6 +15,7 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdlib.h>
+#include <string.h>
 #include <cmocka.h>
 
 #define VMS 4
@@ -61,6 +62,7 @@
     FAULT_CUT_WORKER,
     FAULT_STORE_REFUSES,
     FAULT_COMPACT_HISTORY,
+    FAULT_EVACUATE_ZONE,
     FAULT_KINDS
 } fault_kind;
 
@@ -119,6 +121,9 @@
     case FAULT_COMPACT_HISTORY:
         fake_fleet_compact(deployment);
         return;
+    case FAULT_EVACUATE_ZONE:
+        fake_fleet_evacuate(deployment, worker % FAKE_ZONES, true);
+        return;
     case FAULT_KINDS:
         return;
     }
@@ -133,6 +138,8 @@
     fake_fleet_set_faults(deployment, -1, &none);
     for (i = 0; i < WORKERS; i++)
         fake_fleet_set_worker_disconnected(deployment, i, false);
+    for (i = 0; i < FAKE_ZONES; i++)
+        fake_fleet_evacuate(deployment, i, false);
 }
 
 /* Submits gangs and single tasks, an urgent job and one of an advised queue.
@@ -339,6 +346,35 @@
     expect_detected(FAKE_WITHOUT_OLD_RUN_CHECK, FAULT_DELAY_ORDERS);
 }
 
+/* The jobs are submitted after the evacuation, so that there are starts later
+   than its bound. */
+static char *
+run_evacuated_session(fake_disabled_protection disabled)
+{
+    fake_fleet *deployment = create_deployment(31, disabled);
+    char *failure;
+
+    fake_fleet_evacuate(deployment, 1, true);
+    fake_fleet_run(deployment, 6 * CS_SEC_US);
+    submit_session_jobs(deployment);
+    fake_fleet_run(deployment, SETTLE_US);
+    failure = describe_unsettled(deployment, SESSION_JOBS);
+    fake_fleet_destroy(deployment);
+    return failure;
+}
+
+static void
+fleet_faults__checker_detects_missing_evacuations(void **state)
+{
+    char *failure = run_evacuated_session(FAKE_ALL_PROTECTIONS);
+
+    assert_null(failure);
+    failure = run_evacuated_session(FAKE_WITHOUT_EVACUATIONS);
+    assert_non_null(failure);
+    assert_non_null(strstr(failure, "evacuation: "));
+    g_free(failure);
+}
+
 static void
 inject_random_fault(fake_fleet *deployment, GRand *random)
 {
@@ -346,7 +382,7 @@
     uint32_t vm = (uint32_t)g_rand_int_range(random, 0, 4);
     uint32_t worker = (uint32_t)g_rand_int_range(random, 0, 16);
 
-    switch (g_rand_int_range(random, 0, 12)) {
+    switch (g_rand_int_range(random, 0, 14)) {
     case 0:
         fake_fleet_kill(deployment, vm, 2 * CS_SEC_US);
         break;
@@ -390,10 +426,14 @@
     case 10:
         fake_fleet_set_worker_disconnected(deployment, worker, true);
         break;
-    default:
+    case 11:
         faults.store_refuses = true;
         fake_fleet_set_faults(deployment, -1, &faults);
         break;
+    default:
+        /* More often than others, as it takes 5 s until nothing may start. */
+        fake_fleet_evacuate(deployment, worker % FAKE_ZONES, true);
+        break;
     }
 }
 
@@ -480,6 +520,7 @@
         cmocka_unit_test(fleet_faults__checker_detects_missing_conditions),
         cmocka_unit_test(fleet_faults__checker_detects_missing_epochs),
         cmocka_unit_test(fleet_faults__checker_detects_old_runs),
+        cmocka_unit_test(fleet_faults__checker_detects_missing_evacuations),
         cmocka_unit_test(fleet_faults__random_faults_violate_no_rule),
     };
 
--- a/tools/cs_faults.c
+++ b/tools/cs_faults.c
@@ -1,12 +1,14 @@
 /*
  * Fault injection on a virtual clock: runs one session once for each call and
  * fault, then with random pairs of faults, and counts the violations of each
- * invariant. Exits with 1 if there was any.
+ * invariant. After that it runs sessions of a fleet in which zones are
+ * evacuated under random faults. Exits with 1 if there was any violation.
  */
 #include "corianderstair/errors.h"
 #include "corianderstair/log.h"
 #include "corianderstair/random.h"
 #include "corianderstair/settings.h"
+#include "fake_fleet.h"
 #include "fake_zone.h"
 
 #include <glib.h>
@@ -103,6 +105,143 @@
     }
 }
 
+#define FLEET_VMS 4
+#define FLEET_WORKERS 18
+#define FLEET_JOBS 30
+/* Longer than the bound of an evacuation and the longest job. */
+#define FLEET_SETTLE_US (60 * CS_SEC_US)
+
+static void
+inject_fleet_fault(fake_fleet *fleet, cs_random *random)
+{
+    uint32_t holder = (uint32_t)MAX(fake_fleet_holder(fleet), 0);
+    fake_vm_faults faults = {0};
+
+    switch (cs_random_below(random, 8)) {
+    case 0:
+        fake_fleet_kill(fleet, holder, CS_SEC_US);
+        return;
+    case 1:
+        fake_fleet_freeze(fleet, holder, 7 * CS_SEC_US);
+        return;
+    case 2:
+        faults.store_unreachable = true;
+        fake_fleet_set_faults(fleet, (int32_t)holder, &faults);
+        return;
+    case 3:
+        faults.store_refuses = true;
+        fake_fleet_set_faults(fleet, (int32_t)holder, &faults);
+        return;
+    case 4:
+        faults.config_unanswered = true;
+        fake_fleet_set_faults(fleet, (int32_t)holder, &faults);
+        return;
+    case 5:
+        faults.unanswered_changes_share = 0.3;
+        fake_fleet_set_faults(fleet, -1, &faults);
+        return;
+    case 6:
+        fake_fleet_compact(fleet);
+        return;
+    default:
+        fake_fleet_set_faults(fleet, -1, &faults);
+        return;
+    }
+}
+
+static void
+submit_fleet_job(fake_fleet *fleet, cs_random *random, uint32_t number)
+{
+    bool gang = cs_random_below(random, 2) == 0;
+    fake_job job;
+
+    fake_job_init(&job, number, (uint32_t)cs_random_below(random, 3),
+                  1 + (uint32_t)cs_random_below(random, gang ? 8 : 40),
+                  gang ? 4 : 1, 500 + (int64_t)cs_random_below(random, 3000));
+    job.spec.steps[0].gang = gang;
+    fake_fleet_submit(fleet, (uint32_t)cs_random_below(random, FLEET_VMS),
+                      &job, NULL);
+}
+
+/* Returns the number of jobs that were stored and have not ended. */
+static uint32_t
+count_unfinished(const fake_fleet *fleet)
+{
+    char id[CS_JOB_ID_BYTES];
+    uint32_t count = 0;
+    uint32_t number;
+
+    for (number = 1; number <= FLEET_JOBS; number++) {
+        g_snprintf(id, sizeof(id), "%016x", number);
+        count += fake_fleet_job_is_stored(fleet, id) &&
+                 fake_fleet_job_state(fleet, id) < CS_PROGRESS_COMPLETED;
+    }
+    return count;
+}
+
+/* Runs jobs while zones are evacuated and returned, and then without faults
+   until they have ended. Returns whether a rule was violated. */
+static bool
+run_fleet_session(uint64_t seed, uint32_t direct_workers, bool hide_rows)
+{
+    fake_fleet_settings settings = {.vms = FLEET_VMS,
+                                    .workers = FLEET_WORKERS,
+                                    .racks = 6,
+                                    .seed = seed,
+                                    .max_direct_workers = direct_workers,
+                                    .disabled_protection =
+                                        hide_rows ? FAKE_WITHOUT_EVACUATIONS
+                                                  : FAKE_ALL_PROTECTIONS};
+    fake_fleet *fleet = fake_fleet_create(&settings);
+    fake_vm_faults none = {0};
+    cs_random random;
+    uint32_t number;
+    uint32_t zone;
+    bool violated;
+
+    cs_random_init(&random, seed);
+    fake_fleet_run(fleet, 4 * CS_SEC_US);
+    for (number = 1; number <= FLEET_JOBS; number++) {
+        submit_fleet_job(fleet, &random, number);
+        if (cs_random_below(&random, 6) == 0)
+            fake_fleet_evacuate(fleet,
+                                (uint32_t)cs_random_below(&random, FAKE_ZONES),
+                                cs_random_below(&random, 4) != 0);
+        if (cs_random_below(&random, 4) == 0)
+            inject_fleet_fault(fleet, &random);
+        fake_fleet_run(fleet, (100 + (int64_t)cs_random_below(&random, 900)) *
+                                  CS_MS_US);
+    }
+    fake_fleet_set_faults(fleet, -1, &none);
+    for (zone = 0; zone < FAKE_ZONES; zone++)
+        fake_fleet_evacuate(fleet, zone, false);
+    fake_fleet_run(fleet, FLEET_SETTLE_US);
+    violated = fake_fleet_violation(fleet) || count_unfinished(fleet) > 0;
+    if (violated)
+        printf("VIOLATION fleet: %s, %u jobs have not ended; reproduce with "
+               "--fleet-seed %" PRIu64 "\n",
+               fake_fleet_violation(fleet) ? fake_fleet_violation(fleet)
+                                           : "no rule",
+               count_unfinished(fleet), seed);
+    fake_fleet_destroy(fleet);
+    return violated;
+}
+
+/* Half of the sessions start tasks through executors. Returns the number of
+   sessions with a violation. */
+static uint32_t
+run_fleet_sessions(uint64_t first_seed, uint32_t count, bool hide_rows)
+{
+    uint32_t violations = 0;
+    uint32_t i;
+
+    for (i = 0; i < count; i++)
+        violations += run_fleet_session(
+            first_seed + i, (first_seed + i) % 2 ? 1 : 0, hide_rows);
+    printf("%-12s cases %u violations %u\n", "fleet", count, violations);
+    return violations;
+}
+
 static int
 print_report(const struct totals *totals)
 {
@@ -157,6 +296,10 @@
     int64_t seed = 1;
     int64_t stride = 1;
     int64_t pairs = 1000;
+    int64_t fleet_sessions = 40;
+    int64_t fleet_seed = 0;
+    uint32_t fleet_violations;
+    bool hide_rows;
     bool trace = false;
     const cs_setting table[] = {
         {"seed", CS_SETTING_NUMBER, &seed, 1, INT64_MAX, false,
@@ -168,7 +311,12 @@
         {"first", CS_SETTING_TEXT, &first_fault, 0, 64, false,
          "run one case only, with this fault at this call: FAULT:CALL"},
         {"break", CS_SETTING_TEXT, &disabled_protection, 0, 32, false,
-         "disable a protection: fencing, lease, admission or condition"},
+         "disable a protection: fencing, lease, admission, condition or "
+         "evacuation"},
+        {"fleet-sessions", CS_SETTING_NUMBER, &fleet_sessions, 0, 1000000,
+         false, "number of sessions of a fleet with evacuated zones"},
+        {"fleet-seed", CS_SETTING_NUMBER, &fleet_seed, 0, INT64_MAX, false,
+         "run one session of a fleet only, with this seed"},
         {"trace", CS_SETTING_FLAG, &trace, 0, 0, false,
          "print the audit trail of the case of --first"},
         {"second", CS_SETTING_TEXT, &second_fault, 0, 64, false,
@@ -196,6 +344,9 @@
         strcmp(disabled_protection, "admission") == 0;
     base_options.disabled.no_condition_checks =
         strcmp(disabled_protection, "condition") == 0;
+    hide_rows = strcmp(disabled_protection, "evacuation") == 0;
+    if (fleet_seed)
+        return run_fleet_sessions((uint64_t)fleet_seed, 1, hide_rows) ? 1 : 0;
     if (*first_fault) {
         base_options.trace = trace ? g_string_new(NULL) : NULL;
         run_case(&totals, &base_options);
@@ -211,5 +362,9 @@
                           base_options.disabled);
         run_fault_pairs(&totals, base_options.seed, calls, (uint32_t)pairs);
     }
-    return print_report(&totals);
+    if (*first_fault)
+        return print_report(&totals);
+    fleet_violations = run_fleet_sessions((uint64_t)seed,
+                                          (uint32_t)fleet_sessions, hide_rows);
+    return print_report(&totals) || fleet_violations ? 1 : 0;
 }
