--- a/src/fleet/cycle.c
+++ b/src/fleet/cycle.c
@@ -60,7 +60,7 @@
         cycle->cell.workers, (list->len + 1) * sizeof(cs_binpack_worker));
     for (i = 0; i < list->len; i++)
         cycle->expected_cell.workers[i].usable =
-            worker_is_expected(g_ptr_array_index(list, i));
+            worker_is_expected(cycle->fleet, g_ptr_array_index(list, i));
 }
 
 static void
@@ -127,6 +127,22 @@
     step->reserved_workers = NULL;
 }
 
+static bool
+is_reserved_in_evacuated_zone(const struct cycle *cycle,
+                              const struct step *step)
+{
+    const GPtrArray *workers = cycle->fleet->worker_list;
+    uint32_t i;
+
+    for (i = 0; i < step->spec->task_count; i++) {
+        if (start_gate_is_closed_at(
+                cycle->fleet,
+                g_ptr_array_index(workers, step->reserved_workers[i])))
+            return true;
+    }
+    return false;
+}
+
 static void
 apply_reservations(struct cycle *cycle)
 {
@@ -138,7 +154,8 @@
 
         if (!step->reserved_workers)
             continue;
-        if (cycle->now.boot_us - step->reserved_us > RESERVATION_US)
+        if (cycle->now.boot_us - step->reserved_us > RESERVATION_US ||
+            is_reserved_in_evacuated_zone(cycle, step))
             drop_reservation(step);
         else
             cycle_apply_reservation(cycle, step, true);
@@ -273,7 +290,7 @@
     guint i;
 
     fleet->cycle_requested = false;
-    if (!fleet->state->config)
+    if (!fleet->state->config || !start_gate_is_open(fleet))
         return;
     cycle.candidates = g_array_new(FALSE, FALSE, sizeof(struct candidate));
     cycle.failed_requests =
--- a/src/fleet/cycle_internal.h
+++ b/src/fleet/cycle_internal.h
@@ -20,7 +20,7 @@
     cs_now now;
     cs_binpack_cell cell;
     cs_binpack_cell expected_cell; /* the same, but usable are all workers that
-                                      are listed and not leaving */
+                                      will get tasks again, if not now */
     GArray *candidates;         /* of struct candidate, in scheduling order */
     GHashTable *guarantee_used; /* organisation's config to the accelerators
                                    of its guarantee that are used */
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -26,6 +26,8 @@
 #define LEASE_KEY "lease"
 /* The store normally answers within tens of milliseconds. */
 #define STORE_TIMEOUT_US (900 * CS_MS_US)
+/* Maximum duration of an order to a worker. */
+#define ORDER_TIMEOUT_US (900 * CS_MS_US)
 
 typedef enum {
     TENURE_FOLLOWING, /* stand-by: another process or none holds the cell */
@@ -258,6 +260,7 @@
     bool advice_pending;      /* a query to the adviser is in flight */
     int64_t next_timed_work_us;
     cs_headroom headroom; /* of the urgent tasks that are placed */
+    bool starts_held;     /* the evacuations were not confirmed in time */
 };
 
 /* Run times of the tasks of a queue. */
@@ -302,6 +305,18 @@
 void feeds_init(cs_fleet *fleet);
 void feeds_tick(cs_fleet *fleet);
 
+/* start_gate.c */
+/* Returns whether the worker's zone is evacuated, so that nothing starts on
+   the worker. */
+bool start_gate_is_closed_at(const cs_fleet *fleet,
+                             const struct worker *worker);
+/* Returns whether tasks may start in zones that are not known to be evacuated.
+ */
+bool start_gate_is_open(cs_fleet *fleet);
+/* Releases the recorded tasks of a step that must not start, a gang as a
+   whole. */
+void start_gate_release(cs_fleet *fleet, struct step *step);
+
 /* worker.c */
 /* Returns the worker with the id, creating it if necessary. */
 struct worker *worker_get(cs_fleet *fleet, const char *id);
@@ -316,7 +331,7 @@
 void worker_limit_adoption(const cs_fleet *fleet, struct worker *worker);
 void worker_unlist(cs_fleet *fleet, struct worker *worker);
 /* Returns whether the worker will get new tasks again, if not now. */
-bool worker_is_expected(const struct worker *worker);
+bool worker_is_expected(const cs_fleet *fleet, const struct worker *worker);
 /* Returns whether the worker may get new tasks. */
 bool worker_is_usable(const cs_fleet *fleet, const struct worker *worker);
 /* Returns the estimated time on the worker's clock; -1 if unknown. */
--- a/src/fleet/worker.c
+++ b/src/fleet/worker.c
@@ -273,9 +273,10 @@
 }
 
 bool
-worker_is_expected(const struct worker *worker)
+worker_is_expected(const cs_fleet *fleet, const struct worker *worker)
 {
-    return worker->listed && !worker->draining;
+    return worker->listed && !worker->draining &&
+           !start_gate_is_closed_at(fleet, worker);
 }
 
 bool
@@ -283,7 +284,7 @@
 {
     int64_t now_us = fleet_now(fleet).boot_us;
 
-    if (!worker_is_expected(worker) || !worker->answered ||
+    if (!worker_is_expected(fleet, worker) || !worker->answered ||
         worker->failed_heartbeats > 0)
         return false;
     if (now_us < worker->paused_until_us)
