http client: a call continues while bytes of its response arrive

Cause: the only deadline of a call covered the whole transfer, so that a slow link could never finish a large response. Change: cs_http_call has a progress deadline beside the total one. Each arrival of bytes moves it. A response that was cut off reports its status. Result: http__transfer_continues_while_bytes_arrive: a body that takes three times the progress timeout arrives, a stalled one and one beyond the total deadline end with CS_E_TIMEOUT.

--- a/include/corianderstair/http_client.h
+++ b/include/corianderstair/http_client.h
@@ -24,7 +24,9 @@
      * may have been executed.
      */
     int code;
-    int status;        /**< HTTP status; valid if code is 0 */
+    /** HTTP status; if code is not 0, that of a response that had begun, or 0.
+     */
+    int status;
     const char *body;  /**< zero-terminated; valid during the callback */
     size_t size_bytes; /**< of the body, without the terminating zero */
 } cs_http_response;
@@ -59,6 +61,13 @@
     const char *body;
     size_t size_bytes;
     int64_t deadline_us; /**< on the boot clock */
+    /**
+     * Boot clock; the call ends with CS_E_TIMEOUT at this time, if it is
+     * before deadline_us, unless bytes of the response have arrived. Each
+     * arrival moves it to progress_us later. 0: only deadline_us applies.
+     */
+    int64_t progress_deadline_us;
+    int64_t progress_us; /**< time within which further bytes must arrive */
     bool single_use;     /**< uses a new connection and closes it afterwards */
     /** Receives the body in chunks; NULL to pass all of it to done. */
     cs_http_chunk_handler on_chunk;
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -66,7 +66,9 @@
     cs_http_chunk_handler on_chunk; /* NULL to collect the body in response */
     cs_http_done done;
     void *user_data;
-    int64_t deadline_us;
+    int64_t deadline_us;          /* of the whole call */
+    int64_t progress_deadline_us; /* moves while bytes arrive; 0 none */
+    int64_t progress_us;          /* by which it moves */
     guint timer;     /* source of on_deadline, later of on_release */
     bool sent;       /* the request may have reached the server */
     bool notified;   /* the done callback has run */
@@ -214,9 +216,19 @@
     g_hash_table_add(call->client->detached, wsi);
 }
 
+static void
+extend_progress_deadline(struct call *call)
+{
+    if (call->progress_deadline_us)
+        call->progress_deadline_us =
+            MAX(call->progress_deadline_us,
+                cs_clock_boot_us() + call->progress_us);
+}
+
 static int
 receive_body(struct call *call, const char *bytes, size_t size)
 {
+    extend_progress_deadline(call);
     if (call->on_chunk) {
         call->on_chunk(call->user_data, bytes, size);
         return 0;
@@ -291,6 +303,7 @@
         return write_body(call, wsi);
     case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
         call->status = (int)lws_http_client_http_response(wsi);
+        extend_progress_deadline(call);
         return 0;
     case LWS_CALLBACK_RECEIVE_CLIENT_HTTP:
         return read_body(wsi);
@@ -307,6 +320,27 @@
     }
 }
 
+static gboolean on_deadline(gpointer user_data);
+
+/* Returns the boot clock at which the call ends if no further bytes arrive. */
+static int64_t
+next_deadline_us(const struct call *call)
+{
+    return call->progress_deadline_us
+               ? MIN(call->progress_deadline_us, call->deadline_us)
+               : call->deadline_us;
+}
+
+static void
+start_timer(struct call *call)
+{
+    int64_t remaining_us =
+        MAX(next_deadline_us(call) - cs_clock_boot_us(), CS_MS_US);
+
+    call->timer =
+        g_timeout_add((guint)(remaining_us / CS_MS_US) + 1, on_deadline, call);
+}
+
 /*
  * Deadlines use GLib timers, because libwebsockets notices a timer that is
  * set outside its callbacks only at its next event, which may be far off.
@@ -317,6 +351,10 @@
     struct call *call = user_data;
 
     call->timer = 0;
+    if (next_deadline_us(call) > cs_clock_boot_us()) {
+        start_timer(call);
+        return G_SOURCE_REMOVE;
+    }
     if (call->slot < 0) {
         g_queue_remove(&call->target->queued_calls, call);
         call->client->queued_count--;
@@ -559,7 +597,6 @@
 {
     struct target *target;
     struct call *call;
-    int64_t remaining_us;
     int rc;
 
     rc = get_target(&target, client, params->address);
@@ -584,12 +621,12 @@
     call->done = params->done;
     call->user_data = params->user_data;
     call->deadline_us = params->deadline_us;
+    call->progress_deadline_us = params->progress_deadline_us;
+    call->progress_us = params->progress_us;
     call->single_use = params->single_use;
     client->open_calls++;
     client->queued_count++;
-    remaining_us = MAX(params->deadline_us - cs_clock_boot_us(), CS_MS_US);
-    call->timer =
-        g_timeout_add((guint)(remaining_us / CS_MS_US) + 1, on_deadline, call);
+    start_timer(call);
     g_queue_push_tail(&target->queued_calls, call);
     start_queued_calls(client, target);
     return 0;
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -323,6 +323,107 @@
     close(silent.fd);
 }
 
+/* A server that sends a body of TRICKLE_BYTES, one byte each 40 ms. */
+#define TRICKLE_BYTES 8
+
+struct trickle {
+    int listener_fd;
+    int fd;
+    uint32_t sent;
+    uint32_t stop_at; /* sends no further byte then */
+    cs_http_response response;
+    bool ended;
+};
+
+static gboolean
+on_trickle_timer(gpointer user_data)
+{
+    struct trickle *trickle = user_data;
+
+    if (trickle->sent == trickle->stop_at)
+        return G_SOURCE_REMOVE;
+    trickle->sent++;
+    return write(trickle->fd, "x", 1) == 1 ? G_SOURCE_CONTINUE
+                                           : G_SOURCE_REMOVE;
+}
+
+static gboolean
+on_trickle_connection(gint fd, GIOCondition condition, gpointer user_data)
+{
+    static const char headers[] =
+        "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n";
+    struct trickle *trickle = user_data;
+
+    trickle->fd = accept(fd, NULL, NULL);
+    assert_int_equal(write(trickle->fd, headers, sizeof(headers) - 1),
+                     sizeof(headers) - 1);
+    g_timeout_add(40, on_trickle_timer, trickle);
+    return G_SOURCE_CONTINUE;
+}
+
+static void
+on_trickle_done(void *user_data, const cs_http_response *response)
+{
+    struct trickle *trickle = user_data;
+
+    trickle->response = *response;
+    trickle->ended = true;
+}
+
+/* Calls a server that stops after some bytes, with a total timeout. */
+static void
+run_trickle(struct trickle *trickle, uint32_t stop_at, int64_t total_us)
+{
+    struct fixture fixture;
+    struct silent_server listener;
+    int64_t now_us;
+    cs_http_call call = {.method = "GET",
+                         .path = "/x",
+                         .progress_us = 120 * CS_MS_US,
+                         .done = on_trickle_done,
+                         .user_data = trickle};
+
+    memset(trickle, 0, sizeof(*trickle));
+    trickle->stop_at = stop_at;
+    fixture_init(&fixture);
+    silent_init(&listener);
+    while (g_source_remove_by_user_data(&listener))
+        ;
+    g_unix_fd_add(listener.fd, G_IO_IN, on_trickle_connection, trickle);
+    g_snprintf(fixture.address, sizeof(fixture.address), "127.0.0.1:%u",
+               listener.port);
+    call.address = fixture.address;
+    now_us = cs_clock_boot_us();
+    call.progress_deadline_us = now_us + 120 * CS_MS_US;
+    call.deadline_us = now_us + total_us;
+    cs_http_client_call(fixture.client, &call);
+    run_for(&fixture, 700);
+    assert_true(trickle->ended);
+    fixture_dispose(&fixture);
+    while (g_source_remove_by_user_data(trickle))
+        ;
+    g_hash_table_destroy(listener.responded_fds);
+    close(trickle->fd);
+    close(listener.fd);
+}
+
+/* Guards against abandoning a slow transfer that makes progress, and against
+   waiting for one that has stalled or never ends. */
+static void
+http__transfer_continues_while_bytes_arrive(void **state)
+{
+    struct trickle trickle;
+
+    run_trickle(&trickle, TRICKLE_BYTES, 5 * CS_SEC_US);
+    assert_int_equal(trickle.response.code, 0);
+    assert_int_equal(trickle.response.size_bytes, TRICKLE_BYTES);
+    run_trickle(&trickle, TRICKLE_BYTES / 2, 5 * CS_SEC_US);
+    assert_int_equal(trickle.response.code, CS_E_TIMEOUT);
+    assert_int_equal(trickle.response.status, 200);
+    run_trickle(&trickle, TRICKLE_BYTES, 200 * CS_MS_US);
+    assert_int_equal(trickle.response.code, CS_E_TIMEOUT);
+}
+
 /* Returns 1 if the address sanitizer finds leaks; 0 also without it. */
 static int
 found_leaks(void)
@@ -380,6 +481,7 @@
         cmocka_unit_test(
             http__client_is_destroyed_after_a_reused_connection_timed_out),
         cmocka_unit_test(http__single_use_connection_is_closed),
+        cmocka_unit_test(http__transfer_continues_while_bytes_arrive),
         cmocka_unit_test(http__hanging_connections_free_their_slots),
         cmocka_unit_test(http__silent_connection_is_replaced),
         cmocka_unit_test(http__call_reported_as_not_sent_is_not_sent),
