store router, relay: a slow transfer is no failed route; changes are limited

Cause: calls that timed out on full links counted as failures of the route. VMs changed it 30 to 40 times a second and repeated large transfers through peers, whose links filled as well. Change: reads and polls begin by their deadline and may continue for 8 s while bytes arrive. Only calls without any answer are failures. Changes of the route are limited by a token bucket and a minimum stay that doubles; three answered probes lead back to the store, and probes are quick reads only. The holder offers the cell only if a probe failed after a relayed call was answered.

--- a/include/corianderstair/fleet_state.h
+++ b/include/corianderstair/fleet_state.h
@@ -74,6 +74,7 @@
         last_store_answer_us; /**< boot clock of the last answer; 0 if none */
     cs_cell_view cell;
     bool relayed;  /**< store calls go through a peer, as direct ones fail */
+    bool refused;  /**< relayed, and a peer is known to be served */
     bool draining; /**< this process was asked to stop */
 } cs_fleet_state;
 
--- a/include/corianderstair/store_port.h
+++ b/include/corianderstair/store_port.h
@@ -54,8 +54,18 @@
     const cs_row *rows;
     size_t row_count;
     bool has_more; /**< the range has further rows after the last one */
+    /** The code is not 0, but a part of the answer was received. */
+    bool partial;
 } cs_store_answer;
 
+/**
+ * A transfer may outlast the deadline of its call by this time, in which a
+ * link of 10 Mbit/s carries 10 MB.
+ */
+#define CS_STORE_TRANSFER_MAX_US (INT64_C(8) * 1000 * 1000)
+/** A transfer is abandoned if no byte arrives for this time. */
+#define CS_STORE_PROGRESS_US (INT64_C(500) * 1000)
+
 typedef void (*cs_store_done)(void *user_data, const cs_store_answer *answer);
 
 /** A range of keys [from, to) of a partition. */
@@ -71,6 +81,12 @@
  * The calls to the store. Arguments are copied before a call returns. done is
  * called exactly once and never before the call has returned. Deadlines are on
  * the boot clock.
+ *
+ * The answer to a read or a poll must begin by its deadline. The transfer of
+ * an answer that has begun may continue after it while bytes arrive, for up to
+ * CS_STORE_TRANSFER_MAX_US: a large answer on a slow link would otherwise be
+ * abandoned and sent again, and keep the link busy. The answer to a change
+ * must be complete by its deadline.
  */
 typedef struct {
     void *self;
--- a/include/corianderstair/store_router.h
+++ b/include/corianderstair/store_router.h
@@ -31,6 +31,13 @@
     cs_now (*now)(void *user_data);
     void *now_data;
     cs_counters *counters; /**< borrowed */
+    /**
+     * The table whose answers may be large; NULL for none; borrowed. Its calls
+     * are no probes. As a peer passes an answer on only when it has all of it,
+     * such a call through a peer may get no answer in time from one that
+     * works.
+     */
+    const char *bulk_table;
 } cs_store_router_settings;
 
 /**
@@ -57,4 +64,10 @@
 /** @return whether calls are relayed through a peer at present */
 bool cs_store_router_is_relayed(const cs_store_router *router);
 
+/**
+ * @return whether the store refuses this VM and serves a peer: a direct call
+ *         has failed that was sent after a relayed one was answered
+ */
+bool cs_store_router_is_refused(const cs_store_router *router);
+
 #endif
--- a/src/fleet/tenure.c
+++ b/src/fleet/tenure.c
@@ -443,8 +443,10 @@
     if (fleet->relayed_since_us == 0)
         fleet->relayed_since_us = now_us;
     /* Unless a renewal has succeeded through a peer, the store serves no VM,
-       and there is none to hand over to. */
-    if (now_us - fleet->relayed_since_us < RELAYED_HANDOVER_US ||
+       and there is none to hand over to. If it has just returned for all, a
+       peer answers before this VM knows that it is served as well. */
+    if (!fleet->state->refused ||
+        now_us - fleet->relayed_since_us < RELAYED_HANDOVER_US ||
         fleet->last_renewal_us <= fleet->relayed_since_us ||
         fleet->release_requested)
         return;
--- a/src/members/members.c
+++ b/src/members/members.c
@@ -272,6 +272,7 @@
     int64_t now = now_us(members);
 
     members->state->relayed = cs_store_router_is_relayed(members->router);
+    members->state->refused = cs_store_router_is_refused(members->router);
     if (members->call_open || !members->state->settings.peer_address[0])
         return;
     /* The first read provides the store's clock, which the row contains. */
--- a/src/members/store_router.c
+++ b/src/members/store_router.c
@@ -1,9 +1,14 @@
 /*
  * The store may refuse some VMs, or be unreachable for them, and serve the
  * others. After two consecutive failures calls are relayed through a peer. One
- * read a second still goes directly as a probe; once a probe is answered, all
- * calls go directly again. If the peers cannot reach the store either, it is
- * assumed to be down for all, and no peer is tried for a while.
+ * read a second still goes directly as a probe; after several answered probes
+ * in a row all calls go directly again. If the peers cannot reach the store
+ * either, it is assumed to be down for all, and no peer is tried for a while.
+ *
+ * Load on links may delay answers of every route. A VM that then keeps
+ * changing its route only moves the load, so only calls that were not answered
+ * at all count as failures, and changes of the route are limited: by a token
+ * bucket, and by a minimum stay on a route that doubles with each change.
  */
 #include "corianderstair/store_router.h"
 #include "corianderstair/errors.h"
@@ -14,6 +19,22 @@
 
 #define MAX_DIRECT_FAILURES 2
 #define PROBE_INTERVAL_US CS_SEC_US
+/* Answered probes in a row after which the direct route is used again, and the
+   interval of those that follow an answered one. One answer may be chance
+   while the store refuses most calls. */
+#define PROBES_TO_RETURN 3
+#define NEXT_PROBE_INTERVAL_US (250 * CS_MS_US)
+/* The first change of the route is not delayed. After a fault the routes have
+   settled within STAY_MAX_US and the probes, each of which waits up to 1.5 s
+   for a read, see CELL_READ_INTERVAL_OTHERS_US: within 8 s. */
+#define STAY_MIN_US (100 * CS_MS_US)
+#define STAY_MAX_US (4 * CS_SEC_US)
+/* The stay is short again after this time without a change. */
+#define STAY_RESET_US (2 * STAY_MAX_US)
+/* Token bucket of changes of the route: to three peers and back, then one per
+   interval. */
+#define CHANGE_TOKENS_MAX 4
+#define CHANGE_TOKEN_INTERVAL_US (2 * CS_SEC_US)
 #define RELAY_BACKOFF_US (2 * CS_SEC_US)
 /* If this many peers in a row cannot reach the store, it is assumed that no
    peer can. */
@@ -30,8 +51,16 @@
     uint32_t failed_peers;          /* in a row */
     int64_t next_probe_us;          /* boot clock; next direct read */
     int64_t relay_backoff_until_us; /* boot clock; no peer is tried before */
+    uint32_t answered_probes;       /* in a row */
+    bool peer_answered;  /* a call through the current peer was answered */
+    bool direct_refused; /* a later probe was not */
+    uint32_t change_tokens;
+    int64_t next_token_us; /* boot clock; when the bucket gets the next one */
+    int64_t stay_us;       /* minimum stay after the last change */
+    int64_t last_change_us;
     int64_t *relayed_count;
     int64_t *switch_count;
+    int64_t *limited_count; /* changes that the limits have prevented */
 };
 
 /* A call in flight, with what its caller passed for the callback. */
@@ -39,6 +68,8 @@
     cs_store_router *router;
     int32_t route;
     uint64_t route_changes; /* of the router when the call was sent */
+    bool peer_answered;     /* as in the router when the call was sent */
+    bool bulk;              /* of settings.bulk_table */
     cs_store_done done;
     void *user_data;
 };
@@ -63,9 +94,52 @@
     }
 }
 
+static void
+refill_tokens(cs_store_router *router, int64_t now)
+{
+    while (router->change_tokens < CHANGE_TOKENS_MAX &&
+           now >= router->next_token_us) {
+        router->change_tokens++;
+        router->next_token_us += CHANGE_TOKEN_INTERVAL_US;
+    }
+}
+
+/* Returns whether the route may be changed now, and counts if not. */
+static bool
+may_switch(cs_store_router *router)
+{
+    int64_t now = now_us(router);
+
+    refill_tokens(router, now);
+    if (router->change_tokens > 0 &&
+        now - router->last_change_us >= router->stay_us)
+        return true;
+    (*router->limited_count)++;
+    return false;
+}
+
+static void
+use_change_token(cs_store_router *router)
+{
+    int64_t now = now_us(router);
+
+    if (router->change_tokens == CHANGE_TOKENS_MAX)
+        router->next_token_us = now + CHANGE_TOKEN_INTERVAL_US;
+    if (router->change_tokens > 0)
+        router->change_tokens--;
+    router->stay_us = now - router->last_change_us >= STAY_RESET_US
+                          ? STAY_MIN_US
+                          : MIN(2 * router->stay_us, STAY_MAX_US);
+    router->last_change_us = now;
+}
+
 static void
 switch_route(cs_store_router *router, int32_t route)
 {
+    use_change_token(router);
+    router->answered_probes = 0;
+    router->peer_answered = false;
+    router->direct_refused = false;
     router->route = route;
     router->route_changes++;
     router->consecutive_failures = 0;
@@ -103,44 +177,82 @@
         next = choose_first_peer(router);
     if (next >= (int32_t)router->peers->len)
         next = 0;
+    if (next == router->route)
+        return;
     router->next_probe_us = now_us(router) + PROBE_INTERVAL_US;
     switch_route(router, next);
 }
 
+/* Handles a call that the current route has not answered, or has refused. */
 static void
-handle_failure(cs_store_router *router, int32_t route)
+handle_failure(cs_store_router *router, const struct call *call, int code)
 {
-    if (route != router->route)
+    int32_t route = call->route;
+
+    if (route != router->route) {
+        /* A failed probe. */
+        if (route == DIRECT && call->route_changes == router->route_changes) {
+            router->answered_probes = 0;
+            router->direct_refused = call->peer_answered;
+        }
         return;
+    }
     router->consecutive_failures++;
-    if (route != DIRECT) {
-        router->failed_peers++;
-        switch_to_next_peer(router);
+    if (route == DIRECT &&
+        (router->consecutive_failures < MAX_DIRECT_FAILURES ||
+         now_us(router) < router->relay_backoff_until_us ||
+         router->peers->len == 0))
         return;
-    }
-    if (router->consecutive_failures >= MAX_DIRECT_FAILURES &&
-        now_us(router) >= router->relay_backoff_until_us &&
-        router->peers->len > 0)
-        switch_to_next_peer(router);
+    if (!may_switch(router))
+        return;
+    /* A peer that relays too many calls already tells nothing of the store. */
+    if (route != DIRECT && code != CS_E_OVERLOAD)
+        router->failed_peers++;
+    switch_to_next_peer(router);
 }
 
 /*
- * Returns to the direct route if a direct call that was sent since the last
- * change of the route is answered. The answer to an earlier one, such as a
- * long poll, does not show that the store is reachable again.
+ * Returns to the direct route once several direct calls in a row that were
+ * sent since the last change of the route are answered. The answer to an
+ * earlier one, such as a long poll, does not show that the store is reachable
+ * again.
  */
 static void
 handle_response(cs_store_router *router, int32_t route, uint64_t route_changes)
 {
     if (route == DIRECT && router->route != DIRECT &&
-        route_changes == router->route_changes)
-        switch_route(router, DIRECT);
+        route_changes == router->route_changes) {
+        router->answered_probes++;
+        router->direct_refused = false;
+        router->next_probe_us = MIN(router->next_probe_us,
+                                    now_us(router) + NEXT_PROBE_INTERVAL_US);
+        if (router->answered_probes >= PROBES_TO_RETURN && may_switch(router))
+            switch_route(router, DIRECT);
+    }
     if (route != router->route)
         return;
+    if (route != DIRECT && !router->peer_answered) {
+        /* Whether the store refuses this VM only is to be known soon. */
+        router->peer_answered = true;
+        router->next_probe_us = MIN(router->next_probe_us,
+                                    now_us(router) + NEXT_PROBE_INTERVAL_US);
+    }
     router->consecutive_failures = 0;
     router->failed_peers = 0;
 }
 
+/*
+ * Returns whether a failed call shows a slow link, which is neither a failure
+ * of the route nor evidence that the route works: a transfer that was
+ * abandoned midway, or a large answer that a peer had not received in time.
+ */
+static bool
+is_slow_transfer(const struct call *call, const cs_store_answer *answer)
+{
+    return answer->partial || (call->bulk && call->route != DIRECT &&
+                               answer->code == CS_E_OUTCOME_UNKNOWN);
+}
+
 static void
 on_done(void *user_data, const cs_store_answer *answer)
 {
@@ -148,20 +260,29 @@
 
     if (is_store_response(answer->code))
         handle_response(call->router, call->route, call->route_changes);
-    else
-        handle_failure(call->router, call->route);
+    else if (!is_slow_transfer(call, answer))
+        handle_failure(call->router, call, answer->code);
     call->done(call->user_data, answer);
     g_free(call);
 }
 
+static bool
+is_bulk(const cs_store_router *router, const char *table)
+{
+    return router->settings.bulk_table &&
+           strcmp(table, router->settings.bulk_table) == 0;
+}
+
+/* Probes are quick calls: the answer to a long poll or a large one comes late
+   also if the store serves this VM. */
 static int32_t
-choose_read_route(cs_store_router *router)
+choose_read_route(cs_store_router *router, bool quick)
 {
     int64_t now = now_us(router);
 
     if (router->route == DIRECT)
         return DIRECT;
-    if (now >= router->next_probe_us) {
+    if (quick && now >= router->next_probe_us) {
         router->next_probe_us = now + PROBE_INTERVAL_US;
         return DIRECT;
     }
@@ -188,6 +309,7 @@
     call->router = router;
     call->route = route;
     call->route_changes = router->route_changes;
+    call->peer_answered = router->peer_answered;
     call->done = done;
     call->user_data = user_data;
     return call;
@@ -211,11 +333,13 @@
            cs_store_done done, void *user_data)
 {
     cs_store_router *router = self;
-    int32_t route = choose_read_route(router);
+    bool bulk = is_bulk(router, range->table);
+    int32_t route = choose_read_route(router, !bulk);
     const cs_store_port *port = get_route_port(router, route);
+    struct call *call = create_call(router, route, done, user_data);
 
-    port->read(port->self, range, deadline_us, on_done,
-               create_call(router, route, done, user_data));
+    call->bulk = bulk;
+    port->read(port->self, range, deadline_us, on_done, call);
 }
 
 static void
@@ -223,11 +347,14 @@
              int64_t deadline_us, cs_store_done done, void *user_data)
 {
     cs_store_router *router = self;
-    int32_t route = choose_read_route(router);
+    bool bulk = is_bulk(router, table);
+    int32_t route = choose_read_route(router, !bulk && wait_ms == 0);
     const cs_store_port *port = get_route_port(router, route);
+    struct call *call = create_call(router, route, done, user_data);
 
+    call->bulk = bulk;
     port->follow(port->self, table, after, wait_ms, deadline_us, on_done,
-                 create_call(router, route, done, user_data));
+                 call);
 }
 
 cs_store_router *
@@ -238,6 +365,10 @@
     router->settings = *settings;
     router->peers = g_ptr_array_new_with_free_func(g_free);
     router->route = DIRECT;
+    router->change_tokens = CHANGE_TOKENS_MAX;
+    router->last_change_us = now_us(router) - STAY_RESET_US;
+    router->limited_count =
+        cs_counters_get(settings->counters, "cs_store_way_limited_total");
     router->relayed_count =
         cs_counters_get(settings->counters, "cs_store_relayed_total");
     router->switch_count =
@@ -278,6 +409,12 @@
     g_ptr_array_add(router->peers, g_strdup(address));
 }
 
+bool
+cs_store_router_is_refused(const cs_store_router *router)
+{
+    return router->direct_refused;
+}
+
 bool
 cs_store_router_is_relayed(const cs_store_router *router)
 {
--- a/src/programs/cs_fleetd.c
+++ b/src/programs/cs_fleetd.c
@@ -144,8 +144,9 @@
     platform_store *store = g_hash_table_lookup(daemon->peer_stores, address);
 
     if (!store) {
-        store = platform_store_create(daemon->platform_client,
-                                      daemon->counters, address);
+        store =
+            platform_store_create(daemon->platform_client, daemon->counters,
+                                  address, PLATFORM_STORE_PEER);
         g_hash_table_insert(daemon->peer_stores, g_strdup(address), store);
     }
     return platform_store_port(store);
@@ -160,7 +161,8 @@
         .open_relay_data = daemon,
         .own_name = daemon->settings.name,
         .now = daemon_now,
-        .counters = daemon->counters};
+        .counters = daemon->counters,
+        .bulk_table = PLATFORM_CONFIG_TABLE};
     size_t i;
 
     daemon->peer_stores =
@@ -204,9 +206,9 @@
         .workers_table = PLATFORM_WORKERS_TABLE,
     };
 
-    daemon->store =
-        platform_store_create(daemon->platform_client, daemon->counters,
-                              daemon->settings.store_address);
+    daemon->store = platform_store_create(
+        daemon->platform_client, daemon->counters,
+        daemon->settings.store_address, PLATFORM_STORE_DIRECT);
     daemon->worker_calls =
         platform_workers_create(daemon->worker_client, daemon->counters);
     create_store_router(daemon);
