standins: bandwidth of links, limits and delays of the store

The fake store sends answers in pieces of 16 KB over the links of the store, of a relaying peer and of the VM, so that transfers share a link, and reports calls and bytes. Transfers may stall. Up to 300 VMs and 3,000 workers. Without these settings answers arrive as before.

--- a/standins/fake_fleet.c
+++ b/standins/fake_fleet.c
@@ -103,7 +103,8 @@
                                        .open_relay_data = vm,
                                        .own_name = vm->name,
                                        .now = fake_vm_now,
-                                       .now_data = vm};
+                                       .now_data = vm,
+                                       .bulk_table = PLATFORM_CONFIG_TABLE};
     cs_fleet_ports ports = {.workers = &vm->workers,
                             .adviser = &vm->adviser,
                             .now = fake_vm_now,
@@ -117,7 +118,7 @@
         .bounds = {.worker_lease_ms = FAKE_WORKER_LEASE_MS,
                    .stop_ms = 900,
                    .grace_ms = 6000,
-                   .config_apply_ms = 2000,
+                   .config_apply_ms = vm->deployment->config_apply_ms,
                    .restore_ms = 600,
                    .retention_ms = 120000}};
 
@@ -266,9 +267,32 @@
                   publish_worker, worker);
 }
 
+/* Text that brings a further queue to about 540 bytes on the wire. */
+#define QUEUE_PADDING_BYTES 260
+
+static char *
+further_queues_text(uint32_t count)
+{
+    GString *text = g_string_new(NULL);
+    uint32_t i;
+
+    for (i = 0; i < count; i++) {
+        g_string_append_printf(
+            text,
+            ",{\"name\":\"more-%u\",\"host\":\"h\",\"pathPrefix\":"
+            "\"/more-%u/\",\"service\":\"lab\",\"priority\":2,"
+            "\"attempts\":3,\"stretch\":3.0,\"targetLatencyMs\":3000,"
+            "\"note\":\"%*s\"}",
+            i, i, QUEUE_PADDING_BYTES, "");
+    }
+    return g_string_free(text, FALSE);
+}
+
 void
-fake_fleet_configure(fake_fleet *deployment, uint64_t version)
+fake_fleet_configure_queues(fake_fleet *deployment, uint64_t version,
+                            uint32_t further_queues)
 {
+    char *more = further_queues_text(further_queues);
     char *text = g_strdup_printf(
         "{\"version\":%" G_GUINT64_FORMAT ",\"routes\":["
         "{\"name\":\"q0\",\"host\":\"h\",\"pathPrefix\":\"/q0/\",\"service\":"
@@ -283,27 +307,44 @@
         "{\"name\":\"q3\",\"host\":\"h\",\"pathPrefix\":\"/q3/\",\"service\":"
         "\"lab\",\"priority\":1,\"attempts\":3,\"stretch\":3.0,"
         "\"targetLatencyMs\":1000,\"advice\":{\"decideMs\":50,"
-        "\"eachMs\":2,\"validMs\":3000}}],"
+        "\"eachMs\":2,\"validMs\":3000}}%s],"
         "\"services\":[{\"name\":\"lab\",\"admissionControl\":true}],"
         "\"limits\":{\"maxBodyBytes\":262144},"
         "\"tenants\":[{\"name\":\"t0\",\"apiKeys\":[\"k0\"],"
         "\"guaranteed\":{\"gpu\":64}}]}",
-        version);
+        version, more);
 
     fake_store_put(deployment, PLATFORM_CONFIG_TABLE, "", PLATFORM_CONFIG_KEY,
                    text, strlen(text));
     g_free(text);
+    g_free(more);
+}
+
+void
+fake_fleet_configure(fake_fleet *deployment, uint64_t version)
+{
+    fake_fleet_configure_queues(deployment, version, 0);
+}
+
+uint64_t
+fake_fleet_config_version(const fake_fleet *deployment, uint32_t vm)
+{
+    const struct fake_vm *process = &deployment->vms[vm];
+
+    return process->up && process->state.config
+               ? process->state.config->version
+               : 0;
 }
 
+/* Returns a VM's value of a list that ends at its first 0. */
 static int64_t
-vm_cpu_milli(const fake_fleet_settings *settings, uint32_t vm)
+vm_value(const int64_t *list, size_t size, uint32_t vm, int64_t none)
 {
     uint32_t count = 0;
 
-    while (count < G_N_ELEMENTS(settings->cpu_milli) &&
-           settings->cpu_milli[count])
+    while (count < size && list[count])
         count++;
-    return count ? settings->cpu_milli[vm % count] : 1000;
+    return count ? list[vm % count] : none;
 }
 
 static void
@@ -337,6 +378,10 @@
                                          : UINT32_MAX;
     deployment->call_us = settings->call_us;
     deployment->message_us = settings->message_us;
+    deployment->config_apply_ms =
+        settings->config_apply_ms ? settings->config_apply_ms : 2000;
+    deployment->store_kbps = settings->store_kbps;
+    deployment->store_reads_per_s = settings->store_reads_per_s;
     fake_store_init(deployment);
     fake_fleet_configure(deployment, 1);
     for (i = 0; i < deployment->worker_count; i++) {
@@ -349,7 +394,10 @@
 
         vm->deployment = deployment;
         vm->number = i;
-        vm->cpu_milli = vm_cpu_milli(settings, i);
+        vm->cpu_milli = vm_value(settings->cpu_milli,
+                                 G_N_ELEMENTS(settings->cpu_milli), i, 1000);
+        vm->link_kbps = vm_value(settings->link_kbps,
+                                 G_N_ELEMENTS(settings->link_kbps), i, 0);
         vm->pending_calls =
             g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
         fake_store_port(vm);
--- a/standins/fake_fleet.h
+++ b/standins/fake_fleet.h
@@ -19,8 +19,8 @@
 #include "corianderstair/fleet.h"
 #include "corianderstair/members.h"
 
-#define FAKE_VMS_MAX 160
-#define FAKE_WORKERS_MAX 1200
+#define FAKE_VMS_MAX 300
+#define FAKE_WORKERS_MAX 3000
 
 typedef struct fake_fleet fake_fleet;
 
@@ -64,8 +64,23 @@
     /** CPU shares in thousandths of a core, assigned to the VMs round-robin;
         0 ends the list, and an empty list gives every VM a full core. */
     int64_t cpu_milli[4];
+    /** Bandwidth of the VMs' links in kbit/s, assigned as cpu_milli; an empty
+        list gives every VM an unlimited link. */
+    int64_t link_kbps[4];
+    /** Bound of the VMs' settings; 0 means 2,000. */
+    int64_t config_apply_ms;
+    /** Bandwidth of the store's link in kbit/s; 0 means unlimited. */
+    int64_t store_kbps;
+    /** Maximum reads and polls per second; 0 means unlimited. */
+    uint32_t store_reads_per_s;
 } fake_fleet_settings;
 
+/** What the store has done since the start. */
+typedef struct {
+    uint64_t reads;      /**< reads and polls that it has received */
+    uint64_t sent_bytes; /**< of answers to reads and polls */
+} fake_store_load;
+
 /**
  * Creates a deployment and starts all its VMs and workers.
  * @return the deployment, to be freed with fake_fleet_destroy()
@@ -120,6 +135,21 @@
 /** Writes the configuration to the store under a version number. */
 void fake_fleet_configure(fake_fleet *deployment, uint64_t version);
 
+/** Writes a configuration with further queues, of about 540 bytes on the wire each. */
+void fake_fleet_configure_queues(fake_fleet *deployment, uint64_t version,
+                                 uint32_t further_queues);
+/** @return version of the configuration that a VM has applied; 0 for none */
+uint64_t fake_fleet_config_version(const fake_fleet *deployment, uint32_t vm);
+/** Delays the store's answers by a duration; 0 ends the delay. */
+void fake_fleet_set_store_delay(fake_fleet *deployment, int64_t us);
+/**
+ * Lets the transfer of the next answer of more than 64 KB to a VM stall after
+ * its first half.
+ */
+void fake_fleet_stall_transfer(fake_fleet *deployment, uint32_t vm);
+/** @return the load of the store since the start */
+fake_store_load fake_fleet_store_load(const fake_fleet *deployment);
+
 /**
  * Kills a worker; after down_us it returns with the same id and a new
  * incarnation.
--- a/standins/fake_fleet_internal.h
+++ b/standins/fake_fleet_internal.h
@@ -44,6 +44,10 @@
     uint64_t version;
     uint64_t compacted_version; /* history up to this version is deleted */
     GPtrArray *waiting_feeds;   /* of struct store_call */
+    int64_t delay_us;           /* of each answer, by a fault */
+    int64_t read_capacity_us;   /* when the next read can be executed */
+    int64_t link_free_us;       /* when the store's link has sent all bytes */
+    fake_store_load load;
 };
 
 struct fake_run {
@@ -110,6 +114,9 @@
     uint64_t incarnation; /* incremented at each start of the process */
     int64_t cpu_milli;
     int64_t busy_until_us;
+    int64_t link_kbps;    /* 0 unlimited */
+    int64_t link_free_us; /* when the link has carried all bytes sent so far */
+    bool stall_next_transfer;
     cs_executor *executor;
     cs_dispatch *dispatch;
     GHashTable *pending_calls; /* call to struct fake_pending_call */
@@ -149,6 +156,9 @@
     uint32_t max_direct_workers;
     int64_t call_us;
     int64_t message_us;
+    int64_t config_apply_ms;
+    int64_t store_kbps;
+    uint32_t store_reads_per_s;
     bool shutting_down;               /* messages are freed, not delivered */
     uint64_t call_count;              /* store changes and worker orders */
     uint32_t pending_advice_requests; /* not yet answered by the adviser */
--- a/standins/fake_fleet_store.c
+++ b/standins/fake_fleet_store.c
@@ -1,6 +1,8 @@
 /*
  * The fake row store: conditional changes, range reads and change feeds. With
- * faults, it applies changes without an answer, at once or late.
+ * faults, it applies changes without an answer, at once or late. Answers to
+ * reads and polls take time on the links of the store, of a relaying peer and
+ * of the VM, if these have a bandwidth.
  */
 #include "fake_fleet_internal.h"
 
@@ -10,6 +12,27 @@
 #define MIN_LATE_US (1 * CS_SEC_US)
 #define MAX_LATE_US (6 * CS_SEC_US)
 
+/* A transfer is sent in pieces of this size, so that several transfers share a
+   link. */
+#define PIECE_BYTES 16384
+/* Approximate text around each row and around an answer, in JSON. */
+#define ROW_OVERHEAD_BYTES 100
+#define ANSWER_OVERHEAD_BYTES 200
+/* A fake_fleet_stall_transfer() affects answers above this size. */
+#define STALL_MIN_BYTES 65536
+
+/* An answer whose bytes are under way. */
+struct transfer {
+    GPtrArray *rows; /* of struct fake_row, copies */
+    bool has_more;
+    uint64_t version;
+    int64_t store_now_ms;
+    size_t remaining_bytes;
+    size_t stall_at_bytes; /* stalls when so many bytes remain; 0 never */
+    bool through_relay;    /* still on its way to the relaying peer */
+    size_t total_bytes;
+};
+
 /* A cs_row_change that owns its rows. */
 struct owned_change {
     GPtrArray *conditions; /* of struct fake_row */
@@ -32,6 +55,9 @@
     int64_t deadline_us;
     bool answered;
     bool is_waiting; /* is in the store's waiting_feeds */
+    bool extensible; /* the deadline moves while bytes arrive */
+    int64_t transfer_deadline_us;
+    struct transfer *transfer; /* NULL until an answer with rows is sent */
     cs_store_done done;
     void *user_data;
 };
@@ -90,6 +116,10 @@
         g_ptr_array_free(call->change.puts, TRUE);
         g_ptr_array_free(call->change.removals, TRUE);
     }
+    if (call->transfer) {
+        g_ptr_array_free(call->transfer->rows, TRUE);
+        g_free(call->transfer);
+    }
     g_free(call->table);
     g_free(call->part);
     g_free(call->from);
@@ -139,12 +169,12 @@
 }
 
 static void
-send_rows(struct store_call *call, int code, GPtrArray *rows, bool has_more)
+deliver_rows(struct store_call *call, int code, const GPtrArray *rows,
+             bool has_more, uint64_t version, int64_t store_now_ms)
 {
     cs_store_answer answer = {.code = code,
-                              .version = call->deployment->store.version,
-                              .now_ms =
-                                  call->deployment->now_us / CS_MS_US + 1,
+                              .version = version,
+                              .now_ms = store_now_ms,
                               .row_count = rows->len,
                               .has_more = has_more};
     cs_row *list = g_new0(cs_row, rows->len + 1);
@@ -166,6 +196,119 @@
     g_free(list);
 }
 
+/* Sends bytes over a link, and moves at_us to when they have arrived. */
+static void
+use_link(int64_t *at_us, int64_t *free_us, int64_t kbps, size_t bytes,
+         int64_t now_us)
+{
+    if (kbps <= 0)
+        return;
+    *free_us = MAX(*free_us, now_us) + (int64_t)bytes * 8 * CS_MS_US / kbps;
+    *at_us = MAX(*at_us, *free_us);
+}
+
+static void
+start_pass(struct transfer *transfer, bool through_relay)
+{
+    transfer->through_relay = through_relay;
+    transfer->remaining_bytes = transfer->total_bytes;
+}
+
+/* Sends the next piece of a transfer. A relaying peer passes an answer on
+   only when it has all of it. */
+static void
+send_piece(void *user_data)
+{
+    struct store_call *call = user_data;
+    struct transfer *transfer = call->transfer;
+    fake_fleet *deployment = call->deployment;
+    struct fake_vm *relay = call->relay;
+    int64_t at_us = deployment->now_us;
+    size_t bytes = MIN(transfer->remaining_bytes, PIECE_BYTES);
+
+    /* The connection of an abandoned call is closed. */
+    if (call->answered)
+        return;
+    if (!transfer->through_relay &&
+        transfer->remaining_bytes < transfer->total_bytes)
+        call->transfer_deadline_us =
+            MAX(MAX(call->transfer_deadline_us, call->deadline_us + 1),
+                deployment->now_us + CS_STORE_PROGRESS_US);
+    if (bytes == 0 && transfer->through_relay) {
+        start_pass(transfer, false);
+        bytes = MIN(transfer->remaining_bytes, PIECE_BYTES);
+    }
+    if (bytes == 0) {
+        deliver_rows(call, 0, transfer->rows, transfer->has_more,
+                     transfer->version, transfer->store_now_ms);
+        return;
+    }
+    if (transfer->stall_at_bytes &&
+        transfer->remaining_bytes <= transfer->stall_at_bytes)
+        return;
+    transfer->remaining_bytes -= bytes;
+    if (relay == call->vm || transfer->through_relay) {
+        deployment->store.load.sent_bytes += bytes;
+        use_link(&at_us, &deployment->store.link_free_us,
+                 deployment->store_kbps, bytes, deployment->now_us);
+    }
+    if (relay != call->vm)
+        use_link(&at_us, &relay->link_free_us, relay->link_kbps, bytes,
+                 deployment->now_us);
+    if (!transfer->through_relay)
+        use_link(&at_us, &call->vm->link_free_us, call->vm->link_kbps, bytes,
+                 deployment->now_us);
+    if (at_us == deployment->now_us)
+        send_piece(call);
+    else
+        fake_schedule(deployment, at_us, send_piece, call);
+}
+
+static void
+start_transfer(struct store_call *call, const GPtrArray *rows, bool has_more)
+{
+    struct transfer *transfer = g_new0(struct transfer, 1);
+    guint i;
+
+    transfer->rows = g_ptr_array_new_with_free_func(row_free);
+    transfer->has_more = has_more;
+    transfer->version = call->deployment->store.version;
+    transfer->store_now_ms = call->deployment->now_us / CS_MS_US + 1;
+    transfer->total_bytes = ANSWER_OVERHEAD_BYTES;
+    for (i = 0; i < rows->len; i++) {
+        const struct fake_row *row = g_ptr_array_index(rows, i);
+
+        g_ptr_array_add(transfer->rows,
+                        row_new(row->table, row->part, row->key,
+                                row->value->data, row->value->len,
+                                row->version, row->deleted));
+        /* Values are encoded in base64. */
+        transfer->total_bytes +=
+            ROW_OVERHEAD_BYTES + ((size_t)row->value->len + 2) / 3 * 4;
+    }
+    if (call->vm->stall_next_transfer &&
+        transfer->total_bytes > STALL_MIN_BYTES) {
+        call->vm->stall_next_transfer = false;
+        transfer->stall_at_bytes = transfer->total_bytes / 2;
+    }
+    call->transfer = transfer;
+    start_pass(transfer, call->relay != call->vm);
+    send_piece(call);
+}
+
+static void
+send_rows(struct store_call *call, int code, GPtrArray *rows, bool has_more)
+{
+    if (call->answered || call->transfer)
+        return;
+    if (call->extensible)
+        start_transfer(call, rows, has_more);
+    else
+        deliver_rows(call, code, rows, has_more,
+                     call->deployment->store.version,
+                     call->deployment->now_us / CS_MS_US + 1);
+}
+
 /* Returns whether the table has changed after the version of the feed. */
 static bool
 feed_is_ready(const struct store_call *call)
@@ -473,8 +616,17 @@
 expire_call(void *user_data)
 {
     struct store_call *call = user_data;
+    int64_t end_us = MIN(call->transfer_deadline_us,
+                         call->deadline_us + CS_STORE_TRANSFER_MAX_US);
+    cs_store_answer answer = {.code = CS_E_OUTCOME_UNKNOWN};
 
-    send_code(call, CS_E_OUTCOME_UNKNOWN);
+    if (!call->answered && !call->deployment->shutting_down &&
+        call->deployment->now_us < end_us) {
+        fake_schedule(call->deployment, end_us, expire_call, call);
+        return;
+    }
+    answer.partial = call->transfer_deadline_us > call->deadline_us;
+    send_answer(call, &answer);
     if (call->is_waiting)
         g_ptr_array_remove(call->deployment->store.waiting_feeds, call);
 }
@@ -491,14 +643,31 @@
     call_free(user_data);
 }
 
+/* Returns when the store executes a read that arrives at a time. */
+static int64_t
+wait_for_read_capacity(fake_fleet *deployment, int64_t at_us)
+{
+    struct fake_store *store = &deployment->store;
+
+    store->load.reads++;
+    if (deployment->store_reads_per_s == 0)
+        return at_us;
+    store->read_capacity_us = MAX(store->read_capacity_us, at_us) +
+                              CS_SEC_US / deployment->store_reads_per_s;
+    return store->read_capacity_us;
+}
+
 static void
 schedule(struct store_call *call, fake_event_fn execute, bool writes)
 {
     fake_fleet *deployment = call->deployment;
     const fake_vm_faults *faults = &call->relay->faults;
     int64_t at_us = fake_charge_cpu(call->vm, deployment->call_us) +
-                    FAKE_NETWORK_DELAY_US + STORE_LATENCY_US;
+                    FAKE_NETWORK_DELAY_US + STORE_LATENCY_US +
+                    deployment->store.delay_us;
 
+    if (!writes)
+        at_us = wait_for_read_capacity(deployment, at_us);
     if (faults->store_refuses || !call->relay->up) {
         fake_schedule(deployment, at_us, refuse_call, call);
     }
@@ -519,7 +688,8 @@
     fake_schedule(deployment, call->deadline_us, expire_call, call);
     /* The call is freed after every event that may still refer to it. */
     fake_schedule(deployment,
-                  MAX(call->deadline_us, deployment->now_us) + 2 * MAX_LATE_US,
+                  MAX(call->deadline_us, deployment->now_us) +
+                      CS_STORE_TRANSFER_MAX_US + 2 * MAX_LATE_US,
                   free_call_event, call);
 }
 
@@ -540,6 +710,7 @@
     call->vm = vm;
     call->relay = route->relay;
     call->deadline_us = deadline_us;
+    call->transfer_deadline_us = deadline_us;
     call->done = done;
     call->user_data = user_data;
     fake_pending_call_add(vm, call, abort_call);
@@ -585,6 +756,7 @@
     call->from = g_strdup(range->from);
     call->to = g_strdup(range->to);
     call->limit = range->limit;
+    call->extensible = true;
     schedule(call, execute_read, false);
 }
 
@@ -597,9 +769,28 @@
     call->table = g_strdup(table);
     call->after = after;
     call->wait_until_us = call->deployment->now_us + wait_ms * CS_MS_US;
+    call->extensible = true;
     schedule(call, execute_follow, false);
 }
 
+void
+fake_fleet_set_store_delay(fake_fleet *deployment, int64_t us)
+{
+    deployment->store.delay_us = us;
+}
+
+void
+fake_fleet_stall_transfer(fake_fleet *deployment, uint32_t vm)
+{
+    deployment->vms[vm].stall_next_transfer = true;
+}
+
+fake_store_load
+fake_fleet_store_load(const fake_fleet *deployment)
+{
+    return deployment->store.load;
+}
+
 void
 fake_store_port(struct fake_vm *vm)
 {
