members: the rows read at a restart no longer grow with the square of the VMs

Cause: each VM read the rows of all VMs twice within 0.4 s of its start. Change: the first read is limited to 64 rows. VMs that these show to be no candidates read the rest 2 to 12 s later. A VM that finds its own row takes its rank from the first read and does not repeat it.

--- a/src/members/members.c
+++ b/src/members/members.c
@@ -12,9 +12,18 @@
 
 #define CALL_TIMEOUT_US (900 * CS_MS_US)
 #define RETRY_INTERVAL_US CS_SEC_US
-/* The VMs of a deployment start together, and have written their rows within
-   this time. */
+/* The VMs of a new deployment start together, and have written their rows
+   within this time. */
 #define SECOND_READ_DELAY_US (400 * CS_MS_US)
+/* The first read is limited to this number of rows. If all VMs restarted with
+   a read of all rows, its bytes would grow with the square of their number:
+   300 VMs took 30 MB of the store's link before any of them held the cell. In
+   a larger deployment, VMs that may be candidates read all rows next. The
+   others have the rows of enough peers and wait for a time between the two
+   bounds. */
+#define FIRST_READ_ROWS 64
+#define OUTRANKED_READ_DELAY_MIN_US (2 * CS_SEC_US)
+#define OUTRANKED_READ_DELAY_MAX_US (12 * CS_SEC_US)
 #define CANDIDATE_READ_INTERVAL_US (10 * CS_SEC_US)
 /* VMs that are not candidates for the cell need the others only as relays to
    the store. */
@@ -191,13 +200,74 @@
 static int64_t
 read_interval_us(const cs_members *members)
 {
-    if (members->read_count == 1)
-        return SECOND_READ_DELAY_US;
     return cs_vm_is_candidate(&members->state->rank)
                ? CANDIDATE_READ_INTERVAL_US
                : OTHER_READ_INTERVAL_US;
 }
 
+/* Returns whether the listed VMs alone show that this one is no candidate. */
+static bool
+is_outranked(const cs_members *members)
+{
+    const cs_vm_settings *settings = &members->state->settings;
+    cs_member own = {.cpu_milli = own_cpu_milli(members)};
+    const cs_member *own_pointer = &own;
+    uint32_t ahead = 0;
+    guint i;
+
+    g_strlcpy(own.name, settings->name, sizeof(own.name));
+    for (i = 0; i < members->list->len; i++) {
+        const cs_member *member = g_ptr_array_index(members->list, i);
+
+        ahead += strcmp(member->zone, settings->zone) == 0 &&
+                 compare_strength(&member, &own_pointer) < 0;
+    }
+    return ahead >= CS_CANDIDATES_PER_ZONE;
+}
+
+static int64_t
+outranked_read_delay_us(const cs_members *members)
+{
+    return OUTRANKED_READ_DELAY_MIN_US +
+           g_str_hash(members->state->incarnation) %
+               (OUTRANKED_READ_DELAY_MAX_US - OUTRANKED_READ_DELAY_MIN_US);
+}
+
+static bool
+has_own_row(const cs_members *members)
+{
+    guint i;
+
+    for (i = 0; i < members->list->len; i++) {
+        const cs_member *member = g_ptr_array_index(members->list, i);
+
+        if (strcmp(member->name, members->state->settings.name) == 0)
+            return true;
+    }
+    return false;
+}
+
+/*
+ * Handles the first read since the start. Returns the delay until the next.
+ * If this VM has a row already, the deployment has been running and the rows
+ * of the other VMs are there as well.
+ */
+static int64_t
+finish_first_read(cs_members *members, bool truncated)
+{
+    if (truncated) {
+        if (!is_outranked(members))
+            return 0;
+        members->state->rank.known = true;
+        members->state->rank.zone_rank = CS_CANDIDATES_PER_ZONE;
+        return outranked_read_delay_us(members);
+    }
+    if (!has_own_row(members))
+        return SECOND_READ_DELAY_US;
+    update_own_rank(members);
+    return read_interval_us(members);
+}
+
 static void
 on_read(void *user_data, const cs_store_answer *answer)
 {
@@ -210,9 +280,12 @@
         return;
     load_rows(members, answer);
     members->read_count++;
-    /* At the first read most other VMs have not written their rows yet. */
-    if (members->read_count > 1)
-        update_own_rank(members);
+    if (members->read_count == 1) {
+        members->next_read_us =
+            now_us(members) + finish_first_read(members, answer->has_more);
+        return;
+    }
+    update_own_rank(members);
     members->next_read_us = now_us(members) + read_interval_us(members);
 }
 
@@ -239,7 +312,10 @@
 read_rows(cs_members *members)
 {
     const cs_store_port *store = members->state->ports.store;
-    cs_row_range range = {.table = CS_TABLE_MEMBERS, .part = ""};
+    cs_row_range range = {.table = CS_TABLE_MEMBERS,
+                          .part = "",
+                          .limit =
+                              members->read_count == 0 ? FIRST_READ_ROWS : 0};
 
     members->call_open = true;
     store->read(store->self, &range, now_us(members) + CALL_TIMEOUT_US,
