config follower: large configurations on slow links

Cause: any read was given 400 ms and repeated 200 ms later, so a link of 10 Mbit/s never carried a megabyte and stayed full after the trigger had gone. Change: retries back off with jitter; a failed poll is repeated as a poll; answers through peers get more time if they may be large; VMs poll large configurations in slots by rank. Log line config-retry.

--- a/src/entry/config_follower.c
+++ b/src/entry/config_follower.c
@@ -12,8 +12,30 @@
  * shortly after that.
  */
 #define WAIT_DIVISOR 4 /* a poll waits config_apply_ms / this */
+/* Time within which an answer must begin; its transfer may then continue, see
+   store_port.h. It doubles with each call in a row that got no answer. Through
+   a peer it is the longest at once unless the row is known to be small: a peer
+   passes an answer on only when it has all of it. */
 #define ANSWER_TIMEOUT_US (400 * CS_MS_US)
+#define ANSWER_TIMEOUT_MAX_US (3200 * CS_MS_US)
+/* Pause after a failed call. It doubles with each further one, so that calls
+   that time out because of load do not keep up the load. After the store has
+   recovered, the longest pause, a lost call of the longest timeout and a
+   transfer of a megabyte at 10 Mbit/s take less than the 6 s by which a
+   disturbed store extends config_apply_ms. */
 #define RETRY_DELAY_US (200 * CS_MS_US)
+#define RETRY_DELAY_MAX_US (1600 * CS_MS_US)
+/* A configuration above this size takes 50 ms or more at 10 Mbit/s. Its feed
+   answers with the whole row. */
+#define LARGE_ROW_BYTES 65536
+/* Only this many VMs of a zone wait for changes of a large configuration; the
+   others poll one after another, in slots of the store's clock. */
+#define WAITING_READERS 4
+#define READERS_PER_SLOT 4
+/* A VM polls once within config_apply_ms / this, which leaves as much time for
+   the transfer. */
+#define SLOTS_DIVISOR 2
+#define SLOT_COUNT 4
 
 struct cs_config_follower {
     cs_fleet_state *fleet_state;
@@ -21,6 +43,11 @@
     bool row_loaded; /* false: read the row before following changes */
     uint64_t followed_version; /* store version up to which it is current */
     int64_t next_call_us;      /* boot clock; earliest time of the next call */
+    uint32_t failed_calls;     /* consecutive */
+    uint32_t unanswered_calls; /* consecutive, among these */
+    size_t row_bytes;          /* size of the last row; 0 unknown */
+    int64_t store_clock_us;    /* the store's clock minus the boot clock */
+    int64_t *retries;
     int64_t *applied;
     int64_t *rejected;
 };
@@ -33,6 +60,7 @@
 
     if (strcmp(row->key, fleet_state->ports.config_key) != 0 || row->deleted)
         return;
+    follower->row_bytes = row->size_bytes;
     if (fleet_state->ports.decode_config(&config, row->value,
                                          row->size_bytes)) {
         (*follower->rejected)++;
@@ -53,32 +81,143 @@
     (*follower->applied)++;
 }
 
+/* Returns the pause before the next attempt. VMs whose calls failed together
+   are spread by a hash. The first retry is not, as a refused call may be the
+   fault of one VM or route only. */
+static int64_t
+retry_delay_us(const cs_config_follower *follower)
+{
+    uint32_t doublings = MIN(follower->failed_calls - 1, 8U);
+    int64_t delay_us = MIN(RETRY_DELAY_US << doublings, RETRY_DELAY_MAX_US);
+    char seed[128];
+
+    if (doublings == 0)
+        return delay_us;
+    g_snprintf(seed, sizeof(seed), "%s %u", follower->fleet_state->incarnation,
+               follower->failed_calls);
+    return delay_us / 2 + g_str_hash(seed) % (delay_us / 2);
+}
+
+static void
+handle_failed_call(cs_config_follower *follower, const cs_store_answer *answer)
+{
+    int64_t delay_us;
+
+    if (answer->code == CS_E_TOO_OLD) {
+        follower->row_loaded = false;
+        return;
+    }
+    /* A poll is repeated with the same version. If the store has dropped its
+       changes meanwhile, it answers CS_E_TOO_OLD. */
+    follower->failed_calls++;
+    if (answer->code == CS_E_OUTCOME_UNKNOWN && !answer->partial)
+        follower->unanswered_calls++;
+    delay_us = retry_delay_us(follower);
+    follower->next_call_us =
+        cs_fleet_state_now(follower->fleet_state).boot_us + delay_us;
+    (*follower->retries)++;
+    cs_log_event("config-retry", "%s%s, attempt %u, next in %" PRId64 " ms",
+                 cs_error_name(answer->code),
+                 answer->partial ? " in the transfer" : "",
+                 follower->failed_calls, delay_us / CS_MS_US);
+}
+
 static void
 on_config_rows(void *user_data, const cs_store_answer *answer)
 {
     cs_config_follower *follower = user_data;
-    int64_t now_us = cs_fleet_state_now(follower->fleet_state).boot_us;
     size_t i;
 
     follower->call_in_flight = false;
     cs_fleet_state_record_store_answer(follower->fleet_state, answer->code);
-    if (answer->code == CS_E_TOO_OLD) {
-        follower->row_loaded = false;
-        return;
-    }
     if (answer->code) {
-        /* The store may drop changes from its history before the retry, so
-           the row itself is read again. */
-        follower->row_loaded = false;
-        follower->next_call_us = now_us + RETRY_DELAY_US;
+        handle_failed_call(follower, answer);
         return;
     }
+    follower->failed_calls = 0;
+    follower->unanswered_calls = 0;
+    if (answer->now_ms > 0)
+        follower->store_clock_us =
+            answer->now_ms * CS_MS_US -
+            cs_fleet_state_now(follower->fleet_state).boot_us;
     for (i = 0; i < answer->row_count; i++)
         apply_row(follower, &answer->rows[i]);
     follower->followed_version = answer->version;
     follower->row_loaded = true;
 }
 
+static int64_t
+answer_timeout_us(const cs_config_follower *follower)
+{
+    if (follower->fleet_state->relayed &&
+        (follower->row_bytes == 0 || follower->row_bytes > LARGE_ROW_BYTES ||
+         follower->unanswered_calls > 0))
+        return ANSWER_TIMEOUT_MAX_US;
+    return MIN(ANSWER_TIMEOUT_US << MIN(follower->unanswered_calls, 8U),
+               ANSWER_TIMEOUT_MAX_US);
+}
+
+/* Returns whether the VM polls in its slot instead of waiting for changes. */
+static bool
+polls_in_slot(const cs_config_follower *follower)
+{
+    const cs_vm_rank *rank = &follower->fleet_state->rank;
+
+    return follower->row_bytes > LARGE_ROW_BYTES && rank->known &&
+           rank->zone_rank >= WAITING_READERS;
+}
+
+/* Returns the time until the VM's next slot, which begins in each period at
+   the same time by the store's clock. */
+static int64_t
+time_to_slot_us(const cs_config_follower *follower, int64_t now_us)
+{
+    int64_t period_us =
+        follower->fleet_state->settings.bounds.config_apply_ms * CS_MS_US /
+        SLOTS_DIVISOR;
+    uint32_t slot =
+        follower->fleet_state->rank.zone_rank / READERS_PER_SLOT % SLOT_COUNT;
+    int64_t slot_us = period_us * slot / SLOT_COUNT;
+    int64_t phase_us = (now_us + follower->store_clock_us) % period_us;
+
+    /* A VM whose slot is just about to begin has polled in it already: the
+       clock is known only to the delay of a call. */
+    return period_us / SLOT_COUNT +
+           (slot_us - phase_us + 2 * period_us - period_us / SLOT_COUNT) %
+               period_us;
+}
+
+static void
+read_row(cs_config_follower *follower, int64_t now_us)
+{
+    const cs_fleet_ports *ports = &follower->fleet_state->ports;
+    cs_row_range range = {.table = ports->config_table,
+                          .part = "",
+                          .from = ports->config_key,
+                          .limit = 1};
+
+    ports->store->read(ports->store->self, &range,
+                       now_us + answer_timeout_us(follower), on_config_rows,
+                       follower);
+}
+
+static void
+follow_table(cs_config_follower *follower, int64_t now_us)
+{
+    const cs_fleet_ports *ports = &follower->fleet_state->ports;
+    int64_t wait_ms =
+        follower->fleet_state->settings.bounds.config_apply_ms / WAIT_DIVISOR;
+
+    if (polls_in_slot(follower)) {
+        wait_ms = 0;
+        follower->next_call_us = now_us + time_to_slot_us(follower, now_us);
+    }
+    ports->store->follow(
+        ports->store->self, ports->config_table, follower->followed_version,
+        wait_ms, now_us + wait_ms * CS_MS_US + answer_timeout_us(follower),
+        on_config_rows, follower);
+}
+
 cs_config_follower *
 cs_config_follower_create(cs_fleet_state *fleet_state)
 {
@@ -89,6 +228,8 @@
         cs_fleet_state_counter(fleet_state, "cs_config_applied");
     follower->rejected =
         cs_fleet_state_counter(fleet_state, "cs_config_rejected");
+    follower->retries =
+        cs_fleet_state_counter(fleet_state, "cs_config_retries_total");
     return follower;
 }
 
@@ -101,25 +242,13 @@
 void
 cs_config_follower_tick(cs_config_follower *follower)
 {
-    const cs_fleet_ports *ports = &follower->fleet_state->ports;
     int64_t now_us = cs_fleet_state_now(follower->fleet_state).boot_us;
-    int64_t wait_ms =
-        follower->fleet_state->settings.bounds.config_apply_ms / WAIT_DIVISOR;
-    cs_row_range range = {.table = ports->config_table,
-                          .part = "",
-                          .from = ports->config_key,
-                          .limit = 1};
 
     if (follower->call_in_flight || now_us < follower->next_call_us)
         return;
     follower->call_in_flight = true;
     if (follower->row_loaded)
-        ports->store->follow(ports->store->self, ports->config_table,
-                             follower->followed_version, wait_ms,
-                             now_us + wait_ms * CS_MS_US + ANSWER_TIMEOUT_US,
-                             on_config_rows, follower);
+        follow_table(follower, now_us);
     else
-        ports->store->read(ports->store->self, &range,
-                           now_us + ANSWER_TIMEOUT_US, on_config_rows,
-                           follower);
+        read_row(follower, now_us);
 }
