--- a/src/programs/fleetd_peer_requests.c
+++ b/src/programs/fleetd_peer_requests.c
@@ -14,6 +14,9 @@
     json_object_set_new(
         status, "relayed",
         json_boolean(cs_store_router_is_relayed(daemon->store_router)));
+    json_object_set_new(
+        status, "refused",
+        json_boolean(cs_store_router_is_refused(daemon->store_router)));
     json_object_set_new(status, "open_requests",
                         json_integer(daemon_open_requests(daemon)));
     if (daemon->dispatch)
--- a/standins/fake_fleet.h
+++ b/standins/fake_fleet.h
@@ -135,7 +135,8 @@
 /** Writes the configuration to the store under a version number. */
 void fake_fleet_configure(fake_fleet *deployment, uint64_t version);
 
-/** Writes a configuration with further queues, of about 540 bytes on the wire each. */
+/** Writes a configuration with further queues, of about 540 bytes on the wire
+ * each. */
 void fake_fleet_configure_queues(fake_fleet *deployment, uint64_t version,
                                  uint32_t further_queues);
 /** @return version of the configuration that a VM has applied; 0 for none */
