config follower: no backoff for refused calls, no slot lost without history

A call that the store refuses transfers nothing, but backed off like a transfer that timed out, so that restarted VMs answered 503 for up to 1.6 s after the store served them again. And a VM that polls in slots learned in its slot that the store had dropped the change, and read the row only in the next one, beyond configApplyMs.

The row is read at once after CS_E_TOO_OLD.

--- a/src/entry/config_follower.c
+++ b/src/entry/config_follower.c
@@ -18,8 +18,10 @@
    passes an answer on only when it has all of it. */
 #define ANSWER_TIMEOUT_US (400 * CS_MS_US)
 #define ANSWER_TIMEOUT_MAX_US (3200 * CS_MS_US)
-/* Pause after a failed call. It doubles with each further one, so that calls
-   that time out because of load do not keep up the load. After the store has
+/* Pause after a failed call. It doubles with each further one that timed out or
+   met a busy peer, so that calls that fail because of load do not keep up the
+   load. A refused call carries no row and leaves the pause unchanged: a VM
+   without a configuration asks soon after the store serves it again. After the store has
    recovered, the longest pause, a lost call of the longest timeout and a
    transfer of a megabyte at 10 Mbit/s take less than the 6 s by which a
    disturbed store extends config_apply_ms. */
@@ -44,6 +46,7 @@
     uint64_t followed_version; /* store version up to which it is current */
     int64_t next_call_us;      /* boot clock; earliest time of the next call */
     uint32_t failed_calls;     /* consecutive */
+    uint32_t delayed_calls;    /* consecutive, among these: not refused */
     uint32_t unanswered_calls; /* consecutive, among these */
     size_t row_bytes;          /* size of the last row; 0 unknown */
     int64_t store_clock_us;    /* the store's clock minus the boot clock */
@@ -87,7 +90,9 @@
 static int64_t
 retry_delay_us(const cs_config_follower *follower)
 {
-    uint32_t doublings = MIN(follower->failed_calls - 1, 8U);
+    uint32_t doublings = follower->delayed_calls > 0
+                             ? MIN(follower->delayed_calls - 1, 8U)
+                             : 0;
     int64_t delay_us = MIN(RETRY_DELAY_US << doublings, RETRY_DELAY_MAX_US);
     char seed[128];
 
@@ -98,6 +103,14 @@
     return delay_us / 2 + g_str_hash(seed) % (delay_us / 2);
 }
 
+/* Returns whether a failed call was refused immediately. */
+static bool
+is_refused(const cs_store_answer *answer)
+{
+    return answer->code == CS_E_STORE_UNAVAILABLE ||
+           answer->code == CS_E_CONNECT;
+}
+
 static void
 handle_failed_call(cs_config_follower *follower, const cs_store_answer *answer)
 {
@@ -105,11 +118,15 @@
 
     if (answer->code == CS_E_TOO_OLD) {
         follower->row_loaded = false;
+        /* The row may have changed, so it is read before the next slot. */
+        follower->next_call_us = 0;
         return;
     }
     /* A poll is repeated with the same version. If the store has dropped its
        changes meanwhile, it answers CS_E_TOO_OLD. */
     follower->failed_calls++;
+    follower->delayed_calls = is_refused(answer) ? 0
+                                                 : follower->delayed_calls + 1;
     if (answer->code == CS_E_OUTCOME_UNKNOWN && !answer->partial)
         follower->unanswered_calls++;
     delay_us = retry_delay_us(follower);
@@ -135,6 +152,7 @@
         return;
     }
     follower->failed_calls = 0;
+    follower->delayed_calls = 0;
     follower->unanswered_calls = 0;
     if (answer->now_ms > 0)
         follower->store_clock_us =
--- a/tests/test_large_config.c
+++ b/tests/test_large_config.c
@@ -86,6 +86,42 @@
     fake_fleet_destroy(fleet);
 }
 
+/* Guards against VMs that poll in slots, learn there that the store has dropped
+   the change, and wait for a further slot before they read the row. */
+static void
+large_config__is_applied_in_time_without_history(void **state)
+{
+    fake_fleet *fleet = create_fleet(&slow_links);
+
+    fake_fleet_configure_queues(fleet, 2, MORE_QUEUES);
+    fake_fleet_run(fleet, APPLY_US);
+    fake_fleet_configure_queues(fleet, 3, MORE_QUEUES);
+    fake_fleet_compact(fleet);
+    fake_fleet_run(fleet, APPLY_US);
+    assert_int_equal(count_vms_with(fleet, 3, VMS), VMS);
+    fake_fleet_destroy(fleet);
+}
+
+/* Guards against a backoff that keeps restarted VMs without a configuration
+   for longer than configApplyMs after a store that refused all serves again.
+ */
+static void
+large_config__is_applied_soon_after_the_store_refused(void **state)
+{
+    fake_fleet *fleet = create_fleet(&slow_links);
+    uint32_t vm;
+
+    fake_fleet_set_faults(fleet, -1, &refused);
+    for (vm = 0; vm < VMS; vm++)
+        fake_fleet_kill(fleet, vm, CS_SEC_US);
+    fake_fleet_run(fleet, 7 * CS_SEC_US);
+    assert_int_equal(count_vms_with(fleet, 1, VMS), 0);
+    fake_fleet_set_faults(fleet, -1, &no_faults);
+    fake_fleet_run(fleet, 500 * CS_MS_US);
+    assert_int_equal(count_vms_with(fleet, 1, VMS), VMS);
+    fake_fleet_destroy(fleet);
+}
+
 /* Guards against a metastable failure: transfers that were abandoned and
    restarted kept links full after the store had recovered, and VMs kept
    changing their routes. */
@@ -242,6 +278,9 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(large_config__is_applied_in_time),
+        cmocka_unit_test(large_config__is_applied_in_time_without_history),
+        cmocka_unit_test(
+            large_config__is_applied_soon_after_the_store_refused),
         cmocka_unit_test(large_config__is_applied_after_the_store_was_slow),
         cmocka_unit_test(large_config__is_read_once_after_a_restart),
         cmocka_unit_test(large_config__stalled_transfer_is_repeated),
