store router: a peer that does not answer is left by VMs that read little

A VM that is no candidate reads the lease row every 1.5 s. While relayed, each of these reads was due as a probe and went directly, and unanswered calls of the configuration do not count as failures. So a VM that the store refuses stayed for good, and without a configuration, with a peer that is silent.

The first quick read after a change of the route goes through the peer, and two calls of the large table in a row without any answer through the peer count as a failure.

Two new tests of the router fail without the change.

--- a/src/members/store_router.c
+++ b/src/members/store_router.c
@@ -18,6 +18,9 @@
 #include <string.h>
 
 #define MAX_DIRECT_FAILURES 2
+/* Large calls in a row that a peer leaves unanswered before it has failed: one
+   may be the fault of a slow link. */
+#define MAX_UNANSWERED_BULK_CALLS 2
 #define PROBE_INTERVAL_US CS_SEC_US
 /* Answered probes in a row after which the direct route is used again, and the
    interval of those that follow an answered one. One answer may be chance
@@ -53,6 +56,8 @@
     int64_t relay_backoff_until_us; /* boot clock; no peer is tried before */
     uint32_t answered_probes;       /* in a row */
     bool peer_answered;  /* a call through the current peer was answered */
+    bool peer_was_read;  /* a quick read has been sent through it */
+    uint32_t unanswered_bulk_calls; /* in a row, through the current peer */
     bool direct_refused; /* a later probe was not */
     uint32_t change_tokens;
     int64_t next_token_us; /* boot clock; when the bucket gets the next one */
@@ -139,6 +144,8 @@
     use_change_token(router);
     router->answered_probes = 0;
     router->peer_answered = false;
+    router->peer_was_read = false;
+    router->unanswered_bulk_calls = 0;
     router->direct_refused = false;
     router->route = route;
     router->route_changes++;
@@ -239,18 +246,28 @@
     }
     router->consecutive_failures = 0;
     router->failed_peers = 0;
+    router->unanswered_bulk_calls = 0;
 }
 
 /*
  * Returns whether a failed call shows a slow link, which is neither a failure
  * of the route nor evidence that the route works: a transfer that was
- * abandoned midway, or a large answer that a peer had not received in time.
+ * abandoned midway, or a large answer that a peer had not received in time. A
+ * peer that answers nothing between several large calls has failed: all other
+ * reads of a VM that reads little may be probes.
  */
 static bool
-is_slow_transfer(const struct call *call, const cs_store_answer *answer)
+is_slow_transfer(cs_store_router *router, const struct call *call,
+                 const cs_store_answer *answer)
 {
-    return answer->partial || (call->bulk && call->route != DIRECT &&
-                               answer->code == CS_E_OUTCOME_UNKNOWN);
+    if (answer->partial)
+        return true;
+    if (!call->bulk || call->route == DIRECT ||
+        answer->code != CS_E_OUTCOME_UNKNOWN)
+        return false;
+    if (call->route_changes == router->route_changes)
+        router->unanswered_bulk_calls++;
+    return router->unanswered_bulk_calls < MAX_UNANSWERED_BULK_CALLS;
 }
 
 static void
@@ -260,7 +277,7 @@
 
     if (is_store_response(answer->code))
         handle_response(call->router, call->route, call->route_changes);
-    else if (!is_slow_transfer(call, answer))
+    else if (!is_slow_transfer(call->router, call, answer))
         handle_failure(call->router, call, answer->code);
     call->done(call->user_data, answer);
     g_free(call);
@@ -274,7 +291,9 @@
 }
 
 /* Probes are quick calls: the answer to a long poll or a large one comes late
-   also if the store serves this VM. */
+   also if the store serves this VM. The first quick read after a change of the
+   route goes through the peer: a VM whose reads are further apart than probes
+   would otherwise not notice that the peer does not answer. */
 static int32_t
 choose_read_route(cs_store_router *router, bool quick)
 {
@@ -282,10 +301,11 @@
 
     if (router->route == DIRECT)
         return DIRECT;
-    if (quick && now >= router->next_probe_us) {
+    if (quick && router->peer_was_read && now >= router->next_probe_us) {
         router->next_probe_us = now + PROBE_INTERVAL_US;
         return DIRECT;
     }
+    router->peer_was_read |= quick;
     (*router->relayed_count)++;
     return router->route;
 }
--- a/tests/test_store_router.c
+++ b/tests/test_store_router.c
@@ -12,6 +12,8 @@
 #define PEER_COUNT 20
 #define VM_COUNT 60
 
+#define BULK_TABLE "large"
+
 /* One VM's router; the store refuses its direct calls. */
 struct fixture {
     int64_t now_us;
@@ -73,7 +75,8 @@
                                          .open_relay_data = fixture,
                                          .own_name = fixture->name,
                                          .now = fixture_now,
-                                         .now_data = fixture};
+                                         .now_data = fixture,
+                                         .bulk_table = BULK_TABLE};
     char address[32];
     uint32_t i;
 
@@ -155,14 +158,20 @@
 }
 
 static void
-read_once(struct fixture *fixture)
+read_table_once(struct fixture *fixture, const char *table)
 {
     const cs_store_port *port = cs_store_router_port(fixture->router);
-    cs_row_range range = {.table = "t", .part = ""};
+    cs_row_range range = {.table = table, .part = ""};
 
     port->read(port->self, &range, 2 * CS_SEC_US, ignore_answer, NULL);
 }
 
+static void
+read_once(struct fixture *fixture)
+{
+    read_table_once(fixture, "t");
+}
+
 /* Guards against moving the load of slow transfers to peers. */
 static void
 store_router__slow_transfer_keeps_the_route(void **state)
@@ -225,6 +234,53 @@
     fixture_dispose(&fixture);
 }
 
+/* Guards against a VM that reads every 1.5 s, sends each read as a probe, and
+   stays for good with a peer that does not answer. */
+static void
+store_router__silent_peer_is_left_by_a_vm_that_reads_little(void **state)
+{
+    struct fixture fixture;
+    uint32_t i;
+
+    fixture_init(&fixture, 1);
+    fixture.serving = fixture.refusing;
+    fixture.direct_answer.code = CS_E_OUTCOME_UNKNOWN;
+    for (i = 0; i < 4; i++) {
+        read_once(&fixture);
+        fixture.now_us += 1500 * CS_MS_US;
+    }
+    /* To the first peer, and on to the next. */
+    assert_true(*cs_counters_get(fixture.counters,
+                                 "cs_store_way_changes_total") >= 2);
+    fixture_dispose(&fixture);
+}
+
+/* Guards against a VM that waits for its configuration from a peer that has
+   stopped answering, as large calls are not counted as failures. */
+static void
+store_router__peer_that_stops_answering_bulk_calls_is_left(void **state)
+{
+    struct fixture fixture;
+    uint32_t i;
+
+    fixture_init(&fixture, 1);
+    read_repeatedly(&fixture);
+    assert_true(cs_store_router_is_relayed(fixture.router));
+    fixture.serving = fixture.refusing;
+    fixture.direct_answer.code = CS_E_OUTCOME_UNKNOWN;
+    for (i = 0; i < 2; i++) {
+        fixture.now_us += CS_SEC_US;
+        assert_int_equal(*cs_counters_get(fixture.counters,
+                                          "cs_store_way_changes_total"),
+                         1);
+        read_table_once(&fixture, BULK_TABLE);
+    }
+    assert_int_equal(*cs_counters_get(fixture.counters,
+                                      "cs_store_way_changes_total"),
+                     2);
+    fixture_dispose(&fixture);
+}
+
 int
 main(void)
 {
@@ -234,6 +290,10 @@
         cmocka_unit_test(store_router__slow_transfer_keeps_the_route),
         cmocka_unit_test(store_router__several_probes_return_to_the_store),
         cmocka_unit_test(store_router__changes_of_the_route_are_limited),
+        cmocka_unit_test(
+            store_router__silent_peer_is_left_by_a_vm_that_reads_little),
+        cmocka_unit_test(
+            store_router__peer_that_stops_answering_bulk_calls_is_left),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
