members: the limited first read leaves room for peers of other zones

Of more than 64 VMs the first read returns the first 64 by name, which may all be of one zone. They filled the router's list of peers, so that the later read of all rows added none: if the zone is cut off from the store, its VMs do not reach the store through another zone.

--- a/src/entry/config_follower.c
+++ b/src/entry/config_follower.c
@@ -18,12 +18,12 @@
    passes an answer on only when it has all of it. */
 #define ANSWER_TIMEOUT_US (400 * CS_MS_US)
 #define ANSWER_TIMEOUT_MAX_US (3200 * CS_MS_US)
-/* Pause after a failed call. It doubles with each further one that timed out or
-   met a busy peer, so that calls that fail because of load do not keep up the
-   load. A refused call carries no row and leaves the pause unchanged: a VM
-   without a configuration asks soon after the store serves it again. After the store has
-   recovered, the longest pause, a lost call of the longest timeout and a
-   transfer of a megabyte at 10 Mbit/s take less than the 6 s by which a
+/* Pause after a failed call. It doubles with each further one that timed out
+   or met a busy peer, so that calls that fail because of load do not keep up
+   the load. A refused call carries no row and leaves the pause unchanged: a VM
+   without a configuration asks soon after the store serves it again. After the
+   store has recovered, the longest pause, a lost call of the longest timeout
+   and a transfer of a megabyte at 10 Mbit/s take less than the 6 s by which a
    disturbed store extends config_apply_ms. */
 #define RETRY_DELAY_US (200 * CS_MS_US)
 #define RETRY_DELAY_MAX_US (1600 * CS_MS_US)
@@ -90,9 +90,8 @@
 static int64_t
 retry_delay_us(const cs_config_follower *follower)
 {
-    uint32_t doublings = follower->delayed_calls > 0
-                             ? MIN(follower->delayed_calls - 1, 8U)
-                             : 0;
+    uint32_t doublings =
+        follower->delayed_calls > 0 ? MIN(follower->delayed_calls - 1, 8U) : 0;
     int64_t delay_us = MIN(RETRY_DELAY_US << doublings, RETRY_DELAY_MAX_US);
     char seed[128];
 
@@ -125,8 +124,8 @@
     /* A poll is repeated with the same version. If the store has dropped its
        changes meanwhile, it answers CS_E_TOO_OLD. */
     follower->failed_calls++;
-    follower->delayed_calls = is_refused(answer) ? 0
-                                                 : follower->delayed_calls + 1;
+    follower->delayed_calls =
+        is_refused(answer) ? 0 : follower->delayed_calls + 1;
     if (answer->code == CS_E_OUTCOME_UNKNOWN && !answer->partial)
         follower->unanswered_calls++;
     delay_us = retry_delay_us(follower);
--- a/src/members/members.c
+++ b/src/members/members.c
@@ -22,6 +22,10 @@
    others have the rows of enough peers and wait for a time between the two
    bounds. */
 #define FIRST_READ_ROWS 64
+/* The first rows by name may all be of one zone, which may be cut off from the
+   store. So they fill only a part of the router's list of peers, and a read of
+   all rows adds the strongest VMs of all zones. */
+#define FIRST_READ_PEERS 16
 #define OUTRANKED_READ_DELAY_MIN_US (2 * CS_SEC_US)
 #define OUTRANKED_READ_DELAY_MAX_US (12 * CS_SEC_US)
 #define CANDIDATE_READ_INTERVAL_US (10 * CS_SEC_US)
@@ -142,11 +146,11 @@
 
 /* Adds the strongest peers first, because the router limits their number. */
 static void
-add_peers(cs_members *members)
+add_peers(cs_members *members, guint max_peers)
 {
     guint i;
 
-    for (i = 0; i < members->list->len; i++) {
+    for (i = 0; i < MIN(members->list->len, max_peers); i++) {
         const cs_member *member = g_ptr_array_index(members->list, i);
 
         if (strcmp(member->name, members->state->settings.name) != 0)
@@ -173,7 +177,8 @@
         g_ptr_array_add(members->list, g_memdup2(&member, sizeof(member)));
     }
     g_ptr_array_sort(members->list, compare_strength);
-    add_peers(members);
+    add_peers(members,
+              answer->has_more ? FIRST_READ_PEERS : members->list->len);
 }
 
 static void
--- a/src/members/store_router.c
+++ b/src/members/store_router.c
@@ -55,10 +55,10 @@
     int64_t next_probe_us;          /* boot clock; next direct read */
     int64_t relay_backoff_until_us; /* boot clock; no peer is tried before */
     uint32_t answered_probes;       /* in a row */
-    bool peer_answered;  /* a call through the current peer was answered */
-    bool peer_was_read;  /* a quick read has been sent through it */
+    bool peer_answered; /* a call through the current peer was answered */
+    bool peer_was_read; /* a quick read has been sent through it */
     uint32_t unanswered_bulk_calls; /* in a row, through the current peer */
-    bool direct_refused; /* a later probe was not */
+    bool direct_refused;            /* a later probe was not */
     uint32_t change_tokens;
     int64_t next_token_us; /* boot clock; when the bucket gets the next one */
     int64_t stay_us;       /* minimum stay after the last change */
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -331,6 +331,7 @@
     int fd;
     uint32_t sent;
     uint32_t stop_at; /* sends no further byte then */
+    bool silent;      /* accepts connections and sends nothing at all */
     cs_http_response response;
     bool ended;
 };
@@ -355,6 +356,8 @@
     struct trickle *trickle = user_data;
 
     trickle->fd = accept(fd, NULL, NULL);
+    if (trickle->silent)
+        return G_SOURCE_CONTINUE;
     assert_int_equal(write(trickle->fd, headers, sizeof(headers) - 1),
                      sizeof(headers) - 1);
     g_timeout_add(40, on_trickle_timer, trickle);
@@ -372,7 +375,8 @@
 
 /* Calls a server that stops after some bytes, with a total timeout. */
 static void
-run_trickle(struct trickle *trickle, uint32_t stop_at, int64_t total_us)
+run_trickle(struct trickle *trickle, uint32_t stop_at, int64_t total_us,
+            bool silent)
 {
     struct fixture fixture;
     struct silent_server listener;
@@ -385,6 +389,7 @@
 
     memset(trickle, 0, sizeof(*trickle));
     trickle->stop_at = stop_at;
+    trickle->silent = silent;
     fixture_init(&fixture);
     silent_init(&listener);
     while (g_source_remove_by_user_data(&listener))
@@ -408,20 +413,23 @@
 }
 
 /* Guards against abandoning a slow transfer that makes progress, and against
-   waiting for one that has stalled or never ends. */
+   waiting for one that has stalled or never ends, or for a silent server. */
 static void
 http__transfer_continues_while_bytes_arrive(void **state)
 {
     struct trickle trickle;
 
-    run_trickle(&trickle, TRICKLE_BYTES, 5 * CS_SEC_US);
+    run_trickle(&trickle, TRICKLE_BYTES, 5 * CS_SEC_US, false);
     assert_int_equal(trickle.response.code, 0);
     assert_int_equal(trickle.response.size_bytes, TRICKLE_BYTES);
-    run_trickle(&trickle, TRICKLE_BYTES / 2, 5 * CS_SEC_US);
+    run_trickle(&trickle, TRICKLE_BYTES / 2, 5 * CS_SEC_US, false);
     assert_int_equal(trickle.response.code, CS_E_TIMEOUT);
     assert_int_equal(trickle.response.status, 200);
-    run_trickle(&trickle, TRICKLE_BYTES, 200 * CS_MS_US);
+    run_trickle(&trickle, TRICKLE_BYTES, 200 * CS_MS_US, false);
+    assert_int_equal(trickle.response.code, CS_E_TIMEOUT);
+    run_trickle(&trickle, 0, 5 * CS_SEC_US, true);
     assert_int_equal(trickle.response.code, CS_E_TIMEOUT);
+    assert_int_equal(trickle.response.status, 0);
 }
 
 /* Returns 1 if the address sanitizer finds leaks; 0 also without it. */
--- a/tests/test_large_config.c
+++ b/tests/test_large_config.c
@@ -86,8 +86,8 @@
     fake_fleet_destroy(fleet);
 }
 
-/* Guards against VMs that poll in slots, learn there that the store has dropped
-   the change, and wait for a further slot before they read the row. */
+/* Guards against VMs that poll in slots, learn there that the store has
+   dropped the change, and wait for a further slot before they read the row. */
 static void
 large_config__is_applied_in_time_without_history(void **state)
 {
--- a/tests/test_store_router.c
+++ b/tests/test_store_router.c
@@ -250,8 +250,8 @@
         fixture.now_us += 1500 * CS_MS_US;
     }
     /* To the first peer, and on to the next. */
-    assert_true(*cs_counters_get(fixture.counters,
-                                 "cs_store_way_changes_total") >= 2);
+    assert_true(
+        *cs_counters_get(fixture.counters, "cs_store_way_changes_total") >= 2);
     fixture_dispose(&fixture);
 }
 
@@ -270,14 +270,13 @@
     fixture.direct_answer.code = CS_E_OUTCOME_UNKNOWN;
     for (i = 0; i < 2; i++) {
         fixture.now_us += CS_SEC_US;
-        assert_int_equal(*cs_counters_get(fixture.counters,
-                                          "cs_store_way_changes_total"),
-                         1);
+        assert_int_equal(
+            *cs_counters_get(fixture.counters, "cs_store_way_changes_total"),
+            1);
         read_table_once(&fixture, BULK_TABLE);
     }
-    assert_int_equal(*cs_counters_get(fixture.counters,
-                                      "cs_store_way_changes_total"),
-                     2);
+    assert_int_equal(
+        *cs_counters_get(fixture.counters, "cs_store_way_changes_total"), 2);
     fixture_dispose(&fixture);
 }
 
