store router: a refused VM whose first three peers are refused tries others

After three peers in a row had failed, the next round began with the same three. A VM that the store refuses, with three such peers, never reached the store, although others were served. Each round now continues with the next peers.

--- a/src/members/store_router.c
+++ b/src/members/store_router.c
@@ -52,6 +52,7 @@
     uint64_t route_changes;         /* so far */
     uint32_t consecutive_failures;  /* of the current route */
     uint32_t failed_peers;          /* in a row */
+    uint32_t failed_rounds;         /* of MAX_PEER_TRIES peers, so far */
     int64_t next_probe_us;          /* boot clock; next direct read */
     int64_t relay_backoff_until_us; /* boot clock; no peer is tried before */
     uint32_t answered_probes;       /* in a row */
@@ -159,12 +160,15 @@
 
 /*
  * The store may become unreachable for many VMs at once. Each VM starts with
- * another peer, so that no peer has to relay the calls of all.
+ * another peer, so that no peer has to relay the calls of all. After a round
+ * in which all peers failed, the next one continues with others: the store may
+ * refuse most VMs.
  */
 static int32_t
 choose_first_peer(const cs_store_router *router)
 {
-    return (int32_t)(g_str_hash(router->settings.own_name) %
+    return (int32_t)((g_str_hash(router->settings.own_name) +
+                      (uint64_t)router->failed_rounds * MAX_PEER_TRIES) %
                      router->peers->len);
 }
 
@@ -175,6 +179,7 @@
 
     if (router->failed_peers >= MIN(router->peers->len, MAX_PEER_TRIES)) {
         router->failed_peers = 0;
+        router->failed_rounds++;
         router->relay_backoff_until_us = now_us(router) + RELAY_BACKOFF_US;
         if (router->route != DIRECT)
             switch_route(router, DIRECT);
--- a/tests/test_store_router.c
+++ b/tests/test_store_router.c
@@ -18,6 +18,9 @@
 struct fixture {
     int64_t now_us;
     cs_store_answer direct_answer;
+    /* The store refuses this number of peers: the first that are used. */
+    uint32_t refused_peer_count;
+    char refused_peers[3][32];
     cs_store_port refusing;
     cs_store_port serving;
     cs_store_router *router;
@@ -57,8 +60,16 @@
 open_peer(void *user_data, const char *address)
 {
     struct fixture *fixture = user_data;
+    uint32_t i;
 
     g_strlcpy(fixture->last_peer, address, sizeof(fixture->last_peer));
+    for (i = 0; i < fixture->refused_peer_count; i++) {
+        if (fixture->refused_peers[i][0] == '\0')
+            g_strlcpy(fixture->refused_peers[i], address,
+                      sizeof(fixture->refused_peers[i]));
+        if (strcmp(fixture->refused_peers[i], address) == 0)
+            return &fixture->refusing;
+    }
     return &fixture->serving;
 }
 
@@ -280,6 +291,24 @@
     fixture_dispose(&fixture);
 }
 
+/* Guards against a VM that is refused and tries the same three refused peers
+   again and again. */
+static void
+store_router__refused_peers_are_followed_by_others(void **state)
+{
+    struct fixture fixture;
+    int64_t end_us;
+
+    fixture_init(&fixture, 1);
+    fixture.refused_peer_count = G_N_ELEMENTS(fixture.refused_peers);
+    /* As stated in docs/design/store-routes.md. */
+    end_us = fixture.now_us + 8 * CS_SEC_US;
+    for (; fixture.now_us < end_us; fixture.now_us += 300 * CS_MS_US)
+        read_once(&fixture);
+    assert_true(cs_store_router_is_refused(fixture.router));
+    fixture_dispose(&fixture);
+}
+
 int
 main(void)
 {
@@ -289,6 +318,7 @@
         cmocka_unit_test(store_router__slow_transfer_keeps_the_route),
         cmocka_unit_test(store_router__several_probes_return_to_the_store),
         cmocka_unit_test(store_router__changes_of_the_route_are_limited),
+        cmocka_unit_test(store_router__refused_peers_are_followed_by_others),
         cmocka_unit_test(
             store_router__silent_peer_is_left_by_a_vm_that_reads_little),
         cmocka_unit_test(
