--- a/tests/test_large_config.c
+++ b/tests/test_large_config.c
@@ -221,6 +221,7 @@
     assert_int_equal(count_vms_with(fleet, 2, VMS), VMS);
     fake_fleet_set_faults(fleet, -1, &no_faults);
     fake_fleet_run(fleet, 6 * CS_SEC_US);
+    /* To three peers and back, then to one more and back. */
     for (vm = 0; vm < VMS; vm++)
         assert_true(
             fake_fleet_counter(fleet, vm, "cs_store_way_changes_total") <= 6);
