config follower: a poll is repeated when the route to the store changes

Cause: a poll through a peer that was cut off ran into its deadline, up to 4 s, while the VM had long returned to the direct route.

Change: if the row is known to be small, the poll in flight is superseded when the route changes, its timeout through a peer begins at 400 ms as on the direct route, and the backoff is at most 400 ms. Large rows are treated as before.

Test: fails without the change.

--- a/include/corianderstair/fleet_state.h
+++ b/include/corianderstair/fleet_state.h
@@ -77,9 +77,10 @@
     int64_t
         last_store_answer_us; /**< boot clock of the last answer; 0 if none */
     cs_cell_view cell;
-    bool relayed;  /**< store calls go through a peer, as direct ones fail */
-    bool refused;  /**< relayed, and a peer is known to be served */
-    bool draining; /**< this process was asked to stop */
+    bool relayed; /**< store calls go through a peer, as direct ones fail */
+    uint64_t route_changes; /**< changes of the route to the store so far */
+    bool refused;           /**< relayed, and a peer is known to be served */
+    bool draining;          /**< this process was asked to stop */
 } cs_fleet_state;
 
 /**
--- a/include/corianderstair/store_router.h
+++ b/include/corianderstair/store_router.h
@@ -61,6 +61,9 @@
  */
 void cs_store_router_add_peer(cs_store_router *router, const char *address);
 
+/** @return how often the route has changed so far */
+uint64_t cs_store_router_route_changes(const cs_store_router *router);
+
 /** @return whether calls are relayed through a peer at present */
 bool cs_store_router_is_relayed(const cs_store_router *router);
 
--- a/src/entry/config_follower.c
+++ b/src/entry/config_follower.c
@@ -15,7 +15,9 @@
 /* Time within which an answer must begin; its transfer may then continue, see
    store_port.h. It doubles with each call in a row that got no answer. Through
    a peer it is the longest at once unless the row is known to be small: a peer
-   passes an answer on only when it has all of it. */
+   passes an answer on only when it has all of it. A poll of a small row is
+   repeated at once when the route changes: its answer may be lost with the
+   former route, and costs little. */
 #define ANSWER_TIMEOUT_US (400 * CS_MS_US)
 #define ANSWER_TIMEOUT_MAX_US (3200 * CS_MS_US)
 /* Pause after a failed call. It doubles with each further one that timed out
@@ -27,6 +29,9 @@
    disturbed store extends config_apply_ms. */
 #define RETRY_DELAY_US (200 * CS_MS_US)
 #define RETRY_DELAY_MAX_US (1600 * CS_MS_US)
+/* The longest pause where the row is known to be small: repeated calls then do
+   not load the links, and config_apply_ms may be 2 s. */
+#define RETRY_DELAY_SMALL_MAX_US (400 * CS_MS_US)
 /* A configuration above this size takes 50 ms or more at 10 Mbit/s. Its feed
    answers with the whole row. */
 #define LARGE_ROW_BYTES 65536
@@ -42,6 +47,9 @@
 struct cs_config_follower {
     cs_fleet_state *fleet_state;
     bool call_in_flight;
+    uint64_t call_serial;    /* of the newest call; answers of others are
+                                dropped */
+    uint64_t route_changes;  /* of the process when that call was sent */
     bool evacuations_loaded; /* false: read the range of evacuated zones */
     bool row_loaded;         /* false: read the row before following changes */
     uint64_t followed_version; /* store version up to which it is current */
@@ -53,10 +61,49 @@
     size_t row_bytes;          /* size of the last row; 0 unknown */
     int64_t store_clock_us;    /* the store's clock minus the boot clock */
     int64_t *retries;
+    int64_t *superseded;
     int64_t *applied;
     int64_t *rejected;
 };
 
+typedef void (*answer_handler)(cs_config_follower *follower,
+                               const cs_store_answer *answer);
+
+/* A call in flight. */
+struct call {
+    cs_config_follower *follower;
+    uint64_t serial;
+    answer_handler handler;
+};
+
+static void
+on_answer(void *user_data, const cs_store_answer *answer)
+{
+    struct call *call = user_data;
+    cs_config_follower *follower = call->follower;
+
+    if (call->serial == follower->call_serial)
+        call->handler(follower, answer);
+    g_free(call);
+}
+
+static struct call *
+create_call(cs_config_follower *follower, answer_handler handler)
+{
+    struct call *call = g_new0(struct call, 1);
+
+    call->follower = follower;
+    call->serial = ++follower->call_serial;
+    call->handler = handler;
+    return call;
+}
+
+static bool
+is_row_small(const cs_config_follower *follower)
+{
+    return follower->row_bytes > 0 && follower->row_bytes <= LARGE_ROW_BYTES;
+}
+
 static void
 apply_row(cs_config_follower *follower, const cs_row *row)
 {
@@ -94,7 +141,9 @@
 {
     uint32_t doublings =
         follower->delayed_calls > 0 ? MIN(follower->delayed_calls - 1, 8U) : 0;
-    int64_t delay_us = MIN(RETRY_DELAY_US << doublings, RETRY_DELAY_MAX_US);
+    int64_t max_us =
+        is_row_small(follower) ? RETRY_DELAY_SMALL_MAX_US : RETRY_DELAY_MAX_US;
+    int64_t delay_us = MIN(RETRY_DELAY_US << doublings, max_us);
     char seed[128];
 
     if (doublings == 0)
@@ -162,9 +211,8 @@
 }
 
 static void
-on_evacuations(void *user_data, const cs_store_answer *answer)
+on_evacuations(cs_config_follower *follower, const cs_store_answer *answer)
 {
-    cs_config_follower *follower = user_data;
     cs_evacuations *evacuations = follower->fleet_state->evacuations;
     int64_t now_us = cs_fleet_state_now(follower->fleet_state).boot_us;
 
@@ -183,9 +231,8 @@
 }
 
 static void
-on_config_row(void *user_data, const cs_store_answer *answer)
+on_config_row(cs_config_follower *follower, const cs_store_answer *answer)
 {
-    cs_config_follower *follower = user_data;
     size_t i;
 
     if (!end_call(follower, answer))
@@ -196,9 +243,8 @@
 }
 
 static void
-on_changes(void *user_data, const cs_store_answer *answer)
+on_changes(cs_config_follower *follower, const cs_store_answer *answer)
 {
-    cs_config_follower *follower = user_data;
     cs_evacuations *evacuations = follower->fleet_state->evacuations;
     int64_t now_us = cs_fleet_state_now(follower->fleet_state).boot_us;
     size_t i;
@@ -217,9 +263,7 @@
 static int64_t
 answer_timeout_us(const cs_config_follower *follower)
 {
-    if (follower->fleet_state->relayed &&
-        (follower->row_bytes == 0 || follower->row_bytes > LARGE_ROW_BYTES ||
-         follower->unanswered_calls > 0))
+    if (follower->fleet_state->relayed && !is_row_small(follower))
         return ANSWER_TIMEOUT_MAX_US;
     return MIN(ANSWER_TIMEOUT_US << MIN(follower->unanswered_calls, 8U),
                ANSWER_TIMEOUT_MAX_US);
@@ -263,7 +307,7 @@
         follower->fleet_state->evacuations, ports->config_table);
 
     ports->store->read(ports->store->self, &range, now_us + ANSWER_TIMEOUT_US,
-                       on_evacuations, follower);
+                       on_answer, create_call(follower, on_evacuations));
 }
 
 static void
@@ -276,8 +320,8 @@
                           .limit = 1};
 
     ports->store->read(ports->store->self, &range,
-                       now_us + answer_timeout_us(follower), on_config_row,
-                       follower);
+                       now_us + answer_timeout_us(follower), on_answer,
+                       create_call(follower, on_config_row));
 }
 
 static void
@@ -294,7 +338,7 @@
     ports->store->follow(
         ports->store->self, ports->config_table, follower->followed_version,
         wait_ms, now_us + wait_ms * CS_MS_US + answer_timeout_us(follower),
-        on_changes, follower);
+        on_answer, create_call(follower, on_changes));
 }
 
 cs_config_follower *
@@ -307,6 +351,8 @@
         cs_fleet_state_counter(fleet_state, "cs_config_applied");
     follower->rejected =
         cs_fleet_state_counter(fleet_state, "cs_config_rejected");
+    follower->superseded = cs_fleet_state_counter(
+        fleet_state, "cs_config_polls_superseded_total");
     follower->retries =
         cs_fleet_state_counter(fleet_state, "cs_config_retries_total");
     return follower;
@@ -318,14 +364,29 @@
     g_free(follower);
 }
 
+/* Returns whether the call in flight went by a route that was left since, and
+   is cheap to repeat. */
+static bool
+is_superseded(const cs_config_follower *follower)
+{
+    return is_row_small(follower) &&
+           follower->route_changes != follower->fleet_state->route_changes;
+}
+
 void
 cs_config_follower_tick(cs_config_follower *follower)
 {
     int64_t now_us = cs_fleet_state_now(follower->fleet_state).boot_us;
 
+    if (follower->call_in_flight && is_superseded(follower)) {
+        (*follower->superseded)++;
+        follower->call_in_flight = false;
+        follower->next_call_us = now_us;
+    }
     if (follower->call_in_flight || now_us < follower->next_call_us)
         return;
     follower->call_in_flight = true;
+    follower->route_changes = follower->fleet_state->route_changes;
     follower->sent_us = now_us;
     /* Changes are followed from the version of the first read, so that some
        are applied after the second one has shown them. An old version of the
--- a/src/members/members.c
+++ b/src/members/members.c
@@ -353,6 +353,8 @@
     int64_t now = now_us(members);
 
     members->state->relayed = cs_store_router_is_relayed(members->router);
+    members->state->route_changes =
+        cs_store_router_route_changes(members->router);
     members->state->refused = cs_store_router_is_refused(members->router);
     if (members->call_open || !members->state->settings.peer_address[0])
         return;
--- a/src/members/store_router.c
+++ b/src/members/store_router.c
@@ -440,6 +440,12 @@
     return router->direct_refused;
 }
 
+uint64_t
+cs_store_router_route_changes(const cs_store_router *router)
+{
+    return router->route_changes;
+}
+
 bool
 cs_store_router_is_relayed(const cs_store_router *router)
 {
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -242,6 +242,33 @@
     fake_fleet_destroy(deployment);
 }
 
+/*
+ * Guards against a VM that waits for the answer of a peer that was cut off,
+ * and misses a configuration, although it reaches the store itself again.
+ */
+static void
+fleet__new_configuration_is_applied_after_the_relaying_peer_is_lost(
+    void **state)
+{
+    fake_fleet *deployment = create_deployment(24);
+    int32_t holder = fake_fleet_holder(deployment);
+    uint32_t vm = holder == 1 ? 2 : 1;
+    fake_vm_faults refused = {.store_refuses = true};
+    fake_vm_faults cut_off = {.store_unreachable = true};
+    fake_vm_faults none = {0};
+
+    fake_fleet_set_faults(deployment, (int32_t)vm, &refused);
+    fake_fleet_run(deployment, 4 * CS_SEC_US);
+    fake_fleet_set_faults(deployment, -1, &cut_off);
+    fake_fleet_set_faults(deployment, (int32_t)vm, &none);
+    fake_fleet_run(deployment, CS_SEC_US);
+    fake_fleet_configure(deployment, 2);
+    fake_fleet_run(deployment, 2 * CS_SEC_US);
+    assert_int_equal(fake_fleet_config_version(deployment, vm), 2);
+    expect_no_violation(deployment);
+    fake_fleet_destroy(deployment);
+}
+
 /*
  * Guards against spreading a gang over racks, which triples its run time,
  * because most workers have not answered a new holder yet.
@@ -744,6 +771,8 @@
         cmocka_unit_test(fleet__gang_restarts_when_a_draining_worker_has_left),
         cmocka_unit_test(
             fleet__gang_waits_for_the_leases_of_a_silent_draining_worker),
+        cmocka_unit_test(
+            fleet__new_configuration_is_applied_after_the_relaying_peer_is_lost),
         cmocka_unit_test(fleet__gang_waits_for_a_rack_after_a_takeover),
         cmocka_unit_test(fleet__advised_step_runs_on_allowed_workers),
         cmocka_unit_test(fleet__advised_gang_may_span_racks),
--- a/tests/test_members.c
+++ b/tests/test_members.c
@@ -123,7 +123,9 @@
                                                 .own_name = fixture->names[vm],
                                                 .now = fixture_now,
                                                 .now_data = fixture};
-    cs_fleet_ports ports = {.now = fixture_now, .now_data = fixture};
+    cs_fleet_ports ports = {.now = fixture_now,
+                            .now_data = fixture,
+                            .evacuation_prefix = "evacuate/"};
     cs_vm_settings settings = {0};
     bool in_a = vm < ZONE_A_VMS;
 
