--- a/src/entry/config_follower.c
+++ b/src/entry/config_follower.c
@@ -12,21 +12,98 @@
  * shortly after that.
  */
 #define WAIT_DIVISOR 4 /* a poll waits config_apply_ms / this */
+/* Time within which an answer must begin; its transfer may then continue, see
+   store_port.h. It doubles with each call in a row that got no answer. Through
+   a peer it is the longest at once unless the row is known to be small: a peer
+   passes an answer on only when it has all of it. A poll of a small row is
+   repeated at once when the route changes: its answer may be lost with the
+   former route, and costs little. */
 #define ANSWER_TIMEOUT_US (400 * CS_MS_US)
+#define ANSWER_TIMEOUT_MAX_US (3200 * CS_MS_US)
+/* Pause after a failed call. It doubles with each further one that timed out
+   or met a busy peer, so that calls that fail because of load do not keep up
+   the load. A refused call carries no row and leaves the pause unchanged: a VM
+   without a configuration asks soon after the store serves it again. After the
+   store has recovered, the longest pause, a lost call of the longest timeout
+   and a transfer of a megabyte at 10 Mbit/s take less than the 6 s by which a
+   disturbed store extends config_apply_ms. */
 #define RETRY_DELAY_US (200 * CS_MS_US)
+#define RETRY_DELAY_MAX_US (1600 * CS_MS_US)
+/* The longest pause where the row is known to be small: repeated calls then do
+   not load the links, and config_apply_ms may be 2 s. */
+#define RETRY_DELAY_SMALL_MAX_US (400 * CS_MS_US)
+/* A configuration above this size takes 50 ms or more at 10 Mbit/s. Its feed
+   answers with the whole row. */
+#define LARGE_ROW_BYTES 65536
+/* Only this many VMs of a zone wait for changes of a large configuration; the
+   others poll one after another, in slots of the store's clock. */
+#define WAITING_READERS 4
+#define READERS_PER_SLOT 4
+/* A VM polls once within config_apply_ms / this, which leaves as much time for
+   the transfer. */
+#define SLOTS_DIVISOR 2
+#define SLOT_COUNT 4
 
 struct cs_config_follower {
     cs_fleet_state *fleet_state;
     bool call_in_flight;
+    uint64_t call_serial;    /* of the newest call; answers of others are
+                                dropped */
+    uint64_t route_changes;  /* of the process when that call was sent */
     bool evacuations_loaded; /* false: read the range of evacuated zones */
     bool row_loaded;         /* false: read the row before following changes */
     uint64_t followed_version; /* store version up to which it is current */
     int64_t sent_us;           /* boot clock; when the open call was sent */
     int64_t next_call_us;      /* boot clock; earliest time of the next call */
+    uint32_t failed_calls;     /* consecutive */
+    uint32_t delayed_calls;    /* consecutive, among these: not refused */
+    uint32_t unanswered_calls; /* consecutive, among these */
+    size_t row_bytes;          /* size of the last row; 0 unknown */
+    int64_t store_clock_us;    /* the store's clock minus the boot clock */
+    int64_t *retries;
+    int64_t *superseded;
     int64_t *applied;
     int64_t *rejected;
 };
 
+typedef void (*answer_handler)(cs_config_follower *follower,
+                               const cs_store_answer *answer);
+
+/* A call in flight. */
+struct call {
+    cs_config_follower *follower;
+    uint64_t serial;
+    answer_handler handler;
+};
+
+static void
+on_answer(void *user_data, const cs_store_answer *answer)
+{
+    struct call *call = user_data;
+    cs_config_follower *follower = call->follower;
+
+    if (call->serial == follower->call_serial)
+        call->handler(follower, answer);
+    g_free(call);
+}
+
+static struct call *
+create_call(cs_config_follower *follower, answer_handler handler)
+{
+    struct call *call = g_new0(struct call, 1);
+
+    call->follower = follower;
+    call->serial = ++follower->call_serial;
+    call->handler = handler;
+    return call;
+}
+
+static bool
+is_row_small(const cs_config_follower *follower)
+{
+    return follower->row_bytes > 0 && follower->row_bytes <= LARGE_ROW_BYTES;
+}
+
 static void
 apply_row(cs_config_follower *follower, const cs_row *row)
 {
@@ -35,6 +112,7 @@
 
     if (strcmp(row->key, fleet_state->ports.config_key) != 0 || row->deleted)
         return;
+    follower->row_bytes = row->size_bytes;
     if (fleet_state->ports.decode_config(&config, row->value,
                                          row->size_bytes)) {
         (*follower->rejected)++;
@@ -55,28 +133,86 @@
     (*follower->applied)++;
 }
 
+/* Returns the pause before the next attempt. VMs whose calls failed together
+   are spread by a hash. The first retry is not, as a refused call may be the
+   fault of one VM or route only. */
+static int64_t
+retry_delay_us(const cs_config_follower *follower)
+{
+    uint32_t doublings =
+        follower->delayed_calls > 0 ? MIN(follower->delayed_calls - 1, 8U) : 0;
+    int64_t max_us =
+        is_row_small(follower) ? RETRY_DELAY_SMALL_MAX_US : RETRY_DELAY_MAX_US;
+    int64_t delay_us = MIN(RETRY_DELAY_US << doublings, max_us);
+    char seed[128];
+
+    if (doublings == 0)
+        return delay_us;
+    g_snprintf(seed, sizeof(seed), "%s %u", follower->fleet_state->incarnation,
+               follower->failed_calls);
+    return delay_us / 2 + g_str_hash(seed) % (delay_us / 2);
+}
+
+/* Returns whether a failed call was refused immediately. */
+static bool
+is_refused(const cs_store_answer *answer)
+{
+    return answer->code == CS_E_STORE_UNAVAILABLE ||
+           answer->code == CS_E_CONNECT;
+}
+
+static void
+handle_failed_call(cs_config_follower *follower, const cs_store_answer *answer)
+{
+    int64_t delay_us;
+
+    if (answer->code == CS_E_TOO_OLD) {
+        follower->evacuations_loaded = false;
+        follower->row_loaded = false;
+        /* The row may have changed, so it is read before the next slot. */
+        follower->next_call_us = 0;
+        return;
+    }
+    /* A poll is repeated with the same version. If the store has dropped its
+       changes meanwhile, it answers CS_E_TOO_OLD. */
+    follower->failed_calls++;
+    follower->delayed_calls =
+        is_refused(answer) ? 0 : follower->delayed_calls + 1;
+    if (answer->code == CS_E_OUTCOME_UNKNOWN && !answer->partial)
+        follower->unanswered_calls++;
+    delay_us = retry_delay_us(follower);
+    follower->next_call_us =
+        cs_fleet_state_now(follower->fleet_state).boot_us + delay_us;
+    (*follower->retries)++;
+    cs_log_event("config-retry", "%s%s, attempt %u, next in %" PRId64 " ms",
+                 cs_error_name(answer->code),
+                 answer->partial ? " in the transfer" : "",
+                 follower->failed_calls, delay_us / CS_MS_US);
+}
+
 /* Ends a call. Returns whether its answer has rows to apply. */
 static bool
 end_call(cs_config_follower *follower, const cs_store_answer *answer)
 {
     follower->call_in_flight = false;
     cs_fleet_state_record_store_answer(follower->fleet_state, answer->code);
-    if (answer->code == 0)
-        return true;
-    /* The store may drop changes from its history before the retry, so the
-       rows themselves are read again. */
-    follower->evacuations_loaded = false;
-    follower->row_loaded = false;
-    if (answer->code != CS_E_TOO_OLD)
-        follower->next_call_us =
-            cs_fleet_state_now(follower->fleet_state).boot_us + RETRY_DELAY_US;
-    return false;
+    if (answer->code) {
+        handle_failed_call(follower, answer);
+        return false;
+    }
+    follower->failed_calls = 0;
+    follower->delayed_calls = 0;
+    follower->unanswered_calls = 0;
+    if (answer->now_ms > 0)
+        follower->store_clock_us =
+            answer->now_ms * CS_MS_US -
+            cs_fleet_state_now(follower->fleet_state).boot_us;
+    return true;
 }
 
 static void
-on_evacuations(void *user_data, const cs_store_answer *answer)
+on_evacuations(cs_config_follower *follower, const cs_store_answer *answer)
 {
-    cs_config_follower *follower = user_data;
     cs_evacuations *evacuations = follower->fleet_state->evacuations;
     int64_t now_us = cs_fleet_state_now(follower->fleet_state).boot_us;
 
@@ -95,9 +231,8 @@
 }
 
 static void
-on_config_row(void *user_data, const cs_store_answer *answer)
+on_config_row(cs_config_follower *follower, const cs_store_answer *answer)
 {
-    cs_config_follower *follower = user_data;
     size_t i;
 
     if (!end_call(follower, answer))
@@ -108,9 +243,8 @@
 }
 
 static void
-on_changes(void *user_data, const cs_store_answer *answer)
+on_changes(cs_config_follower *follower, const cs_store_answer *answer)
 {
-    cs_config_follower *follower = user_data;
     cs_evacuations *evacuations = follower->fleet_state->evacuations;
     int64_t now_us = cs_fleet_state_now(follower->fleet_state).boot_us;
     size_t i;
@@ -126,6 +260,87 @@
     follower->evacuations_loaded = cs_evacuations_is_known(evacuations);
 }
 
+static int64_t
+answer_timeout_us(const cs_config_follower *follower)
+{
+    if (follower->fleet_state->relayed && !is_row_small(follower))
+        return ANSWER_TIMEOUT_MAX_US;
+    return MIN(ANSWER_TIMEOUT_US << MIN(follower->unanswered_calls, 8U),
+               ANSWER_TIMEOUT_MAX_US);
+}
+
+/* Returns whether the VM polls in its slot instead of waiting for changes. */
+static bool
+polls_in_slot(const cs_config_follower *follower)
+{
+    const cs_vm_rank *rank = &follower->fleet_state->rank;
+
+    return follower->row_bytes > LARGE_ROW_BYTES && rank->known &&
+           rank->zone_rank >= WAITING_READERS;
+}
+
+/* Returns the time until the VM's next slot, which begins in each period at
+   the same time by the store's clock. */
+static int64_t
+time_to_slot_us(const cs_config_follower *follower, int64_t now_us)
+{
+    int64_t period_us =
+        follower->fleet_state->settings.bounds.config_apply_ms * CS_MS_US /
+        SLOTS_DIVISOR;
+    uint32_t slot =
+        follower->fleet_state->rank.zone_rank / READERS_PER_SLOT % SLOT_COUNT;
+    int64_t slot_us = period_us * slot / SLOT_COUNT;
+    int64_t phase_us = (now_us + follower->store_clock_us) % period_us;
+
+    /* A VM whose slot is just about to begin has polled in it already: the
+       clock is known only to the delay of a call. */
+    return period_us / SLOT_COUNT +
+           (slot_us - phase_us + 2 * period_us - period_us / SLOT_COUNT) %
+               period_us;
+}
+
+static void
+read_evacuations(cs_config_follower *follower, int64_t now_us)
+{
+    const cs_fleet_ports *ports = &follower->fleet_state->ports;
+    cs_row_range range = cs_evacuations_range(
+        follower->fleet_state->evacuations, ports->config_table);
+
+    ports->store->read(ports->store->self, &range, now_us + ANSWER_TIMEOUT_US,
+                       on_answer, create_call(follower, on_evacuations));
+}
+
+static void
+read_row(cs_config_follower *follower, int64_t now_us)
+{
+    const cs_fleet_ports *ports = &follower->fleet_state->ports;
+    cs_row_range range = {.table = ports->config_table,
+                          .part = "",
+                          .from = ports->config_key,
+                          .limit = 1};
+
+    ports->store->read(ports->store->self, &range,
+                       now_us + answer_timeout_us(follower), on_answer,
+                       create_call(follower, on_config_row));
+}
+
+static void
+follow_table(cs_config_follower *follower, int64_t now_us)
+{
+    const cs_fleet_ports *ports = &follower->fleet_state->ports;
+    int64_t wait_ms =
+        follower->fleet_state->settings.bounds.config_apply_ms / WAIT_DIVISOR;
+
+    if (polls_in_slot(follower)) {
+        wait_ms = 0;
+        follower->next_call_us = now_us + time_to_slot_us(follower, now_us);
+    }
+    ports->store->follow(
+        ports->store->self, ports->config_table, follower->followed_version,
+        wait_ms, now_us + wait_ms * CS_MS_US + answer_timeout_us(follower),
+        on_answer, create_call(follower, on_changes));
+}
+
 cs_config_follower *
 cs_config_follower_create(cs_fleet_state *fleet_state)
 {
@@ -136,6 +351,10 @@
         cs_fleet_state_counter(fleet_state, "cs_config_applied");
     follower->rejected =
         cs_fleet_state_counter(fleet_state, "cs_config_rejected");
+    follower->superseded = cs_fleet_state_counter(
+        fleet_state, "cs_config_polls_superseded_total");
+    follower->retries =
+        cs_fleet_state_counter(fleet_state, "cs_config_retries_total");
     return follower;
 }
 
@@ -145,39 +364,38 @@
     g_free(follower);
 }
 
+/* Returns whether the call in flight went by a route that was left since, and
+   is cheap to repeat. */
+static bool
+is_superseded(const cs_config_follower *follower)
+{
+    return is_row_small(follower) &&
+           follower->route_changes != follower->fleet_state->route_changes;
+}
+
 void
 cs_config_follower_tick(cs_config_follower *follower)
 {
-    const cs_fleet_ports *ports = &follower->fleet_state->ports;
     int64_t now_us = cs_fleet_state_now(follower->fleet_state).boot_us;
-    int64_t wait_ms =
-        follower->fleet_state->settings.bounds.config_apply_ms / WAIT_DIVISOR;
-    cs_row_range zones = cs_evacuations_range(
-        follower->fleet_state->evacuations, ports->config_table);
-    cs_row_range range = {.table = ports->config_table,
-                          .part = "",
-                          .from = ports->config_key,
-                          .limit = 1};
 
+    if (follower->call_in_flight && is_superseded(follower)) {
+        (*follower->superseded)++;
+        follower->call_in_flight = false;
+        follower->next_call_us = now_us;
+    }
     if (follower->call_in_flight || now_us < follower->next_call_us)
         return;
     follower->call_in_flight = true;
+    follower->route_changes = follower->fleet_state->route_changes;
     follower->sent_us = now_us;
     /* Changes are followed from the version of the first read, so that some
        are applied after the second one has shown them. An old version of the
        configuration is skipped then, but an old change of an evacuation would
        return its zone, so the evacuations are read first. */
     if (!follower->evacuations_loaded)
-        ports->store->read(ports->store->self, &zones,
-                           now_us + ANSWER_TIMEOUT_US, on_evacuations,
-                           follower);
+        read_evacuations(follower, now_us);
     else if (follower->row_loaded)
-        ports->store->follow(ports->store->self, ports->config_table,
-                             follower->followed_version, wait_ms,
-                             now_us + wait_ms * CS_MS_US + ANSWER_TIMEOUT_US,
-                             on_changes, follower);
+        follow_table(follower, now_us);
     else
-        ports->store->read(ports->store->self, &range,
-                           now_us + ANSWER_TIMEOUT_US, on_config_row,
-                           follower);
+        read_row(follower, now_us);
 }
--- a/standins/fake_fleet_internal.h
+++ b/standins/fake_fleet_internal.h
@@ -46,6 +46,11 @@
     uint64_t version;
     uint64_t compacted_version; /* history up to this version is deleted */
     GPtrArray *waiting_feeds;   /* of struct store_call */
+    GHashTable *table_versions; /* table to the uint64_t of its last change */
+    int64_t delay_us;           /* of each answer, by a fault */
+    int64_t read_capacity_us;   /* when the next read can be executed */
+    int64_t link_free_us;       /* when the store's link has sent all bytes */
+    fake_store_load load;
 };
 
 struct fake_run {
@@ -113,6 +118,9 @@
     uint64_t incarnation; /* incremented at each start of the process */
     int64_t cpu_milli;
     int64_t busy_until_us;
+    int64_t link_kbps;    /* 0 unlimited */
+    int64_t link_free_us; /* when the link has carried all bytes sent so far */
+    bool stall_next_transfer;
     cs_executor *executor;
     cs_dispatch *dispatch;
     GHashTable *pending_calls; /* call to struct fake_pending_call */
@@ -154,6 +162,9 @@
     int64_t message_us;
     int64_t evacuated_us[FAKE_ZONES]; /* when its row was written, or -1 */
     uint32_t zone_starts[FAKE_ZONES];
+    int64_t config_apply_ms;
+    int64_t store_kbps;
+    uint32_t store_reads_per_s;
     bool shutting_down;               /* messages are freed, not delivered */
     uint64_t call_count;              /* store changes and worker orders */
     uint32_t pending_advice_requests; /* not yet answered by the adviser */
