store router: the router probes the store itself

Cause: only quick reads of other parts were probes, which a VM that is no candidate makes every 1.5 s, one at a time, and three had to be answered.

Change: while calls are relayed the router sends a probe a second of its own if no read has served as one; one answered probe is enough where the peer has answered nothing; a peer that fails is left for the direct route if the last probe was answered.

Test: fails without the tick.

--- a/include/corianderstair/store_router.h
+++ b/include/corianderstair/store_router.h
@@ -61,6 +61,9 @@
  */
 void cs_store_router_add_peer(cs_store_router *router, const char *address);
 
+/** Sends a probe by the direct route if one is due. */
+void cs_store_router_tick(cs_store_router *router);
+
 /** @return how often the route has changed so far */
 uint64_t cs_store_router_route_changes(const cs_store_router *router);
 
--- a/src/members/members.c
+++ b/src/members/members.c
@@ -352,6 +352,7 @@
 {
     int64_t now = now_us(members);
 
+    cs_store_router_tick(members->router);
     members->state->relayed = cs_store_router_is_relayed(members->router);
     members->state->route_changes =
         cs_store_router_route_changes(members->router);
--- a/src/members/store_router.c
+++ b/src/members/store_router.c
@@ -1,9 +1,11 @@
 /*
  * The store may refuse some VMs, or be unreachable for them, and serve the
  * others. After two consecutive failures calls are relayed through a peer. One
- * read a second still goes directly as a probe; after several answered probes
- * in a row all calls go directly again. If the peers cannot reach the store
- * either, it is assumed to be down for all, and no peer is tried for a while.
+ * read a second still goes directly as a probe, one of the router's own if no
+ * other is due; after several answered probes in a row all calls go directly
+ * again, after one if the peer has answered nothing. If the peers cannot reach
+ * the store either, it is assumed to be down for all, and no peer is tried for
+ * a while.
  *
  * Load on links may delay answers of every route. A VM that then keeps
  * changing its route only moves the load, so only calls that were not answered
@@ -12,6 +14,7 @@
  */
 #include "corianderstair/store_router.h"
 #include "corianderstair/errors.h"
+#include "corianderstair/job_progress.h"
 #include "corianderstair/log.h"
 
 #include <glib.h>
@@ -27,6 +30,9 @@
    while the store refuses most calls. */
 #define PROBES_TO_RETURN 3
 #define NEXT_PROBE_INTERVAL_US (250 * CS_MS_US)
+/* Of a probe of the router's own; the store normally answers within tens of
+   milliseconds. */
+#define PROBE_TIMEOUT_US (900 * CS_MS_US)
 /* The first change of the route is not delayed. After a fault the routes have
    settled within STAY_MAX_US and the probes, each of which waits up to 1.5 s
    for a read, see CELL_READ_INTERVAL_OTHERS_US: within 8 s. */
@@ -56,6 +62,7 @@
     int64_t next_probe_us;          /* boot clock; next direct read */
     int64_t relay_backoff_until_us; /* boot clock; no peer is tried before */
     uint32_t answered_probes;       /* in a row */
+    bool probe_open;    /* a probe of the router's own is in flight */
     bool peer_answered; /* a call through the current peer was answered */
     bool peer_was_read; /* a quick read has been sent through it */
     uint32_t unanswered_bulk_calls; /* in a row, through the current peer */
@@ -185,7 +192,9 @@
             switch_route(router, DIRECT);
         return;
     }
-    if (router->route == DIRECT)
+    if (router->route != DIRECT && router->answered_probes > 0)
+        next = DIRECT;
+    else if (router->route == DIRECT)
         next = choose_first_peer(router);
     if (next >= (int32_t)router->peers->len)
         next = 0;
@@ -223,8 +232,16 @@
     switch_to_next_peer(router);
 }
 
+/* Returns how many probes have to be answered. Nothing is lost by leaving a
+   peer that has answered nothing. */
+static uint32_t
+probes_to_return(const cs_store_router *router)
+{
+    return router->peer_answered ? PROBES_TO_RETURN : 1;
+}
+
 /*
- * Returns to the direct route once several direct calls in a row that were
+ * Returns to the direct route once enough direct calls in a row that were
  * sent since the last change of the route are answered. The answer to an
  * earlier one, such as a long poll, does not show that the store is reachable
  * again.
@@ -238,7 +255,8 @@
         router->direct_refused = false;
         router->next_probe_us = MIN(router->next_probe_us,
                                     now_us(router) + NEXT_PROBE_INTERVAL_US);
-        if (router->answered_probes >= PROBES_TO_RETURN && may_switch(router))
+        if (router->answered_probes >= probes_to_return(router) &&
+            may_switch(router))
             switch_route(router, DIRECT);
     }
     if (route != router->route)
@@ -440,6 +458,31 @@
     return router->direct_refused;
 }
 
+static void
+on_probe(void *user_data, const cs_store_answer *answer)
+{
+    cs_store_router *router = user_data;
+
+    router->probe_open = false;
+}
+
+void
+cs_store_router_tick(cs_store_router *router)
+{
+    const cs_store_port *direct = router->settings.direct;
+    int64_t now = now_us(router);
+    cs_row_range range = {
+        .table = CS_TABLE_CELL, .part = CS_CELL_PART, .limit = 1};
+
+    if (router->route == DIRECT || router->probe_open ||
+        now < router->next_probe_us)
+        return;
+    router->next_probe_us = now + PROBE_INTERVAL_US;
+    router->probe_open = true;
+    direct->read(direct->self, &range, now + PROBE_TIMEOUT_US, on_done,
+                 create_call(router, DIRECT, on_probe, router));
+}
+
 uint64_t
 cs_store_router_route_changes(const cs_store_router *router)
 {
--- a/tests/test_store_router.c
+++ b/tests/test_store_router.c
@@ -266,6 +266,26 @@
     fixture_dispose(&fixture);
 }
 
+/* Guards against a VM that makes no calls and stays with a silent peer while
+   the store serves it again. */
+static void
+store_router__served_vm_leaves_a_silent_peer(void **state)
+{
+    struct fixture fixture;
+
+    fixture_init(&fixture, 1);
+    fixture.serving = fixture.refusing;
+    fixture.direct_answer.code = CS_E_OUTCOME_UNKNOWN;
+    read_once(&fixture);
+    read_once(&fixture);
+    assert_true(cs_store_router_is_relayed(fixture.router));
+    fixture.direct_answer.code = 0;
+    fixture.now_us += CS_SEC_US;
+    cs_store_router_tick(fixture.router);
+    assert_false(cs_store_router_is_relayed(fixture.router));
+    fixture_dispose(&fixture);
+}
+
 /* Guards against a VM that waits for its configuration from a peer that has
    stopped answering, as large calls are not counted as failures. */
 static void
@@ -321,6 +341,7 @@
         cmocka_unit_test(store_router__refused_peers_are_followed_by_others),
         cmocka_unit_test(
             store_router__silent_peer_is_left_by_a_vm_that_reads_little),
+        cmocka_unit_test(store_router__served_vm_leaves_a_silent_peer),
         cmocka_unit_test(
             store_router__peer_that_stops_answering_bulk_calls_is_left),
     };
