job_spec, entry: store the zone of entry with a job

The holder has to tell which zone a job entered through. The zone of the VM that accepts a job becomes the last item of its record. Older records without it decode with an empty zone; older readers ignore it.

--- a/include/corianderstair/job_spec.h
+++ b/include/corianderstair/job_spec.h
@@ -62,6 +62,8 @@
     int64_t interval_ms; /**< between the due times of two occurrences */
     int64_t accepted_ms; /**< wall clock of the process that accepted it */
     bool cancelled;
+    char entry_zone[CS_JOB_NAME_BYTES]; /**< zone of the VM that accepted it;
+                                           empty if unknown */
 } cs_job_spec;
 
 /** Initializes an empty job. */
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -483,6 +483,8 @@
     g_strlcpy(spec->queue, queue->name, sizeof(spec->queue));
     g_strlcpy(spec->organisation, organisation ? organisation->name : "",
               sizeof(spec->organisation));
+    g_strlcpy(spec->entry_zone, entry->fleet_state->settings.zone,
+              sizeof(spec->entry_zone));
     spec->accepted_ms =
         cs_fleet_state_now(entry->fleet_state).wall_us / CS_MS_US;
     cs_log_event("job-received",
--- a/src/model/job_spec.c
+++ b/src/model/job_spec.c
@@ -5,7 +5,7 @@
 #include <string.h>
 
 #define RECORD_VERSION 1
-#define JOB_FIELDS 11
+#define JOB_FIELDS 12
 #define STEP_FIELDS 15
 /* Maximum of each resource: thousandths of a core, MB, accelerators. */
 #define DEMAND_MAX INT64_C(1000000000)
@@ -162,6 +162,7 @@
     msgpack_pack_array(&packer, spec->step_count);
     for (i = 0; i < spec->step_count; i++)
         encode_step(&packer, &spec->steps[i]);
+    cs_record_pack_text(&packer, spec->entry_zone);
 }
 
 static void
@@ -228,6 +229,10 @@
     spec->accepted_ms = cs_record_read_int(reader);
     spec->cancelled = cs_record_read_int(reader) != 0;
     decode_steps(spec, reader);
+    /* Records of older versions end here. */
+    if (!reader->failed && reader->next < reader->count)
+        cs_record_read_text(reader, spec->entry_zone,
+                            sizeof(spec->entry_zone));
     return !reader->failed;
 }
 
