fleet: order steps by shares and zones, keep them in a row

Within a priority, after whether the objective can still be met, steps are ordered by the share step of their organisation and the zone step of their entry. Steps are computed once a cycle. Guaranteed steps keep their order.

The ledger counts the use with each task that is placed or ends. It is written to the row `shares` of the cell at most every 5 s with commits that are due anyway, and a new holder reads it before it places. Stand-bys do not read the row. `csctl fleet` lists shares, weights and the lateness of zones.

Tests kill the holder with the row in flight, make the row unreadable and remove an organisation; each fails when the behaviour that it guards is taken out.

--- a/src/fleet/commit.c
+++ b/src/fleet/commit.c
@@ -8,11 +8,11 @@
  * A change without an answer is repeated unchanged until its outcome is known,
  * so that at most one of its copies takes effect.
  */
-#include "fleet_internal.h"
+#include "ledger.h"
 
 /* The store accepts at most 100 entries in a change. Each job takes two, a
    condition and a put. The three others are the condition of the epoch row and
-   the puts of the lease and of the speeds. */
+   the puts of the lease and either of the speeds or of the shares. */
 #define CHANGE_ENTRIES_MAX 100
 #define CHANGE_JOBS_MAX ((CHANGE_ENTRIES_MAX - 3) / 2 - CHANGE_EXPIRED_MAX)
 #define CHANGE_BYTES_MAX (128 * 1024)
@@ -168,6 +168,20 @@
     fleet->commit.has_lease = true;
 }
 
+/* Returns whether the row of the shares was due. */
+static bool
+add_shares(cs_fleet *fleet)
+{
+    GByteArray *value = g_byte_array_new();
+
+    if (!ledger_encode_due(fleet, value)) {
+        g_byte_array_unref(value);
+        return false;
+    }
+    add_put(&fleet->commit, CS_TABLE_CELL, LEDGER_KEY, value);
+    return true;
+}
+
 static void
 add_speeds(cs_fleet *fleet)
 {
@@ -225,7 +239,9 @@
     if (now_us >= fleet->next_renewal_us || fleet->release_requested)
         add_lease(fleet);
     add_expired(fleet);
-    add_speeds(fleet);
+    /* Speeds wait for the next change, so that the change stays small. */
+    if (!add_shares(fleet))
+        add_speeds(fleet);
     if (g_queue_is_empty(&fleet->dirty_jobs)) {
         commit->covers_ends = true;
         mark_ends_committing(fleet);
--- a/src/fleet/cycle.c
+++ b/src/fleet/cycle.c
@@ -49,6 +49,7 @@
 {
     cs_fleet *fleet = cycle->fleet;
     struct usable_capacity capacity = {{0}, {0}};
+    cs_demand listed = {0};
     guint i;
 
     cycle->cell.worker_count = fleet->worker_list->len;
@@ -66,11 +67,14 @@
         binpack_worker->labels = worker->labels;
         binpack_worker->speed = exp(worker->speed.log_speed);
         binpack_worker->usable = worker_is_usable(fleet, worker);
+        if (worker->listed)
+            cs_demand_add(&listed, &worker->capacity);
         if (!binpack_worker->usable)
             continue;
         cs_demand_add(&capacity.total, &binpack_worker->capacity);
         cs_demand_add(&capacity.free, &binpack_worker->free);
     }
+    ledger_begin_cycle(fleet, &listed);
     cs_binpack_cell_index(&cycle->cell);
     cycle->urgent_only_racks =
         cs_headroom_racks(&fleet->headroom, &cycle->cell);
@@ -191,6 +195,17 @@
     return false;
 }
 
+/* Counts the lateness of a job at the first placement of its tasks. */
+static void
+observe_lateness(cs_fleet *fleet, const struct candidate *candidate)
+{
+    if (candidate->step->job->state == CS_PROGRESS_QUEUED &&
+        cycle_counts_for_zone(candidate))
+        cs_zone_lag_add_placed(&fleet->ledger->zones, candidate->zone,
+                               candidate->queue->priority,
+                               candidate->lateness);
+}
+
 static void
 schedule_candidate(struct cycle *cycle, const struct candidate *candidate)
 {
@@ -210,13 +225,14 @@
         g_array_append_val(cycle->failed_requests, request);
     if (placed > 0) {
         drop_reservation(step);
+        observe_lateness(cycle->fleet, candidate);
         place_tasks(cycle, step, workers, placed);
     }
     else if (had_reservation) {
         cycle_apply_reservation(cycle, step, true);
     }
     else if (candidate->queue->priority == 0 &&
-             (candidate->guaranteed || !candidate->misses_objective) &&
+             (candidate->guaranteed || !candidate->rank.misses_objective) &&
              step->waiting_count == step->spec->task_count &&
              cycle->victim_searches++ < MAX_VICTIM_SEARCHES) {
         cycle_preempt(cycle, candidate, &request);
--- a/src/fleet/cycle_internal.h
+++ b/src/fleet/cycle_internal.h
@@ -2,14 +2,17 @@
 #ifndef CS_CYCLE_INTERNAL_H
 #define CS_CYCLE_INTERNAL_H
 
-#include "fleet_internal.h"
+#include "ledger.h"
 
 /* A step with waiting tasks that may start. */
 struct candidate {
     struct step *step;
     const cs_queue_config *queue;
-    bool guaranteed;        /* within its organisation's guarantee */
-    bool misses_objective;  /* would end after its queue's objective */
+    bool guaranteed; /* within its organisation's guarantee */
+    double lateness; /* relative to its queue's objective, see zone_lag.h */
+    cs_share *share; /* of its organisation */
+    uint32_t zone;   /* of its entry, index in fleet->ledger->zones */
+    cs_share_rank rank;
     bool too_late_to_count; /* would end too late to count, see
                                COUNTED_UNTIL_FACTOR in cycle_order.c */
 };
@@ -32,6 +35,9 @@
 /* cycle_order.c */
 /* Fills cycle->candidates. */
 void cycle_collect_candidates(struct cycle *cycle);
+/* Returns whether the lateness of the candidate's job says something of its
+   zone: repeated and perpetual jobs have no single objective. */
+bool cycle_counts_for_zone(const struct candidate *candidate);
 /* Returns the expected run time of a task of the step, in seconds. */
 double cycle_expected_run_s(const cs_fleet *fleet, const struct step *step);
 
--- a/src/fleet/cycle_order.c
+++ b/src/fleet/cycle_order.c
@@ -1,8 +1,9 @@
 /*
  * Selection and order of the steps that a scheduling cycle tries to place:
  * guaranteed ones first, then by priority, then those that can still meet
- * their queue's objective, then the oldest. Steps whose jobs end too late to
- * count come last, see COUNTED_UNTIL_FACTOR.
+ * their queue's objective, then by the shares of organisations and the
+ * lateness of callers' zones, in steps, then the oldest. Steps whose jobs end
+ * too late to count come last, see COUNTED_UNTIL_FACTOR.
  */
 #include "cycle_internal.h"
 
@@ -73,38 +74,71 @@
     return *used <= organisation->guaranteed_accelerators;
 }
 
+bool
+cycle_counts_for_zone(const struct candidate *candidate)
+{
+    return candidate->step->job->spec.repeats == 0 &&
+           !candidate->step->spec->perpetual;
+}
+
+/* Counts a step among those that compete for capacity by share and zone. */
+static void
+mark_waiting(struct cycle *cycle, const struct candidate *candidate)
+{
+    if (candidate->guaranteed || candidate->too_late_to_count)
+        return;
+    candidate->share->waiting = true;
+    if (cycle_counts_for_zone(candidate))
+        cs_zone_lag_add_waiting(&cycle->fleet->ledger->zones, candidate->zone,
+                                candidate->queue->priority,
+                                candidate->lateness);
+}
+
 static void
 add_candidate(struct cycle *cycle, struct step *step,
-              const cs_queue_config *queue, bool guaranteed)
+              const struct candidate *template)
 {
-    struct candidate candidate = {
-        .step = step, .queue = queue, .guaranteed = guaranteed};
+    struct candidate candidate = *template;
     double seconds = cycle_expected_run_s(cycle->fleet, step);
     int64_t end_ms =
         cycle->now.wall_us / CS_MS_US + (int64_t)(seconds * 1000.0);
     int64_t accepted_ms = step->job->spec.accepted_ms;
-    int64_t objective_ms = job_objective_ms(cycle, step->job, queue);
+    int64_t objective_ms = job_objective_ms(cycle, step->job, candidate.queue);
 
+    candidate.step = step;
     if (step->ready_us == 0)
         step->ready_us = cycle->now.boot_us;
-    candidate.misses_objective = end_ms > objective_ms;
+    candidate.rank.misses_objective = end_ms > objective_ms;
+    candidate.lateness = cs_zone_lag_of_job(accepted_ms, objective_ms, end_ms);
     candidate.too_late_to_count =
         end_ms >
         accepted_ms + COUNTED_UNTIL_FACTOR * (objective_ms - accepted_ms);
+    mark_waiting(cycle, &candidate);
     g_array_append_val(cycle->candidates, candidate);
 }
 
+static void
+find_accounts(struct cycle *cycle, const struct job *job,
+              struct candidate *out)
+{
+    struct ledger *ledger = cycle->fleet->ledger;
+
+    out->share = cs_shares_get(ledger->shares, job->spec.organisation);
+    out->zone = cs_zone_lag_find(&ledger->zones, job->spec.entry_zone);
+}
+
 static void
 collect_from_job(struct cycle *cycle, struct job *job)
 {
     const cs_queue_config *queue =
         cs_fleet_config_queue(cycle->fleet->state->config, job->spec.queue);
-    bool guaranteed;
+    struct candidate template = {.queue = queue};
     uint32_t i;
 
     if (!queue || (queue->needs_ticket && !cycle->fleet->state->ports.adviser))
         return;
-    guaranteed = queue->priority == 0 && job_is_guaranteed(cycle, job);
+    template.guaranteed =
+        queue->priority == 0 && job_is_guaranteed(cycle, job);
     for (i = 0; i < job_total_steps(job); i++) {
         struct step *step = job->steps[i];
 
@@ -112,7 +146,9 @@
             continue;
         if (step->spec->gang && step->waiting_count < step->spec->task_count)
             continue;
-        add_candidate(cycle, step, queue, guaranteed);
+        if (!template.share)
+            find_accounts(cycle, job, &template);
+        add_candidate(cycle, step, &template);
     }
 }
 
@@ -121,6 +157,7 @@
 {
     const struct candidate *first = a;
     const struct candidate *second = b;
+    int order;
 
     if (first->too_late_to_count != second->too_late_to_count)
         return first->too_late_to_count ? 1 : -1;
@@ -128,8 +165,9 @@
         return first->guaranteed ? -1 : 1;
     if (first->queue->priority != second->queue->priority)
         return first->queue->priority < second->queue->priority ? -1 : 1;
-    if (first->misses_objective != second->misses_objective)
-        return first->misses_objective ? 1 : -1;
+    order = cs_share_rank_compare(&first->rank, &second->rank);
+    if (order)
+        return order;
     if (first->step->job->sequence != second->step->job->sequence)
         return first->step->job->sequence < second->step->job->sequence ? -1
                                                                         : 1;
@@ -138,6 +176,26 @@
     return first->step->number < second->step->number ? -1 : 1;
 }
 
+/* Guaranteed steps keep their order: their start is promised. */
+static void
+rank_candidates(struct cycle *cycle)
+{
+    const cs_zone_lag *zones = &cycle->fleet->ledger->zones;
+    guint i;
+
+    ledger_compute_steps(cycle->fleet);
+    for (i = 0; i < cycle->candidates->len; i++) {
+        struct candidate *candidate =
+            &g_array_index(cycle->candidates, struct candidate, i);
+
+        if (candidate->guaranteed || candidate->too_late_to_count)
+            continue;
+        candidate->rank.share_step = candidate->share->step;
+        candidate->rank.zone_step = cs_zone_lag_step(
+            zones, candidate->zone, candidate->queue->priority);
+    }
+}
+
 void
 cycle_collect_candidates(struct cycle *cycle)
 {
@@ -146,5 +204,6 @@
     for (i = 0; i < cycle->fleet->active_jobs->len; i++)
         collect_from_job(cycle,
                          g_ptr_array_index(cycle->fleet->active_jobs, i));
+    rank_candidates(cycle);
     g_array_sort(cycle->candidates, compare_candidates);
 }
--- a/src/fleet/feeds.c
+++ b/src/fleet/feeds.c
@@ -1,9 +1,9 @@
 /*
  * The holder's reads from the store: all rows of jobs, progress, workers and
- * speeds when it acquires the cell, then the changes of jobs and of workers'
- * entries.
+ * speeds and the row of shares when it acquires the cell, then the changes of
+ * jobs and of workers' entries.
  */
-#include "fleet_internal.h"
+#include "ledger.h"
 
 /* The store delays its answer until a job changes, for up to this long. */
 #define JOBS_FOLLOW_WAIT_MS 1000
@@ -310,8 +310,11 @@
     follow_workers(fleet);
     if (!fleet->speed_feed.loaded && is_due(fleet, &fleet->speed_feed))
         read_page(fleet, &fleet->speed_feed);
+    if (!fleet->ledger->feed.loaded && is_due(fleet, &fleet->ledger->feed))
+        read_page(fleet, &fleet->ledger->feed);
     if (fleet->tenure != TENURE_LOADING || !fleet->job_feed.loaded ||
-        !fleet->progress_feed.loaded || !fleet->worker_feed.loaded)
+        !fleet->progress_feed.loaded || !fleet->worker_feed.loaded ||
+        !fleet->ledger->feed.loaded)
         return;
     fleet->tenure = TENURE_HOLDING;
     fleet->cycle_requested = true;
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -1,5 +1,5 @@
 /* Creation of a fleet, its periodic work, and state shared by its files. */
-#include "fleet_internal.h"
+#include "ledger.h"
 
 /* Interval of the work that depends on the time only. */
 #define TIMED_WORK_INTERVAL_US (100 * CS_MS_US)
@@ -88,6 +88,7 @@
     commit_clear(fleet);
     destroy_tables(fleet);
     create_tables(fleet);
+    ledger_reset(fleet->ledger);
     feeds_init(fleet);
     fleet->cycle_requested = false;
     fleet->advice_pending = false;
@@ -104,6 +105,7 @@
     fleet->tenure = TENURE_FOLLOWING;
     fleet->created_us = fleet_now(fleet).boot_us;
     create_tables(fleet);
+    fleet->ledger = ledger_create();
     feeds_init(fleet);
     commit_init(&fleet->commit);
     return fleet;
@@ -116,6 +118,7 @@
         return;
     destroy_tables(fleet);
     commit_dispose(&fleet->commit);
+    ledger_destroy(fleet->ledger);
     g_free(fleet);
 }
 
--- a/src/fleet/task.c
+++ b/src/fleet/task.c
@@ -2,7 +2,7 @@
  * The lifecycle of a task: placed on a worker, ended, waiting again. Also what
  * the ends and the progress of runs show of run times and of workers' speeds.
  */
-#include "fleet_internal.h"
+#include "ledger.h"
 
 #include <math.h>
 
@@ -77,6 +77,7 @@
     task->step->waiting_count--;
     task->step->job->active_tasks++;
     cs_demand_add(&worker->used, &task->step->spec->demand);
+    ledger_add_use(fleet, task);
     g_ptr_array_add(worker->tasks, task);
 }
 
@@ -87,6 +88,7 @@
 
     g_ptr_array_remove_fast(worker->tasks, task);
     cs_demand_subtract(&worker->used, &task->step->spec->demand);
+    ledger_remove_use(fleet, task);
     if (task->urgent)
         fleet->headroom.used_accelerators -=
             task->step->spec->demand.accelerators;
--- a/src/fleet/tenure.c
+++ b/src/fleet/tenure.c
@@ -398,7 +398,10 @@
 poll_cell(cs_fleet *fleet)
 {
     const cs_store_port *store = fleet->state->ports.store;
-    cs_row_range range = {.table = CS_TABLE_CELL, .part = CS_CELL_PART};
+    /* Up to the lease row, without the larger row of shares behind it: this
+       is read every 0.3 s. "!" sorts before the characters of keys. */
+    cs_row_range range = {
+        .table = CS_TABLE_CELL, .part = CS_CELL_PART, .to = LEASE_KEY "!"};
     int64_t now_us = fleet_now(fleet).boot_us;
 
     if (fleet->cell_read_pending || now_us < fleet->next_cell_read_us)
--- a/src/programs/csctl_fleet.c
+++ b/src/programs/csctl_fleet.c
@@ -46,6 +46,42 @@
     }
 }
 
+static void
+print_organisations(const json_t *organisations)
+{
+    const json_t *item;
+    size_t i;
+
+    if (json_array_size(organisations) == 0)
+        return;
+    printf("\n%-24s %7s %7s %s\n", "ORGANISATION", "SHARE", "WEIGHT", "STATE");
+    json_array_foreach(organisations, i, item)
+    {
+        printf("%-24s %6.1f%% %7.1f %s\n", string_member(item, "organisation"),
+               json_number_value(json_object_get(item, "share")) * 100.0,
+               json_number_value(json_object_get(item, "weight")),
+               json_is_true(json_object_get(item, "over")) ? "over"
+                                                           : "within");
+    }
+}
+
+static void
+print_zones(const json_t *zones)
+{
+    const json_t *item;
+    size_t i;
+
+    if (json_array_size(zones) == 0)
+        return;
+    printf("\n%-24s %8s %s\n", "ZONE OF ENTRY", "LATENESS", "STATE");
+    json_array_foreach(zones, i, item)
+    {
+        printf("%-24s %8.2f %s\n", string_member(item, "zone"),
+               json_number_value(json_object_get(item, "lateness")),
+               json_is_true(json_object_get(item, "late")) ? "late" : "even");
+    }
+}
+
 static void
 print_executors(const json_t *executors)
 {
@@ -84,6 +120,8 @@
            integer_member(body, "ended_jobs"),
            integer_member(body, "unrecorded_jobs"));
     print_executors(json_object_get(body, "executors"));
+    print_organisations(json_object_get(body, "organisations"));
+    print_zones(json_object_get(body, "zones"));
     print_workers(json_object_get(body, "workers"));
 }
 
--- a/standins/fake_fleet.c
+++ b/standins/fake_fleet.c
@@ -266,9 +266,37 @@
                   publish_worker, worker);
 }
 
+void
+fake_fleet_set_organisations(fake_fleet *deployment, uint32_t count)
+{
+    deployment->organisations = count;
+}
+
+void
+fake_fleet_put_cell_row(fake_fleet *deployment, const char *key,
+                        const char *text)
+{
+    fake_store_put(deployment, CS_TABLE_CELL, CS_CELL_PART, key, text,
+                   strlen(text));
+}
+
+/* Returns the organisations after the first, as items of a JSON list. */
+static GString *
+further_organisations(const fake_fleet *deployment)
+{
+    GString *text = g_string_new("");
+    uint32_t i;
+
+    for (i = 1; i < deployment->organisations; i++)
+        g_string_append_printf(
+            text, ",{\"name\":\"t%u\",\"apiKeys\":[\"k%u\"]}", i, i);
+    return text;
+}
+
 void
 fake_fleet_configure(fake_fleet *deployment, uint64_t version)
 {
+    GString *further = further_organisations(deployment);
     char *text = g_strdup_printf(
         "{\"version\":%" G_GUINT64_FORMAT ",\"routes\":["
         "{\"name\":\"q0\",\"host\":\"h\",\"pathPrefix\":\"/q0/\",\"service\":"
@@ -287,11 +315,12 @@
         "\"services\":[{\"name\":\"lab\",\"admissionControl\":true}],"
         "\"limits\":{\"maxBodyBytes\":262144},"
         "\"tenants\":[{\"name\":\"t0\",\"apiKeys\":[\"k0\"],"
-        "\"guaranteed\":{\"gpu\":64}}]}",
-        version);
+        "\"guaranteed\":{\"gpu\":64}}%s]}",
+        version, further->str);
 
     fake_store_put(deployment, PLATFORM_CONFIG_TABLE, "", PLATFORM_CONFIG_KEY,
                    text, strlen(text));
+    g_string_free(further, TRUE);
     g_free(text);
 }
 
@@ -642,15 +671,18 @@
           const char *queue, const char *id, cs_job_spec *spec,
           struct pending_reply *pending)
 {
+    char key[16];
     char *path = g_strdup_printf("/%s/%s", queue, id);
     cs_entry_call request = {.type = type,
                              .host = "h",
                              .path = path,
-                             .api_key = "k0",
+                             .api_key = key,
                              .spec = spec,
                              .deadline_us =
                                  deployment->now_us + CALL_TIMEOUT_US};
 
+    g_snprintf(key, sizeof(key), "k%u",
+               pending->record ? pending->record->job.organisation : 0);
     if (deployment->vms[vm].up) {
         cs_entry_handle(deployment->vms[vm].entry, &request, on_entry_reply,
                         pending);
--- a/standins/fake_fleet.h
+++ b/standins/fake_fleet.h
@@ -117,6 +117,12 @@
  * fail with CS_E_TOO_OLD.
  */
 void fake_fleet_compact(fake_fleet *deployment);
+/** Sets the number of organisations of configurations that are written from
+ * now on; the first has a guarantee. It is 1 before. */
+void fake_fleet_set_organisations(fake_fleet *deployment, uint32_t count);
+/** Overwrites a row of the cell's part in the store. */
+void fake_fleet_put_cell_row(fake_fleet *deployment, const char *key,
+                             const char *text);
 /** Writes the configuration to the store under a version number. */
 void fake_fleet_configure(fake_fleet *deployment, uint64_t version);
 
@@ -140,9 +146,10 @@
 
 /** A job together with how its simulated tasks behave. */
 typedef struct {
-    cs_job_spec spec;  /**< fake_fleet_submit() takes ownership */
-    int64_t run_ms;    /**< run time of each task at speed 1 */
-    bool always_fails; /**< every run fails on any worker */
+    cs_job_spec spec;      /**< fake_fleet_submit() takes ownership */
+    int64_t run_ms;        /**< run time of each task at speed 1 */
+    bool always_fails;     /**< every run fails on any worker */
+    uint32_t organisation; /**< index of the submitting organisation */
 } fake_job;
 
 /**
--- a/standins/fake_fleet_internal.h
+++ b/standins/fake_fleet_internal.h
@@ -146,6 +146,7 @@
     uint32_t worker_count;
     uint32_t rack_count;
     fake_disabled_protection disabled_protection;
+    uint32_t organisations; /* see fake_fleet_set_organisations() */
     uint32_t max_direct_workers;
     int64_t call_us;
     int64_t message_us;
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -638,6 +638,202 @@
     fake_fleet_destroy(deployment);
 }
 
+static fake_fleet *
+create_organisations(uint64_t seed, uint32_t count)
+{
+    fake_fleet *deployment = create_deployment(seed);
+
+    fake_fleet_set_organisations(deployment, count);
+    fake_fleet_configure(deployment, 2);
+    fake_fleet_run(deployment, CS_SEC_US);
+    return deployment;
+}
+
+/* Submits single tasks of one accelerator for an organisation, to a VM that
+   does not hold the cell. */
+static void
+submit_for(fake_fleet *deployment, uint32_t number, uint32_t organisation,
+           uint32_t tasks, int64_t run_ms)
+{
+    uint32_t vm = ((uint32_t)fake_fleet_holder(deployment) + 1) % 4;
+    fake_job job;
+
+    fake_job_init(&job, number, 2, tasks, 1, run_ms);
+    job.organisation = organisation;
+    fake_fleet_submit(deployment, vm, &job, NULL);
+    fake_fleet_run(deployment, 100 * CS_MS_US);
+}
+
+/* Returns an organisation's share as the holder shows it, or -1. */
+static double
+get_share(const fake_fleet *deployment, const char *name)
+{
+    json_t *status =
+        fake_fleet_status(deployment, (uint32_t)fake_fleet_holder(deployment));
+    const json_t *item;
+    double share = -1;
+    size_t i;
+
+    json_array_foreach(json_object_get(status, "organisations"), i, item)
+    {
+        if (strcmp(json_string_value(json_object_get(item, "organisation")),
+                   name) == 0)
+            share = json_real_value(json_object_get(item, "share"));
+    }
+    json_decref(status);
+    return share;
+}
+
+/* Runs a job of t1 on three quarters of the fleet for 30 s. The jobs end
+   before what the row says does. */
+static fake_fleet *
+run_past_use(uint64_t seed)
+{
+    fake_fleet *deployment = create_organisations(seed, 2);
+
+    submit_for(deployment, 1, 1, 96, 25 * 1000);
+    fake_fleet_run(deployment, 32 * CS_SEC_US);
+    expect_state(deployment, 1, CS_PROGRESS_COMPLETED);
+    assert_true(get_share(deployment, "t1") > 0.2);
+    return deployment;
+}
+
+/* Advances until the holder has sent the row of shares, and kills it before
+   the answer. Returns its number. */
+static int32_t
+kill_with_row_in_flight(fake_fleet *deployment)
+{
+    int32_t holder = fake_fleet_holder(deployment);
+    int64_t sent = fake_fleet_counter(deployment, (uint32_t)holder,
+                                      "cs_share_rows_total");
+    uint32_t i;
+
+    for (i = 0; i < 8000; i++) {
+        fake_fleet_run(deployment, CS_MS_US);
+        if (fake_fleet_counter(deployment, (uint32_t)holder,
+                               "cs_share_rows_total") > sent)
+            break;
+    }
+    assert_true(i < 8000);
+    fake_fleet_kill(deployment, (uint32_t)holder, 60 * CS_SEC_US);
+    return holder;
+}
+
+/* Guards against the organisation that submits most keeping all others
+   waiting until its jobs are done. */
+static void
+fleet__small_organisation_does_not_wait_for_a_large_one(void **state)
+{
+    fake_fleet *deployment = create_organisations(31, 3);
+    uint32_t i;
+
+    /* Each job takes the whole fleet for 5 s. */
+    for (i = 1; i <= 5; i++)
+        submit_for(deployment, i, 1, 128, 5000);
+    submit_for(deployment, 6, 2, 128, 5000);
+    fake_fleet_run(deployment, 13 * CS_SEC_US);
+    expect_state(deployment, 6, CS_PROGRESS_COMPLETED);
+    expect_state(deployment, 3, -1);
+    expect_no_violation(deployment);
+    fake_fleet_destroy(deployment);
+}
+
+/* Guards against a takeover that forgets what was used before, and against a
+   row that is half written. */
+static void
+fleet__successor_restores_shares(void **state)
+{
+    fake_fleet *deployment = run_past_use(32);
+    double share = get_share(deployment, "t1");
+    int32_t holder = kill_with_row_in_flight(deployment);
+
+    fake_fleet_run(deployment, 4 * CS_SEC_US);
+    assert_int_not_equal(fake_fleet_holder(deployment), holder);
+    /* Within 9 s a share decays to 0.74 of its value. */
+    assert_true(get_share(deployment, "t1") > 0.7 * share);
+    assert_true(get_share(deployment, "t1") < share);
+    assert_true(get_share(deployment, "t0") < 0.01);
+    expect_no_violation(deployment);
+    fake_fleet_destroy(deployment);
+}
+
+/* Guards against a holder that does not begin, or begins with part of the
+   figures, because of a row that it cannot read. */
+static void
+fleet__unreadable_shares_start_from_adopted_tasks(void **state)
+{
+    fake_fleet *deployment = run_past_use(33);
+    int32_t holder;
+
+    submit_for(deployment, 2, 0, 64, 60 * 1000);
+    fake_fleet_run(deployment, CS_SEC_US);
+    holder = kill_with_row_in_flight(deployment);
+    fake_fleet_run(deployment, 100 * CS_MS_US);
+    fake_fleet_put_cell_row(deployment, "shares", "\x94\x01\x02\x92\xa2t1");
+    fake_fleet_run(deployment, 4 * CS_SEC_US);
+    assert_int_not_equal(fake_fleet_holder(deployment), -1);
+    assert_int_not_equal(fake_fleet_holder(deployment), holder);
+    assert_true(get_share(deployment, "t0") > 0.45);
+    assert_true(get_share(deployment, "t1") < 0.01);
+    assert_int_equal(
+        fake_fleet_counter(deployment, (uint32_t)fake_fleet_holder(deployment),
+                           "cs_rows_unreadable_total"),
+        1);
+    submit_for(deployment, 3, 1, 4, 1000);
+    fake_fleet_run(deployment, 3 * CS_SEC_US);
+    expect_state(deployment, 3, CS_PROGRESS_COMPLETED);
+    expect_no_violation(deployment);
+    fake_fleet_destroy(deployment);
+}
+
+/* Guards against an organisation that a configuration has removed staying in
+   the ledger, and against harm to its running tasks. */
+static void
+fleet__removed_organisation_is_dropped(void **state)
+{
+    fake_fleet *deployment = create_organisations(34, 2);
+
+    submit_for(deployment, 1, 1, 96, 12 * 1000);
+    fake_fleet_run(deployment, 5 * CS_SEC_US);
+    assert_true(get_share(deployment, "t1") > 0.05);
+    fake_fleet_set_organisations(deployment, 1);
+    fake_fleet_configure(deployment, 3);
+    fake_fleet_run(deployment, 2 * CS_SEC_US);
+    assert_true(get_share(deployment, "t1") < 0);
+    kill_with_row_in_flight(deployment);
+    fake_fleet_run(deployment, 10 * CS_SEC_US);
+    assert_true(get_share(deployment, "t1") < 0);
+    expect_state(deployment, 1, CS_PROGRESS_COMPLETED);
+    expect_no_violation(deployment);
+    fake_fleet_destroy(deployment);
+}
+
+/* Guards against jobs that an older version has stored becoming unreadable,
+   and against losing the zone when a job is stored again as cancelled. */
+static void
+fleet__job_record_without_zone_is_read(void **state)
+{
+    GByteArray *bytes = g_byte_array_new();
+    cs_job_spec copy;
+    fake_job job;
+
+    fake_job_init(&job, 1, 2, 4, 1, 1000);
+    g_strlcpy(job.spec.entry_zone, "z", sizeof(job.spec.entry_zone));
+    cs_job_spec_encode(bytes, &job.spec);
+    assert_int_equal(cs_job_spec_decode(&copy, bytes->data, bytes->len), 0);
+    assert_string_equal(copy.entry_zone, "z");
+    cs_job_spec_dispose(&copy);
+    /* Cuts off the last of the 12 items. */
+    assert_int_equal(bytes->data[0], 0x9c);
+    bytes->data[0] = 0x9b;
+    g_byte_array_set_size(bytes, bytes->len - 2);
+    assert_int_equal(cs_job_spec_decode(&copy, bytes->data, bytes->len), 0);
+    assert_string_equal(copy.entry_zone, "");
+    cs_job_spec_dispose(&copy);
+    cs_job_spec_dispose(&job.spec);
+    g_byte_array_free(bytes, TRUE);
+}
+
 int
 main(void)
 {
@@ -663,6 +859,12 @@
         cmocka_unit_test(fleet__refused_holder_hands_over),
         cmocka_unit_test(fleet__holder_stays_while_the_store_is_unavailable),
         cmocka_unit_test(fleet__progress_of_many_jobs_is_split_over_changes),
+        cmocka_unit_test(
+            fleet__small_organisation_does_not_wait_for_a_large_one),
+        cmocka_unit_test(fleet__successor_restores_shares),
+        cmocka_unit_test(fleet__unreadable_shares_start_from_adopted_tasks),
+        cmocka_unit_test(fleet__removed_organisation_is_dropped),
+        cmocka_unit_test(fleet__job_record_without_zone_is_read),
     };
 
     if (!g_getenv("CS_TEST_LOG"))
