platform: do not read a weight of organisations

The platform's configuration defines no field `weight`, and platform/ may only know names that the platform defines. Each organisation has weight 1; the module still divides by it.

--- a/include/corianderstair/fleet_config.h
+++ b/include/corianderstair/fleet_config.h
@@ -43,8 +43,6 @@
     char name[CS_JOB_NAME_BYTES];
     GPtrArray *keys; /**< API keys, of char *, owned */
     int64_t guaranteed_accelerators;
-    double weight; /**< of its share of the fleet, see shares.h; below 1 it
-                      counts as 1 */
 } cs_organisation_config;
 
 /** A version of the configuration. */
--- a/include/corianderstair/shares.h
+++ b/include/corianderstair/shares.h
@@ -28,7 +28,8 @@
 /** The share of an organisation. */
 typedef struct {
     char name[CS_JOB_NAME_BYTES]; /**< empty for anonymous callers */
-    double weight;                /**< at least 1 */
+    double weight;                /**< 1; the configuration has no field
+                                     for another */
     bool configured; /**< named by the configuration, or anonymous */
     cs_demand used;  /**< by placed tasks; set by the caller */
     double mean;     /**< average dominant share, 0 to 1 */
--- a/src/policy/shares.c
+++ b/src/policy/shares.c
@@ -103,14 +103,12 @@
         cs_share *share = cs_shares_get(shares, organisation->name);
 
         share->configured = true;
-        share->weight = MAX(organisation->weight, 1.0);
     }
     for (i = 0; i < shares->list->len; i++) {
         cs_share *share = cs_shares_at(shares, i);
 
         if (share->configured)
             continue;
-        share->weight = 1;
         share->mean = 0;
         share->over = false;
     }
