ledger: reject a row of shares with a negative time

The age of the row is the store's clock less the time in the row. With a negative time near the minimum that difference exceeds the range of an integer, which is undefined. Such a row now counts as unreadable, and the time of an unreadable row is not kept.

--- a/src/fleet/ledger.c
+++ b/src/fleet/ledger.c
@@ -318,7 +318,7 @@
     ledger->row_clock_ms = cs_record_read_int(reader);
     organisations = cs_record_read_item(reader);
     zones = cs_record_read_item(reader);
-    return !reader->failed &&
+    return !reader->failed && ledger->row_clock_ms >= 0 &&
            unpack_organisations(ledger->shares, organisations) &&
            unpack_zones(&ledger->zones, zones);
 }
@@ -336,6 +336,7 @@
     cs_record_close(&record);
     if (ledger->restored)
         return;
+    ledger->row_clock_ms = 0;
     memset(&ledger->zones, 0, sizeof(ledger->zones));
     cs_log_event("shares-unreadable", "the shares start from what is adopted");
     fleet_increment_counter(fleet, "cs_rows_unreadable_total");
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -880,6 +880,29 @@
     fake_fleet_destroy(deployment);
 }
 
+/* Guards against a negative time in the row, with which the age of the row
+   exceeds the range of an integer. */
+static void
+fleet__shares_of_negative_time_are_unreadable(void **state)
+{
+    fake_fleet *deployment = run_past_use(35);
+
+    kill_with_row_in_flight(deployment);
+    fake_fleet_run(deployment, 100 * CS_MS_US);
+    /* Version 1, a time near INT64_MIN, no organisations, no zones. */
+    fake_fleet_put_cell_row(deployment, "shares",
+                            "\x94\x01\xd3\x80\x01\x01\x01\x01\x01\x01\x01"
+                            "\x90\x90");
+    fake_fleet_run(deployment, 4 * CS_SEC_US);
+    assert_int_not_equal(fake_fleet_holder(deployment), -1);
+    assert_int_equal(
+        fake_fleet_counter(deployment, (uint32_t)fake_fleet_holder(deployment),
+                           "cs_rows_unreadable_total"),
+        1);
+    expect_no_violation(deployment);
+    fake_fleet_destroy(deployment);
+}
+
 /* Guards against an organisation that a configuration has removed staying in
    the ledger, and against harm to its running tasks. */
 static void
@@ -961,6 +984,7 @@
             fleet__small_organisation_does_not_wait_for_a_large_one),
         cmocka_unit_test(fleet__successor_restores_shares),
         cmocka_unit_test(fleet__unreadable_shares_start_from_adopted_tasks),
+        cmocka_unit_test(fleet__shares_of_negative_time_are_unreadable),
         cmocka_unit_test(fleet__removed_organisation_is_dropped),
         cmocka_unit_test(fleet__job_record_without_zone_is_read),
     };
