test_shares: compare a single organisation with the former order

The order by age in the tests was that of the module with all steps 0, so a fault of the comparison changed both sides. It is now written out, and a load of one organisation and zone must end exactly as with it. The test fails if the module leaves out the objective.

--- a/tests/test_shares.c
+++ b/tests/test_shares.c
@@ -41,6 +41,7 @@
 
 struct load {
     bool use_shares;
+    bool single;            /* all jobs are of one organisation and one zone */
     double demand;          /* relative to the fleet */
     int64_t burst_start_ms; /* the last organisation sends three times the */
     int64_t burst_end_ms;   /* fleet's demand alone; no burst if 0 */
@@ -52,6 +53,8 @@
     double zone_work[ZONES];     /* done or dropped */
     double zone_lateness[ZONES]; /* mean of that work; the maximum for what
                                     was dropped */
+    double end_sum_s; /* of completed jobs' ends, each weighted by its sequence
+                         so that an exchange of two jobs changes it */
     double counted[ORGANISATIONS];
     double submitted[ORGANISATIONS];
 };
@@ -101,6 +104,8 @@
                                 .accepted_ms = now_ms,
                                 .known_ms = now_ms};
 
+    if (load->single)
+        job.organisation = job.zone = 0;
     if (job.zone == 0)
         job.known_ms += load->slow_zone_ms;
     g_array_append_val(jobs, job);
@@ -129,6 +134,20 @@
     return jobs;
 }
 
+/* The order before shares: by objective, then by age. */
+static gint
+compare_jobs_by_age(gconstpointer a, gconstpointer b)
+{
+    const struct simulated_job *first =
+        *(const struct simulated_job *const *)a;
+    const struct simulated_job *second =
+        *(const struct simulated_job *const *)b;
+
+    if (first->rank.misses_objective != second->rank.misses_objective)
+        return first->rank.misses_objective ? 1 : -1;
+    return first->sequence < second->sequence ? -1 : 1;
+}
+
 static gint
 compare_jobs(gconstpointer a, gconstpointer b)
 {
@@ -174,13 +193,14 @@
     }
     cs_shares_compute_steps(sim->shares);
     cs_zone_lag_compute_steps(&sim->zones);
-    for (i = 0; i < sim->waiting->len && use_shares; i++) {
+    for (i = 0; i < sim->waiting->len; i++) {
         struct simulated_job *job = g_ptr_array_index(sim->waiting, i);
 
         job->rank.share_step = share_of(sim, job)->step;
         job->rank.zone_step = cs_zone_lag_step(&sim->zones, job->zone, 2);
     }
-    g_ptr_array_sort(sim->waiting, compare_jobs);
+    g_ptr_array_sort(sim->waiting,
+                     use_shares ? compare_jobs : compare_jobs_by_age);
 }
 
 static void
@@ -237,6 +257,7 @@
             continue;
         sim->free += job->size;
         share_of(sim, job)->used.accelerators -= job->size;
+        sim->out->end_sum_s += job->sequence * (job->end_ms / 1000.0);
         finish_job(sim, job, job_worth(job), lateness_at(job, job->end_ms));
         g_ptr_array_remove_index_fast(sim->running, i);
     }
@@ -279,8 +300,10 @@
         rank_jobs(&sim, load->use_shares);
         place_jobs(&sim);
     }
-    for (i = 0; i < ZONES; i++)
-        out->zone_lateness[i] /= out->zone_work[i];
+    for (i = 0; i < ZONES; i++) {
+        if (out->zone_work[i] > 0)
+            out->zone_lateness[i] /= out->zone_work[i];
+    }
     cs_shares_destroy(sim.shares);
     g_ptr_array_free(sim.waiting, TRUE);
     g_ptr_array_free(sim.running, TRUE);
@@ -424,7 +447,19 @@
     assert_true(by_shares.total >= FULL_WORK - unknown_work);
 }
 
-/* Guards against any change of order in a fleet with a single organisation. */
+/* Guards against any change of order in a fleet with a single organisation and
+   zone, whose jobs must end exactly as without shares. */
+static void
+shares__single_organisation_keeps_its_order(void **state)
+{
+    compare_orders("single", (struct load){.demand = 1.3, .single = true});
+    assert_true(by_shares.end_sum_s > 0);
+    assert_true(by_shares.end_sum_s == by_age.end_sum_s);
+    assert_true(by_shares.total == by_age.total);
+}
+
+/* Guards against an organisation that competes with no other one being behind
+   itself or over its share. */
 static void
 shares__single_organisation_has_step_0(void **state)
 {
@@ -521,6 +556,7 @@
         cmocka_unit_test(shares__skewed_load_serves_small_organisations),
         cmocka_unit_test(shares__burst_delays_its_own_organisation),
         cmocka_unit_test(shares__slow_zone_is_served_evenly),
+        cmocka_unit_test(shares__single_organisation_keeps_its_order),
         cmocka_unit_test(shares__single_organisation_has_step_0),
         cmocka_unit_test(shares__dominant_resource_and_weight_decide),
         cmocka_unit_test(shares__late_zone_goes_first_until_it_has_caught_up),
