test_fleet: say which values the time of the shares row guards against

The value of the test is negative but does not itself bring the age out of range, as the comment said: the stand-in takes a text without zero bytes.

--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -880,8 +880,8 @@
     fake_fleet_destroy(deployment);
 }
 
-/* Guards against a negative time in the row, with which the age of the row
-   exceeds the range of an integer. */
+/* Guards against a negative time in the row being used for its age, which the
+   smallest values would bring out of the range of an integer. */
 static void
 fleet__shares_of_negative_time_are_unreadable(void **state)
 {
@@ -889,7 +889,8 @@
 
     kill_with_row_in_flight(deployment);
     fake_fleet_run(deployment, 100 * CS_MS_US);
-    /* Version 1, a time near INT64_MIN, no organisations, no zones. */
+    /* Version 1, a negative time without zero bytes, which would end the text,
+       no organisations, no zones. */
     fake_fleet_put_cell_row(deployment, "shares",
                             "\x94\x01\xd3\x80\x01\x01\x01\x01\x01\x01\x01"
                             "\x90\x90");
