--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -49,6 +49,7 @@
 struct job;
 struct step;
 struct advice;
+struct ledger;
 
 /* A worker as the holder of the cell knows it, across its incarnations. */
 struct worker {
@@ -259,8 +260,9 @@
                                  tasks */
     bool advice_pending;      /* a query to the adviser is in flight */
     int64_t next_timed_work_us;
-    cs_headroom headroom; /* of the urgent tasks that are placed */
-    bool starts_held;     /* the evacuations were not confirmed in time */
+    cs_headroom headroom;  /* of the urgent tasks that are placed */
+    bool starts_held;      /* the evacuations were not confirmed in time */
+    struct ledger *ledger; /* see ledger.h */
 };
 
 /* Run times of the tasks of a queue. */
