fleet: the holder publishes a forecast with its lease row

Cause: an entry knows nothing of the load, so that jobs are stored that end too late to count or that no worker could ever hold.

Change: once a second the holder sums up what the workers of its tenure could hold (the largest worker and rack of each service, and of labels with smaller workers) and, by queue and size class, the waiting work that still counts. The record is a sixth item of the lease row, which older rows lack and older processes do not read. The process keeps the record with the store's clock of its read, so that its age is known; csctl fleet shows both.

--- a/include/corianderstair/fleet_state.h
+++ b/include/corianderstair/fleet_state.h
@@ -41,7 +41,11 @@
     char holder[96]; /**< incarnation of the holder */
     uint64_t epoch;
     GHashTable
-        *waiting_jobs; /**< queue name to number of waiting jobs; owned */
+        *waiting_jobs;    /**< queue name to number of waiting jobs; owned */
+    GByteArray *forecast; /**< record of forecast.h; NULL: none; owned */
+    int64_t forecast_read_us; /**< boot clock when it was read */
+    int64_t forecast_read_ms; /**< the store's clock when it was read */
+    uint64_t forecast_serial; /**< raised whenever forecast is replaced */
 } cs_cell_view;
 
 /**
@@ -72,6 +76,8 @@
     double mean_write_us;    /**< duration of store writes; 0 if unknown */
     int64_t
         last_store_answer_us; /**< boot clock of the last answer; 0 if none */
+    int64_t store_failing_since_us; /**< boot clock of the first failed call
+                                       since that answer; 0 if none */
     cs_cell_view cell;
     bool relayed;  /**< store calls go through a peer, as direct ones fail */
     bool draining; /**< this process was asked to stop */
@@ -111,9 +117,18 @@
 int64_t cs_fleet_state_write_timeout_us(const cs_fleet_state *state);
 
 /**
- * Records the time of a call's result if the code shows that the store
- * answered.
+ * Records the time of a call's result: of an answer if the code shows that the
+ * store answered, else of a failure.
  */
 void cs_fleet_state_record_store_answer(cs_fleet_state *state, int code);
 
+/**
+ * Replaces the forecast of the cell.
+ * @param bytes copied; NULL if there is no forecast
+ * @param store_ms the store's clock now; 0, if unknown, drops the forecast, as
+ *                 its age could not be told
+ */
+void cs_fleet_state_set_forecast(cs_fleet_state *state, const void *bytes,
+                                 size_t size_bytes, int64_t store_ms);
+
 #endif
--- a/src/fleet/cycle_internal.h
+++ b/src/fleet/cycle_internal.h
@@ -35,6 +35,11 @@
 /* Returns the expected run time of a task of the step, in seconds. */
 double cycle_expected_run_s(const cs_fleet *fleet, const struct step *step);
 
+/* Returns the time on the wall clock by which the job has to be completed to
+   count in full, from the target_ms and the stretch of its queue. */
+int64_t cycle_objective_ms(const cs_fleet *fleet, const struct job *job,
+                           const cs_queue_config *queue);
+
 /* cycle_request.c */
 /* Fills a bin packing request, to be freed with cycle_free_request(). */
 void cycle_make_request(struct cycle *cycle, const struct candidate *candidate,
--- a/src/fleet/cycle_order.c
+++ b/src/fleet/cycle_order.c
@@ -5,11 +5,12 @@
  * count come last, see COUNTED_UNTIL_FACTOR.
  */
 #include "cycle_internal.h"
+#include "corianderstair/forecast.h"
 
 /* A job counts in full if it is completed within the time of its queue's
    objective, in part up to this multiple of that time, and not at all after
    that. */
-#define COUNTED_UNTIL_FACTOR 3
+#define COUNTED_UNTIL_FACTOR CS_FORECAST_COUNTED_FACTOR
 
 double
 cycle_expected_run_s(const cs_fleet *fleet, const struct step *step)
@@ -20,14 +21,12 @@
     return MAX(ms, 1.0) / 1000.0;
 }
 
-/* Returns the time on the wall clock by which the job has to be completed to
-   count in full, from the target_ms and the stretch of its queue. */
-static int64_t
-job_objective_ms(const struct cycle *cycle, const struct job *job,
-                 const cs_queue_config *queue)
+int64_t
+cycle_objective_ms(const cs_fleet *fleet, const struct job *job,
+                   const cs_queue_config *queue)
 {
-    double step_run_ms = fleet_expected_run_ms(cycle->fleet, job->spec.queue,
-                                               &job->spec.steps[0]);
+    double step_run_ms =
+        fleet_expected_run_ms(fleet, job->spec.queue, &job->spec.steps[0]);
 
     return job->spec.accepted_ms + queue->target_ms +
            (int64_t)(queue->stretch * step_run_ms * job->spec.step_count);
@@ -83,7 +82,7 @@
     int64_t end_ms =
         cycle->now.wall_us / CS_MS_US + (int64_t)(seconds * 1000.0);
     int64_t accepted_ms = step->job->spec.accepted_ms;
-    int64_t objective_ms = job_objective_ms(cycle, step->job, queue);
+    int64_t objective_ms = cycle_objective_ms(cycle->fleet, step->job, queue);
 
     if (step->ready_us == 0)
         step->ready_us = cycle->now.boot_us;
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -86,6 +86,7 @@
 {
     fleet->generation++;
     commit_clear(fleet);
+    forecast_reset(fleet);
     destroy_tables(fleet);
     create_tables(fleet);
     feeds_init(fleet);
@@ -114,6 +115,7 @@
 {
     if (!fleet)
         return;
+    forecast_reset(fleet);
     destroy_tables(fleet);
     commit_dispose(&fleet->commit);
     g_free(fleet);
@@ -158,6 +160,7 @@
         run_timed_work(fleet);
         if (fleet->cycle_requested)
             cycle_run(fleet);
+        forecast_tick(fleet);
         commit_tick(fleet);
         return;
     }
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -252,7 +252,9 @@
                                  tasks */
     bool advice_pending;      /* a query to the adviser is in flight */
     int64_t next_timed_work_us;
-    cs_headroom headroom; /* of the urgent tasks that are placed */
+    cs_headroom headroom;          /* of the urgent tasks that are placed */
+    struct forecaster *forecaster; /* NULL until the first forecast of the
+                                      tenure */
 };
 
 /* Run times of the tasks of a queue. */
@@ -441,6 +443,16 @@
 /* Sets a worker's speed to the stored one if none is known yet. */
 void speeds_restore(const cs_fleet *fleet, struct worker *worker);
 
+/* forecast.c */
+/* Makes a forecast if one is due. */
+void forecast_tick(cs_fleet *fleet);
+/* Returns the record of the last forecast of this tenure, or NULL. */
+const GByteArray *forecast_record(const cs_fleet *fleet);
+/* Drops what forecasts were made from. */
+void forecast_reset(cs_fleet *fleet);
+/* Describes the forecast that the process knows; NULL if there is none. */
+json_t *forecast_status(const cs_fleet *fleet);
+
 /* evacuate.c */
 void evacuate_tick(cs_fleet *fleet);
 
--- a/src/fleet/status.c
+++ b/src/fleet/status.c
@@ -54,7 +54,7 @@
     int64_t now_us = fleet_now(fleet).boot_us;
 
     return json_pack(
-        "{s:s,s:s,s:s,s:I,s:s,s:I,s:I,s:b,s:i,s:i,s:i,s:o}", "vm",
+        "{s:s,s:s,s:s,s:I,s:s,s:I,s:I,s:b,s:i,s:i,s:i,s:o,s:o*}", "vm",
         state->settings.name, "zone", state->settings.zone, "tenure",
         tenure_name(fleet->tenure), "epoch", (json_int_t)state->cell.epoch,
         "holder", state->cell.holder, "config",
@@ -65,7 +65,7 @@
         (int)fleet->active_jobs->len, "ended_jobs",
         (int)fleet->final_jobs->len, "unrecorded_jobs",
         (int)g_queue_get_length((GQueue *)&fleet->dirty_jobs), "workers",
-        list_workers(fleet));
+        list_workers(fleet), "forecast", forecast_status(fleet));
 }
 
 static const char *
--- a/src/fleet/tenure.c
+++ b/src/fleet/tenure.c
@@ -93,15 +93,20 @@
 static void
 encode_lease(cs_fleet *fleet, GByteArray *out)
 {
+    const GByteArray *forecast = forecast_record(fleet);
     msgpack_packer packer;
 
     cs_record_packer_init(&packer, out);
-    msgpack_pack_array(&packer, 5);
+    msgpack_pack_array(&packer, forecast ? 6 : 5);
     msgpack_pack_int64(&packer, RECORD_VERSION);
     msgpack_pack_uint64(&packer, ++fleet->renewal_serial);
     msgpack_pack_int64(&packer, fleet->release_requested);
     msgpack_pack_int64(&packer, fleet->store_clock_ms);
     encode_waiting(&packer, fleet->state->cell.waiting_jobs);
+    if (forecast) {
+        msgpack_pack_bin(&packer, forecast->len);
+        msgpack_pack_bin_body(&packer, forecast->data, forecast->len);
+    }
 }
 
 void
@@ -160,6 +165,21 @@
     }
 }
 
+/* Reads the forecast, which rows of holders without one lack. */
+static void
+decode_forecast(cs_fleet *fleet, cs_record_reader *reader, int64_t store_ms)
+{
+    const msgpack_object *item = NULL;
+
+    if (!reader->failed && reader->next < reader->count)
+        item = cs_record_read_item(reader);
+    if (item && item->type == MSGPACK_OBJECT_BIN)
+        cs_fleet_state_set_forecast(fleet->state, item->via.bin.ptr,
+                                    item->via.bin.size, store_ms);
+    else
+        cs_fleet_state_set_forecast(fleet->state, NULL, 0, 0);
+}
+
 static void
 decode_lease(struct cell_rows *out, cs_fleet *fleet, const cs_row *row)
 {
@@ -176,6 +196,7 @@
     /* Invalid rows leave the last known counts unchanged. */
     if (waiting)
         decode_waiting(fleet->state->cell.waiting_jobs, waiting);
+    decode_forecast(fleet, &record.reader, out->now_ms);
     cs_record_close(&record);
 }
 
--- a/src/model/fleet_state.c
+++ b/src/model/fleet_state.c
@@ -22,11 +22,20 @@
                "%.60s-%" PRIx64, settings->name, (uint64_t)now.wall_us);
 }
 
+static void
+drop_forecast(cs_cell_view *cell)
+{
+    if (cell->forecast)
+        g_byte_array_unref(cell->forecast);
+    cell->forecast = NULL;
+}
+
 void
 cs_fleet_state_dispose(cs_fleet_state *state)
 {
     cs_fleet_config_unref(state->config);
     g_hash_table_destroy(state->cell.waiting_jobs);
+    drop_forecast(&state->cell);
 }
 
 cs_now
@@ -71,8 +80,31 @@
 void
 cs_fleet_state_record_store_answer(cs_fleet_state *state, int code)
 {
-    if (code == 0 || code == CS_E_CONFLICT || code == CS_E_TOO_OLD)
-        state->last_store_answer_us = cs_fleet_state_now(state).boot_us;
+    int64_t now_us = cs_fleet_state_now(state).boot_us;
+
+    if (code == 0 || code == CS_E_CONFLICT || code == CS_E_TOO_OLD) {
+        state->last_store_answer_us = now_us;
+        state->store_failing_since_us = 0;
+    }
+    else if (state->store_failing_since_us == 0) {
+        state->store_failing_since_us = now_us;
+    }
+}
+
+void
+cs_fleet_state_set_forecast(cs_fleet_state *state, const void *bytes,
+                            size_t size_bytes, int64_t store_ms)
+{
+    cs_cell_view *cell = &state->cell;
+
+    drop_forecast(cell);
+    cell->forecast_serial++;
+    if (!bytes || store_ms <= 0)
+        return;
+    cell->forecast = g_byte_array_new();
+    g_byte_array_append(cell->forecast, bytes, (guint)size_bytes);
+    cell->forecast_read_us = cs_fleet_state_now(state).boot_us;
+    cell->forecast_read_ms = store_ms;
 }
 
 bool
--- a/src/programs/csctl_fleet.c
+++ b/src/programs/csctl_fleet.c
@@ -66,6 +66,62 @@
     }
 }
 
+static void
+print_forecast_services(const json_t *services)
+{
+    const json_t *item;
+    size_t i;
+
+    if (json_array_size(services) == 0)
+        return;
+    printf("%-16s %7s %12s %10s %10s %10s\n", "SERVICE", "WORKERS",
+           "WORKER-CORES", "WORKER-ACC", "RACK-CORES", "RACK-ACC");
+    json_array_foreach(services, i, item)
+    {
+        printf("%-16s %7d %12d %10d %10d %10d\n",
+               string_member(item, "service"), integer_member(item, "workers"),
+               integer_member(item, "worker_cores"),
+               integer_member(item, "worker_accelerators"),
+               integer_member(item, "rack_cores"),
+               integer_member(item, "rack_accelerators"));
+    }
+}
+
+/* WAIT-MS is the time that the work takes all workers of the service. */
+static void
+print_forecast_backlog(const json_t *backlog)
+{
+    const json_t *item;
+    size_t i;
+
+    if (json_array_size(backlog) == 0)
+        return;
+    printf("%-20s %8s %-8s %10s %10s %9s %10s\n", "QUEUE", "PRIORITY", "CLASS",
+           "CORE-S", "ACC-S", "WAIT-MS", "OLDEST-MS");
+    json_array_foreach(backlog, i, item)
+    {
+        printf("%-20s %8d %-8s %10d %10d %9d %10d\n",
+               string_member(item, "queue"), integer_member(item, "priority"),
+               string_member(item, "class"), integer_member(item, "core_s"),
+               integer_member(item, "accelerator_s"),
+               integer_member(item, "wait_ms"),
+               integer_member(item, "oldest_wait_ms"));
+    }
+}
+
+static void
+print_forecast(const json_t *forecast)
+{
+    if (!forecast)
+        return;
+    printf("\nforecast of epoch %d, %d ms old, holder loaded for %d ms\n",
+           integer_member(forecast, "epoch"),
+           integer_member(forecast, "age_ms"),
+           integer_member(forecast, "loaded_ms"));
+    print_forecast_services(json_object_get(forecast, "services"));
+    print_forecast_backlog(json_object_get(forecast, "backlog"));
+}
+
 static void
 print_fleet(const json_t *body)
 {
@@ -83,6 +139,7 @@
            integer_member(body, "active_jobs"),
            integer_member(body, "ended_jobs"),
            integer_member(body, "unrecorded_jobs"));
+    print_forecast(json_object_get(body, "forecast"));
     print_executors(json_object_get(body, "executors"));
     print_workers(json_object_get(body, "workers"));
 }
