entry: admission by the forecast, immediate answers in an outage

Cause: callers under overload were accepted and told nothing; in an outage of the store each waited for a third of its time and was told to return after 1 s.

Change: cs_admit decides from the forecast whether a job is unservable or surely too late; everything doubtful is accepted. A rejection is answered only after a read of the job's row has shown that it does not exist, and not while a write of this process may still store it; a failed read leads to the insert as before.

cs_outage estimates the rest of an outage from past ones.

A submission whose earlier write from this process is unsettled is now answered 504 instead of 503 when the store stays away.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -4,7 +4,7 @@
  * exists if and only if its row does, so an id is the same job on every VM.
  * States are read from the progress rows that the holder of the cell writes.
  */
-#include "corianderstair/entry.h"
+#include "entry_internal.h"
 #include "corianderstair/errors.h"
 #include "corianderstair/log.h"
 
@@ -32,6 +32,8 @@
     cs_fleet_state *fleet_state;
     GPtrArray *backing_off; /* of struct request; retried at retry_us */
     uint32_t open_count;    /* requests without a reply */
+    struct entry_admit *admit;
+    struct entry_outage *outage;
     /* Counters. */
     int64_t *accepted;
     int64_t *duplicates;
@@ -44,6 +46,7 @@
 
 typedef enum {
     STAGE_INSERT,       /* inserting the job row */
+    STAGE_ADMIT_READ,   /* reading whether a job to be rejected is stored */
     STAGE_VERIFY,       /* reading whether an unconfirmed insert was stored */
     STAGE_PROGRESS_ROW, /* reading the progress row for a status query */
     STAGE_JOB_ROW,      /* reading the job row, as there is no progress row */
@@ -61,7 +64,9 @@
     int64_t deadline_us;
     int64_t retry_us;
     int64_t backoff_us;
-    bool outcome_unknown; /* a write was sent and not confirmed */
+    int64_t timeout_ms;            /* of the caller */
+    struct entry_verdict *verdict; /* why the job is to be rejected; or NULL */
+    bool outcome_unknown;          /* a write was sent and not confirmed */
     cs_entry_done done;
     void *user_data;
 };
@@ -77,6 +82,7 @@
     request->done(request->user_data, reply);
     if (request->record)
         g_byte_array_free(request->record, TRUE);
+    g_free(request->verdict);
     g_free(request);
 }
 
@@ -93,11 +99,17 @@
 give_up(struct request *request)
 {
     cs_entry *entry = request->entry;
-    cs_entry_reply reply = {.type = CS_REPLY_REJECTED,
-                            .retry_after_s = RETRY_AFTER_S,
-                            .code = CS_E_STORE_UNAVAILABLE,
-                            .message = "the store cannot be reached"};
-
+    cs_entry_reply reply = {
+        .type = CS_REPLY_REJECTED,
+        .retry_after_s = entry_outage_retry_after_s(entry->outage, request->id,
+                                                    request->timeout_ms),
+        .code = CS_E_STORE_UNAVAILABLE,
+        .message = "the store cannot be reached"};
+
+    /* An earlier call of the same caller may have sent a write. */
+    if (request->stage == STAGE_INSERT &&
+        entry_admit_is_unsettled(entry->admit, request->id))
+        request->outcome_unknown = true;
     if (request->outcome_unknown) {
         reply.type = CS_REPLY_UNKNOWN;
         reply.code = CS_E_OUTCOME_UNKNOWN;
@@ -155,6 +167,8 @@
             entry->fleet_state,
             cs_fleet_state_now(entry->fleet_state).boot_us -
                 request->started_us);
+    if (stored)
+        entry_admit_note_stored(entry->admit, request->id);
     if (answer->code == CS_E_OUTCOME_UNKNOWN) {
         /* A read shows sooner than a retry whether the row was stored. */
         request->stage = STAGE_VERIFY;
@@ -179,6 +193,7 @@
 {
     if (answer->code == 0 && answer->row_count > 0) {
         (*request->entry->accepted)++;
+        entry_admit_note_stored(request->entry->admit, request->id);
         cs_log_event("job-accepted", "job %s, its insert got no answer",
                      request->id);
         finish_with_type(request, CS_REPLY_ACCEPTED);
@@ -190,6 +205,39 @@
     retry_later(request);
 }
 
+/* A job that an earlier call has stored is accepted, whatever the forecast
+   says now. */
+static void
+on_admit_read(struct request *request, const cs_store_answer *answer)
+{
+    cs_entry *entry = request->entry;
+    cs_entry_reply reply = {.type = CS_REPLY_ACCEPTED};
+
+    if (answer->code) {
+        /* Whether the job is stored cannot be told, so it must not be
+           rejected. */
+        request->stage = STAGE_INSERT;
+        retry_later(request);
+        return;
+    }
+    if (answer->row_count > 0) {
+        (*entry->duplicates)++;
+        entry_admit_note_stored(entry->admit, request->id);
+        cs_log_event("job-accepted", "job %s was stored before", request->id);
+    }
+    else if (entry_admit_is_unsettled(entry->admit, request->id)) {
+        /* Another call of the same caller has sent a write meanwhile. */
+        request->stage = STAGE_INSERT;
+        start_attempt(request);
+        return;
+    }
+    else {
+        entry_admit_reject(entry->admit, request->id, request->verdict,
+                           &reply);
+    }
+    request_finish(request, &reply);
+}
+
 static void
 reply_status(struct request *request, cs_progress_state state)
 {
@@ -302,10 +350,16 @@
                                        answer->code);
     if (writes && answer->code == CS_E_OUTCOME_UNKNOWN)
         request->outcome_unknown = true;
+    if (request->stage == STAGE_INSERT)
+        entry_admit_note_answer(request->entry->admit, request->id,
+                                answer->code == CS_E_OUTCOME_UNKNOWN);
     switch (request->stage) {
     case STAGE_INSERT:
         on_insert(request, answer);
         break;
+    case STAGE_ADMIT_READ:
+        on_admit_read(request, answer);
+        break;
     case STAGE_VERIFY:
         on_verify(request, answer);
         break;
@@ -381,12 +435,16 @@
     }
     switch (request->stage) {
     case STAGE_INSERT:
+        entry_admit_note_write(request->entry->admit, request->id);
+        write_job(request, write_deadline_us);
+        break;
     case STAGE_CANCEL_WRITE:
         write_job(request, write_deadline_us);
         break;
     case STAGE_PROGRESS_ROW:
         read_row(request, CS_TABLE_PROGRESS, deadline_us);
         break;
+    case STAGE_ADMIT_READ:
     case STAGE_VERIFY:
     case STAGE_JOB_ROW:
     case STAGE_CANCEL_READ:
@@ -408,6 +466,7 @@
     g_free(lower_id);
     request->started_us = cs_fleet_state_now(entry->fleet_state).boot_us;
     request->deadline_us = call->deadline_us;
+    request->timeout_ms = (call->deadline_us - request->started_us) / CS_MS_US;
     /* A caller's retry may leave little time: at most a quarter of it is
        reserved, so that at least one attempt is made. */
     request->deadline_us -=
@@ -459,6 +518,7 @@
 {
     cs_job_spec *spec = call->spec;
     struct request *request;
+    cs_entry_reply reply;
 
     if ((int64_t)call->body_bytes >
         entry->fleet_state->config->max_body_bytes) {
@@ -479,7 +539,17 @@
                   spec ? cs_error_last() : call->spec_error);
         return;
     }
+    if (!entry_admit_is_unsettled(entry->admit, spec->id) &&
+        entry_outage_reject(entry->outage, spec->id, call->deadline_us,
+                            &reply)) {
+        done(user_data, &reply);
+        return;
+    }
     request = request_create(entry, STAGE_INSERT, id, call, done, user_data);
+    request->verdict = entry_admit_decide(entry->admit, queue, organisation,
+                                          spec, request->timeout_ms);
+    if (request->verdict)
+        request->stage = STAGE_ADMIT_READ;
     g_strlcpy(spec->queue, queue->name, sizeof(spec->queue));
     g_strlcpy(spec->organisation, organisation ? organisation->name : "",
               sizeof(spec->organisation));
@@ -585,6 +655,7 @@
     GPtrArray *due = NULL;
     guint i = 0;
 
+    entry_outage_tick(entry->outage);
     while (i < entry->backing_off->len) {
         struct request *request = g_ptr_array_index(entry->backing_off, i);
 
@@ -623,6 +694,8 @@
 
     entry->fleet_state = fleet_state;
     entry->backing_off = g_ptr_array_new();
+    entry->admit = entry_admit_create(fleet_state);
+    entry->outage = entry_outage_create(fleet_state);
     entry->accepted =
         cs_fleet_state_counter(fleet_state, "cs_jobs_accepted_total");
     entry->duplicates =
@@ -648,5 +721,7 @@
     while (entry->backing_off->len > 0)
         give_up(g_ptr_array_remove_index_fast(entry->backing_off, 0));
     g_ptr_array_free(entry->backing_off, TRUE);
+    entry_admit_destroy(entry->admit);
+    entry_outage_destroy(entry->outage);
     g_free(entry);
 }
