tests: the load test judges each rejected job by itself

Cause: rejected jobs were queued in the load test, where they delayed each other, so that a rejection of a job that would have counted by itself passed.

Change: a rejected job now ends as if it alone had been accepted and went first of its priority.

--- a/tests/test_admit.c
+++ b/tests/test_admit.c
@@ -310,6 +310,7 @@
 {
     bool urgent_counts =
         tick + SIM_URGENT_RUN_TICKS <= SIM_URGENT_COUNTS_TICKS;
+    bool offered = false;
     guint next = 0;
     uint32_t i;
 
@@ -321,20 +322,27 @@
             sim->slot_ends[i] = tick + SIM_URGENT_RUN_TICKS;
             continue;
         }
+        offered = true;
         for (; next < sim->jobs->len; next++) {
             struct sim_job *job =
                 &g_array_index(sim->jobs, struct sim_job, next);
 
-            if (job->end)
+            if (job->end || job->rejected)
                 continue;
             job->end = sim->slot_ends[i] = tick + SIM_RUN_TICKS;
             break;
         }
     }
+    for (next = 0; offered && next < sim->jobs->len; next++) {
+        struct sim_job *job = &g_array_index(sim->jobs, struct sim_job, next);
+
+        if (job->rejected && !job->end)
+            job->end = tick + SIM_RUN_TICKS;
+    }
 }
 
-/* Runs 40 times the capacity of urgent work and a job each tick. Rejected jobs
-   are queued nevertheless, to see when they would have ended. */
+/* Runs 40 times the capacity of urgent work and a job each tick. A rejected
+   job is said to end as if it alone had been accepted and went first. */
 static void
 sim_run(struct sim *sim, uint32_t ticks, uint32_t cancel_tick)
 {
@@ -343,6 +351,8 @@
     fixture_init(&sim->fixture);
     sim->urgent_waiting = 40 * SIM_SLOTS;
     sim->jobs = g_array_new(FALSE, TRUE, sizeof(struct sim_job));
+    for (tick = 0; tick < SIM_SLOTS; tick++)
+        sim->slot_ends[tick] = tick * SIM_URGENT_RUN_TICKS / SIM_SLOTS;
     for (tick = 0; tick < ticks; tick++) {
         struct sim_job job = {.accepted = tick};
 
