policy: the latest Retry-After is the timeout to the nearest second

Cause: an entry computes the timeout some ms after the call came, so that 3 s became 2 s and all callers of an unservable job were told 1 or 2 s.

Change: the timeout is rounded to the nearest second.

--- a/src/policy/admit.c
+++ b/src/policy/admit.c
@@ -99,7 +99,8 @@
 uint32_t
 cs_admit_retry_after_s(int64_t delay_ms, const char *id, int64_t timeout_ms)
 {
-    int64_t latest_s = MAX(timeout_ms / 1000, 1);
+    /* To the nearest second: some ms of the timeout have passed already. */
+    int64_t latest_s = MAX((timeout_ms + 500) / 1000, 1);
     int64_t delay_s = CLAMP((delay_ms + 999) / 1000, 1, latest_s);
     int64_t last_s = MIN(delay_s + (delay_s + 1) / 2, latest_s);
     int64_t first_s = (delay_s + 1) / 2;
--- a/tests/test_admit.c
+++ b/tests/test_admit.c
@@ -256,7 +256,7 @@
         seconds = cs_admit_retry_after_s(2000, id, CALLER_TIMEOUT_MS);
         assert_in_range(seconds, 1, 3);
         seen[seconds]++;
-        assert_in_range(cs_admit_retry_after_s(900000, id, 3000), 1, 3);
+        assert_in_range(cs_admit_retry_after_s(900000, id, 2990), 2, 3);
         assert_int_equal(cs_admit_retry_after_s(0, id, 200), 1);
     }
     assert_true(seen[1] > 200 && seen[2] > 200 && seen[3] > 200);
