--- a/src/fleet/status.c
+++ b/src/fleet/status.c
@@ -54,7 +54,8 @@
     int64_t now_us = fleet_now(fleet).boot_us;
 
     return json_pack(
-        "{s:s,s:s,s:s,s:I,s:s,s:I,s:I,s:b,s:i,s:i,s:i,s:b,s:o,s:o,s:o,s:o}",
+        "{s:s,s:s,s:s,s:I,s:s,s:I,s:I,s:b,s:i,s:i,s:i,s:b,s:o,s:o,s:o,s:o,"
+        "s:o*}",
         "vm", state->settings.name, "zone", state->settings.zone, "tenure",
         tenure_name(fleet->tenure), "epoch", (json_int_t)state->cell.epoch,
         "holder", state->cell.holder, "config",
@@ -68,7 +69,7 @@
         fleet->starts_held, "evacuations",
         cs_evacuations_status(state->evacuations, now_us), "workers",
         list_workers(fleet), "organisations", ledger_list_organisations(fleet),
-        "zones", ledger_list_zones(fleet));
+        "zones", ledger_list_zones(fleet), "forecast", forecast_status(fleet));
 }
 
 static const char *
