fleet: work is stopped for a step only if that gains more than it loses

Cause: preempted single tasks were placed again at once elsewhere and stopped again; stops shortly before enough work had ended gained nothing.

Change: cycle_preempt.c estimates when the step would be placed without a stop and compares the step's gain with the loss of the victims. Urgent steps that have missed their objective and still count are considered too, by the same comparison.

--- a/src/fleet/cycle.c
+++ b/src/fleet/cycle.c
@@ -9,9 +9,6 @@
 
 /* How long capacity freed by preemption stays reserved for a step. */
 #define RESERVATION_US (2500 * CS_MS_US)
-/* Maximum searches for victims in a cycle, to bound its run time. Further
-   steps get theirs in later cycles. */
-#define MAX_VICTIM_SEARCHES 4
 /* The capacity counts as idle if about half of it is free and no job has been
    submitted for a while. The requirements limit how long a step may wait on
    idle capacity (see IDLE_RACK_WAIT_S in cycle_request.c) from 14 s after the
@@ -255,9 +252,8 @@
         cycle_apply_reservation(cycle, step, true);
     }
     else if (candidate->queue->priority == 0 &&
-             (candidate->guaranteed || !candidate->misses_objective) &&
-             step->waiting_count == step->spec->task_count &&
-             cycle->victim_searches++ < MAX_VICTIM_SEARCHES) {
+             (candidate->guaranteed || !candidate->too_late_to_count) &&
+             step->waiting_count == step->spec->task_count) {
         cycle_preempt(cycle, candidate, &request);
     }
     if (request.allowed && step->waiting_count > 0)
@@ -286,6 +282,7 @@
     for (i = 0; i < cycle.candidates->len; i++)
         schedule_candidate(
             &cycle, &g_array_index(cycle.candidates, struct candidate, i));
+    cycle_preempt_dispose(&cycle);
     cs_binpack_cell_unindex(&cycle.cell);
     g_free(cycle.expected_cell.workers);
     g_free(cycle.cell.workers);
--- a/src/fleet/cycle_internal.h
+++ b/src/fleet/cycle_internal.h
@@ -8,6 +8,7 @@
 struct candidate {
     struct step *step;
     const cs_queue_config *queue;
+    int64_t objective_ms;   /* see cycle_objective_ms() */
     bool guaranteed;        /* within its organisation's guarantee */
     bool misses_objective;  /* would end after its queue's objective */
     bool too_late_to_count; /* would end too late to count, see
@@ -25,9 +26,9 @@
     GHashTable *guarantee_used; /* organisation's config to the accelerators
                                    of its guarantee that are used */
     GArray *failed_requests; /* of cs_binpack_request that found no capacity */
-    uint32_t victim_searches;
-    double accelerator_use;     /* share of the usable accelerators in use */
-    uint32_t urgent_only_racks; /* reserved for urgent tasks */
+    struct running_work *running; /* of cycle_preempt.c; NULL until needed */
+    double accelerator_use;       /* share of the usable accelerators in use */
+    uint32_t urgent_only_racks;   /* reserved for urgent tasks */
     bool capacity_idle; /* about half is free and no jobs come to use it */
 };
 
@@ -36,6 +37,12 @@
 void cycle_collect_candidates(struct cycle *cycle);
 /* Returns the expected run time of a task of the step, in seconds. */
 double cycle_expected_run_s(const cs_fleet *fleet, const struct step *step);
+/* Returns the time on the wall clock by which the job has to be completed to
+   count in full, from the target_ms and the stretch of its queue. */
+int64_t cycle_objective_ms(const struct cycle *cycle, const struct job *job,
+                           const cs_queue_config *queue);
+/* Returns the same to count at all. */
+int64_t cycle_counted_until_ms(const struct job *job, int64_t objective_ms);
 
 /* cycle_request.c */
 /* Fills a bin packing request, to be freed with cycle_free_request(). */
@@ -47,9 +54,11 @@
                           const cs_binpack_request *request);
 
 /* cycle_preempt.c */
-/* Stops other work for a step if the loss is acceptable. */
+/* Stops other work for a step if the step gains more than the work loses. */
 void cycle_preempt(struct cycle *cycle, const struct candidate *candidate,
                    const cs_binpack_request *request);
+/* Frees what cycle_preempt() has collected in the cycle. */
+void cycle_preempt_dispose(struct cycle *cycle);
 
 /* cycle.c */
 /* Takes a step's reserved capacity from the cell, or gives it back. */
--- a/src/fleet/cycle_order.c
+++ b/src/fleet/cycle_order.c
@@ -20,11 +20,9 @@
     return MAX(ms, 1.0) / 1000.0;
 }
 
-/* Returns the time on the wall clock by which the job has to be completed to
-   count in full, from the target_ms and the stretch of its queue. */
-static int64_t
-job_objective_ms(const struct cycle *cycle, const struct job *job,
-                 const cs_queue_config *queue)
+int64_t
+cycle_objective_ms(const struct cycle *cycle, const struct job *job,
+                   const cs_queue_config *queue)
 {
     double step_run_ms = fleet_expected_run_ms(cycle->fleet, job->spec.queue,
                                                &job->spec.steps[0]);
@@ -33,6 +31,14 @@
            (int64_t)(queue->stretch * step_run_ms * job->spec.step_count);
 }
 
+int64_t
+cycle_counted_until_ms(const struct job *job, int64_t objective_ms)
+{
+    int64_t accepted_ms = job->spec.accepted_ms;
+
+    return accepted_ms + COUNTED_UNTIL_FACTOR * (objective_ms - accepted_ms);
+}
+
 /* Returns the accelerators of the job's largest step. */
 static int64_t
 job_max_accelerators(const struct job *job)
@@ -82,15 +88,14 @@
     double seconds = cycle_expected_run_s(cycle->fleet, step);
     int64_t end_ms =
         cycle->now.wall_us / CS_MS_US + (int64_t)(seconds * 1000.0);
-    int64_t accepted_ms = step->job->spec.accepted_ms;
-    int64_t objective_ms = job_objective_ms(cycle, step->job, queue);
+    int64_t objective_ms = cycle_objective_ms(cycle, step->job, queue);
 
+    candidate.objective_ms = objective_ms;
     if (step->ready_us == 0)
         step->ready_us = cycle->now.boot_us;
     candidate.misses_objective = end_ms > objective_ms;
     candidate.too_late_to_count =
-        end_ms >
-        accepted_ms + COUNTED_UNTIL_FACTOR * (objective_ms - accepted_ms);
+        end_ms > cycle_counted_until_ms(step->job, objective_ms);
     g_array_append_val(cycle->candidates, candidate);
 }
 
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -15,6 +15,7 @@
 #include "corianderstair/job_progress.h"
 #include "corianderstair/job_spec.h"
 #include "corianderstair/log.h"
+#include "corianderstair/preempt_gain.h"
 #include "corianderstair/speed.h"
 
 #include <inttypes.h>
@@ -147,6 +148,7 @@
     uint32_t *reserved_workers; /* indexes, one for each task, of the capacity
                                    that preemption frees; NULL for none */
     int64_t reserved_us;
+    cs_preempt_record preemption; /* of it, and searches for victims for it */
 };
 
 struct job {
@@ -402,6 +404,9 @@
 uint32_t step_next_run(const struct step *step);
 /* Stops or releases all members of a gang after one of them has ended. */
 void step_stop_members(cs_fleet *fleet, struct step *step);
+/* Returns the task's demand in cores, accelerators included by their weight.
+ */
+double task_cores(const struct task *task);
 /* Returns the core-seconds of work lost if the task were stopped now. */
 double task_stop_loss(const cs_fleet *fleet, const struct task *task,
                       int64_t now_us);
--- a/src/fleet/job.c
+++ b/src/fleet/job.c
@@ -125,6 +125,22 @@
     return true;
 }
 
+/*
+ * Stops are not recorded. Runs that have neither failed nor succeeded count as
+ * stopped, also those that have lapsed or were not started, so that a takeover
+ * lets no step be stopped more often.
+ */
+static void
+restore_stops(struct step *step, const cs_task_progress *record)
+{
+    /* The newest run is executing or has succeeded. */
+    uint32_t other = record->failures + (record->worker[0] || record->done);
+
+    if (record->run > other)
+        step->preemption.stops =
+            MAX(step->preemption.stops, record->run - other);
+}
+
 static void
 restore_task(cs_fleet *fleet, struct job *job, const cs_task_progress *record)
 {
@@ -148,6 +164,7 @@
         task_place(fleet, task, worker_get(fleet, record->worker),
                    record->run);
     task->run = record->run;
+    restore_stops(step, record);
     if (record->worker[0]) {
         task->state = job_is_final(job) ? TASK_STOPPING : TASK_STARTING;
         task->adopted = true;
--- a/src/fleet/status.c
+++ b/src/fleet/status.c
@@ -1,6 +1,8 @@
 /* JSON descriptions of the process, the cell and its jobs for operators. */
 #include "fleet_internal.h"
 
+#include <math.h>
+
 static const char *
 tenure_name(tenure_state tenure)
 {
@@ -116,6 +118,17 @@
     return "no room on usable workers";
 }
 
+static json_t *
+preemption_status(const cs_preempt_record *record)
+{
+    return json_pack("{s:i,s:s,s:f,s:f,s:I}", "stops", (int)record->stops,
+                     "verdict", cs_preempt_verdict_name(record->verdict),
+                     "loss", record->loss, "gain", record->gain, "wait_ms",
+                     isinf(record->wait_s)
+                         ? (json_int_t)-1
+                         : (json_int_t)(record->wait_s * 1000.0));
+}
+
 static json_t *
 step_status(const cs_fleet *fleet, const struct job *job,
             const struct step *step)
@@ -127,11 +140,12 @@
     for (i = 0; i < step->spec->task_count; i++)
         json_array_append_new(tasks, task_status(&step->tasks[i]));
     return json_pack(
-        "{s:i,s:i,s:s,s:I,s:o}", "occurrence", (int)step->occurrence, "step",
-        (int)step->number, "reason", step_reason(job, step), "waited_ms",
+        "{s:i,s:i,s:s,s:I,s:o,s:o}", "occurrence", (int)step->occurrence,
+        "step", (int)step->number, "reason", step_reason(job, step),
+        "waited_ms",
         (json_int_t)(step->ready_us ? (now_us - step->ready_us) / CS_MS_US
                                     : 0),
-        "tasks", tasks);
+        "preemption", preemption_status(&step->preemption), "tasks", tasks);
 }
 
 json_t *
