--- a/tests/test_preempt_gain.c
+++ b/tests/test_preempt_gain.c
@@ -16,12 +16,10 @@
 /* The load of deployment B on a thirtieth of its workers, with more single
    tasks than fit. */
 #define WORKERS 12
-#define WORKER_CORES 128
-#define TICK_S 0.1
+#define WORKER_MILLI 128000
 #define TICKS 3000
 #define SEEDS 3
 #define URGENT_TASKS 5
-#define SINGLES 39
 
 /* Urgent gangs and single tasks, with the objectives of the queues of the
    simulated deployments. */
@@ -272,8 +270,8 @@
 run_load(struct load *load, rule decided_by, uint32_t seed)
 {
     GRand *random = g_rand_new_with_seed(seed);
-    cs_binpack_worker worker = {.free.cpu_milli = WORKER_CORES * 1000,
-                                .capacity.cpu_milli = WORKER_CORES * 1000,
+    cs_binpack_worker worker = {.free.cpu_milli = WORKER_MILLI,
+                                .capacity.cpu_milli = WORKER_MILLI,
                                 .speed = 1,
                                 .usable = true};
     guint pass;
@@ -290,11 +288,11 @@
     cs_binpack_cell_index(&load->cell);
     load->runs = g_array_new(FALSE, FALSE, sizeof(struct run));
     for (tick = 0; tick < TICKS; tick++) {
-        load->now_s = tick * TICK_S;
+        load->now_s = tick * 0.1;
         if (g_rand_double(random) < 0.07)
             submit(load, &urgent, 1);
         if (g_rand_double(random) < 0.045)
-            submit(load, &single, SINGLES);
+            submit(load, &single, 39);
         for (i = 0; i < load->runs->len; i++)
             advance(load, &g_array_index(load->runs, struct run, i));
         /* Urgent gangs go first. */
