--- a/src/fleet/cycle_order.c
+++ b/src/fleet/cycle_order.c
@@ -33,6 +33,14 @@
            (int64_t)(queue->stretch * step_run_ms * job->spec.step_count);
 }
 
+int64_t
+cycle_counted_until_ms(const struct job *job, int64_t objective_ms)
+{
+    int64_t accepted_ms = job->spec.accepted_ms;
+
+    return accepted_ms + COUNTED_UNTIL_FACTOR * (objective_ms - accepted_ms);
+}
+
 /* Returns the accelerators of the job's largest step. */
 static int64_t
 job_max_accelerators(const struct job *job)
@@ -106,13 +114,13 @@
         cycle_objective_ms(cycle->fleet, step->job, candidate.queue);
 
     candidate.step = step;
+    candidate.objective_ms = objective_ms;
     if (step->ready_us == 0)
         step->ready_us = cycle->now.boot_us;
     candidate.rank.misses_objective = end_ms > objective_ms;
     candidate.lateness = cs_zone_lag_of_job(accepted_ms, objective_ms, end_ms);
     candidate.too_late_to_count =
-        end_ms >
-        accepted_ms + COUNTED_UNTIL_FACTOR * (objective_ms - accepted_ms);
+        end_ms > cycle_counted_until_ms(step->job, objective_ms);
     mark_waiting(cycle, &candidate);
     g_array_append_val(cycle->candidates, candidate);
 }
--- a/tests/test_admit.c
+++ b/tests/test_admit.c
@@ -606,7 +606,8 @@
 static void
 bench_init(struct bench *bench)
 {
-    cs_fleet_ports ports = {.now = bench_now, .now_data = bench};
+    cs_fleet_ports ports = {
+        .now = bench_now, .now_data = bench, .evacuation_prefix = "evacuate/"};
     cs_vm_settings settings = {.name = "vm"};
     struct fixture fixture;
 
