entry: callers return no sooner than an outage is expected to end

Cause: Retry-After was spread from half of the expected rest of an outage on, so callers used up their few retries before it.

--- a/include/corianderstair/admit.h
+++ b/include/corianderstair/admit.h
@@ -57,11 +57,12 @@
 const char *cs_admit_verdict_name(cs_admit_verdict verdict);
 
 /**
- * Spreads the callers that are to return after a delay.
+ * Spreads the callers that are to return after a delay. None returns before
+ * it, as a caller retries only a few times.
  * @param delay_ms until the reason of the rejection may have passed
  * @param id of the job; its hash selects the time
  * @param timeout_ms of the caller
- * @return seconds, from 1 to the timeout
+ * @return seconds, from 1 to a second after the timeout
  */
 uint32_t cs_admit_retry_after_s(int64_t delay_ms, const char *id,
                                 int64_t timeout_ms);
