--- a/include/corianderstair/binpack.h
+++ b/include/corianderstair/binpack.h
@@ -69,6 +69,18 @@
 /** Subtracts part from sum. */
 void cs_demand_subtract(cs_demand *sum, const cs_demand *part);
 
+/** @return the demand in cores; an accelerator weighs as much as 8 */
+double cs_demand_cores(const cs_demand *demand);
+
+/**
+ * @param available resources of the worker that the tasks may take
+ * @return how many tasks of the request the worker may run in them, at most
+ *         request->count
+ */
+uint32_t cs_binpack_worker_slots(const cs_binpack_cell *cell, uint32_t worker,
+                                 const cs_binpack_request *request,
+                                 const cs_demand *available);
+
 /**
  * Places tasks and subtracts their demands from free of the workers.
  * @param out buffer for request->count worker indexes, one for each task
--- a/src/fleet/task.c
+++ b/src/fleet/task.c
@@ -6,17 +6,6 @@
 
 #include <math.h>
 
-/* An accelerator weighs as much as this many cores in the loss of a stop. */
-#define CORES_PER_ACCELERATOR 8.0
-
-/* Returns the demand in cores, accelerators included by their weight. */
-static double
-demand_cores(const cs_demand *demand)
-{
-    return (double)demand->cpu_milli / 1000.0 +
-           CORES_PER_ACCELERATOR * (double)demand->accelerators;
-}
-
 double
 task_stop_loss(const cs_fleet *fleet, const struct task *task, int64_t now_us)
 {
@@ -29,7 +18,7 @@
     /* A stop saves a checkpoint, so that only the restore is lost. */
     if (task->step->spec->checkpoint)
         run_s = MIN(run_s, restore_s);
-    return run_s * demand_cores(&task->step->spec->demand);
+    return run_s * cs_demand_cores(&task->step->spec->demand);
 }
 
 void
--- a/src/policy/binpack.c
+++ b/src/policy/binpack.c
@@ -10,6 +10,10 @@
 #include <math.h>
 #include <string.h>
 
+/* An accelerator weighs as much as this many cores in the loss of a stop and
+   in the cost of idle capacity. */
+#define CORES_PER_ACCELERATOR 8.0
+
 /* A worker that can run tasks of a request. */
 struct candidate {
     uint32_t worker;
@@ -41,6 +45,13 @@
     sum->accelerators -= part->accelerators;
 }
 
+double
+cs_demand_cores(const cs_demand *demand)
+{
+    return (double)demand->cpu_milli / 1000.0 +
+           CORES_PER_ACCELERATOR * (double)demand->accelerators;
+}
+
 /* Lowers slots to what one dimension of the available resources holds. */
 static void
 limit_slots(uint32_t *slots, int64_t available, int64_t demand)
@@ -53,12 +64,12 @@
         *slots = (uint32_t)MIN((int64_t)*slots, available / demand);
 }
 
-/* Returns how many tasks of the request the worker may run in the available
-   resources, at most request->count. */
-static uint32_t
-worker_slots(const cs_binpack_worker *worker, uint32_t index,
-             const cs_binpack_request *request, const cs_demand *available)
+uint32_t
+cs_binpack_worker_slots(const cs_binpack_cell *cell, uint32_t index,
+                        const cs_binpack_request *request,
+                        const cs_demand *available)
 {
+    const cs_binpack_worker *worker = &cell->workers[index];
     uint32_t slots = request->count;
     uint32_t present;
 
@@ -122,7 +133,8 @@
     const cs_binpack_worker *worker = &cell->workers[index];
     struct candidate candidate = {.worker = index};
 
-    candidate.slots = worker_slots(worker, index, request, &worker->free);
+    candidate.slots =
+        cs_binpack_worker_slots(cell, index, request, &worker->free);
     if (candidate.slots == 0)
         return;
     candidate.score = worker_score(worker, request);
@@ -360,10 +372,11 @@
         const cs_binpack_worker *worker = &cell->workers[i];
         struct ranked ranked = {.worker = i};
 
-        if (worker_slots(worker, i, &unrestricted, &worker->capacity) == 0)
+        if (cs_binpack_worker_slots(cell, i, &unrestricted,
+                                    &worker->capacity) == 0)
             continue;
-        ranked.lacks_capacity =
-            worker_slots(worker, i, &unrestricted, &worker->free) == 0;
+        ranked.lacks_capacity = cs_binpack_worker_slots(cell, i, &unrestricted,
+                                                        &worker->free) == 0;
         if (request->same_rack) {
             ranked.rack = worker->rack;
             sum_rack_accelerators(cell, worker->rack, &ranked.rack_free,
