fleet: the holder reserves for waiting gangs

Cause: wide gangs of priority 1 wait beside single tasks until they no longer count (half take more than 13 to 18 s for 7 to 11 s of work).

Failed requests are remembered with the duration by which reservations limited them, so that a shorter one is still tried. `csctl fleet JOB` shows place and time; log event `reservation`; counters cs_reservations_{made,moved,lost,used}_total and cs_backfills_total.

The successor of a killed holder reserves again (test_backfill).

--- a/src/fleet/cycle.c
+++ b/src/fleet/cycle.c
@@ -3,7 +3,7 @@
  * run. Each candidate step is placed if there is capacity for it. Otherwise
  * lower-priority work may be preempted for it, or it waits.
  */
-#include "cycle_internal.h"
+#include "reserve.h"
 
 #include <math.h>
 
@@ -176,21 +176,59 @@
     return cs_demand_fits(&failed->demand, &request->demand);
 }
 
-/* Returns whether a less demanding request has failed in this cycle. */
+/* Returns whether a less demanding request, which reservations have limited no
+   more, has failed in this cycle. */
 static bool
-is_known_to_fail(const struct cycle *cycle, const cs_binpack_request *request)
+is_known_to_fail(const struct cycle *cycle, const cs_binpack_request *request,
+                 double duration_s)
 {
     guint i;
 
     for (i = 0; i < cycle->failed_requests->len; i++) {
-        if (is_at_least_as_demanding(
-                request,
-                &g_array_index(cycle->failed_requests, cs_binpack_request, i)))
+        const struct failed_request *failed =
+            &g_array_index(cycle->failed_requests, struct failed_request, i);
+
+        if (failed->duration_s <= duration_s &&
+            is_at_least_as_demanding(request, &failed->request))
             return true;
     }
     return false;
 }
 
+static void
+add_failed_request(struct cycle *cycle, const cs_binpack_request *request,
+                   double duration_s)
+{
+    struct failed_request failed = {*request, duration_s};
+
+    g_array_append_val(cycle->failed_requests, failed);
+}
+
+/* Places a step without preemption. Returns the number of tasks placed. */
+static uint32_t
+try_place(struct cycle *cycle, const struct candidate *candidate,
+          const cs_binpack_request *request, uint32_t *workers,
+          bool had_reservation)
+{
+    double duration_s = reserve_duration_s(cycle, candidate);
+    bool limited;
+    uint32_t placed;
+
+    /* A step's own reservation limits others but not the step, so only
+       failures without any limit apply to it. */
+    if (is_known_to_fail(cycle, request,
+                         reserve_has(cycle, candidate->step) ? 0 : duration_s))
+        return 0;
+    limited = reserve_withhold(cycle, candidate->step, duration_s);
+    placed = cs_binpack_place(workers, &cycle->cell, request);
+    reserve_restore(cycle);
+    if (placed == 0 && !had_reservation && !request->allowed)
+        add_failed_request(cycle, request, limited ? duration_s : 0);
+    if (placed > 0)
+        reserve_placed(cycle, candidate->step, workers, placed, duration_s);
+    return placed;
+}
+
 static void
 schedule_candidate(struct cycle *cycle, const struct candidate *candidate)
 {
@@ -203,11 +241,7 @@
     cycle_make_request(cycle, candidate, &request);
     if (had_reservation)
         cycle_apply_reservation(cycle, step, false);
-    placed = 0;
-    if (!is_known_to_fail(cycle, &request))
-        placed = cs_binpack_place(workers, &cycle->cell, &request);
-    if (placed == 0 && !had_reservation && !request.allowed)
-        g_array_append_val(cycle->failed_requests, request);
+    placed = try_place(cycle, candidate, &request, workers, had_reservation);
     if (placed > 0) {
         drop_reservation(step);
         place_tasks(cycle, step, workers, placed);
@@ -221,8 +255,11 @@
              cycle->victim_searches++ < MAX_VICTIM_SEARCHES) {
         cycle_preempt(cycle, candidate, &request);
     }
-    if (request.allowed && step->waiting_count > 0)
+    if (request.allowed && step->waiting_count > 0) {
+        reserve_withhold(cycle, step, reserve_duration_s(cycle, candidate));
         cycle_request_advice(cycle, candidate, &request);
+        reserve_restore(cycle);
+    }
     cycle_free_request(&request);
     g_free(workers);
 }
@@ -238,7 +275,7 @@
         return;
     cycle.candidates = g_array_new(FALSE, FALSE, sizeof(struct candidate));
     cycle.failed_requests =
-        g_array_new(FALSE, FALSE, sizeof(cs_binpack_request));
+        g_array_new(FALSE, FALSE, sizeof(struct failed_request));
     cycle.guarantee_used =
         g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
     build_cell(&cycle);
@@ -247,6 +284,7 @@
     for (i = 0; i < cycle.candidates->len; i++)
         schedule_candidate(
             &cycle, &g_array_index(cycle.candidates, struct candidate, i));
+    reserve_update(&cycle);
     cs_binpack_cell_unindex(&cycle.cell);
     g_free(cycle.cell.workers);
     g_array_free(cycle.failed_requests, TRUE);
--- a/src/fleet/cycle_internal.h
+++ b/src/fleet/cycle_internal.h
@@ -12,6 +12,15 @@
     bool misses_objective;  /* would end after its queue's objective */
     bool too_late_to_count; /* would end too late to count, see
                                COUNTED_UNTIL_FACTOR in cycle_order.c */
+    /* For how long it may still wait; negative if it is late already. */
+    int64_t objective_slack_ms; /* to meet its objective */
+    int64_t counted_slack_ms;   /* to count at all */
+};
+
+/* A request that found no capacity. */
+struct failed_request {
+    cs_binpack_request request;
+    double duration_s; /* of which reservations have limited it; 0 for none */
 };
 
 /* The state of one scheduling cycle. */
@@ -22,7 +31,7 @@
     GArray *candidates;         /* of struct candidate, in scheduling order */
     GHashTable *guarantee_used; /* organisation's config to the accelerators
                                    of its guarantee that are used */
-    GArray *failed_requests; /* of cs_binpack_request that found no capacity */
+    GArray *failed_requests;    /* of struct failed_request */
     uint32_t victim_searches;
     double accelerator_use;     /* share of the usable accelerators in use */
     uint32_t urgent_only_racks; /* reserved for urgent tasks */
--- a/src/fleet/cycle_order.c
+++ b/src/fleet/cycle_order.c
@@ -87,10 +87,12 @@
 
     if (step->ready_us == 0)
         step->ready_us = cycle->now.boot_us;
-    candidate.misses_objective = end_ms > objective_ms;
-    candidate.too_late_to_count =
-        end_ms >
-        accepted_ms + COUNTED_UNTIL_FACTOR * (objective_ms - accepted_ms);
+    candidate.objective_slack_ms = objective_ms - end_ms;
+    candidate.counted_slack_ms =
+        accepted_ms + COUNTED_UNTIL_FACTOR * (objective_ms - accepted_ms) -
+        end_ms;
+    candidate.misses_objective = candidate.objective_slack_ms < 0;
+    candidate.too_late_to_count = candidate.counted_slack_ms < 0;
     g_array_append_val(cycle->candidates, candidate);
 }
 
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -1,5 +1,5 @@
 /* Creation of a fleet, its periodic work, and state shared by its files. */
-#include "fleet_internal.h"
+#include "reserve.h"
 
 /* Interval of the work that depends on the time only. */
 #define TIMED_WORK_INTERVAL_US (100 * CS_MS_US)
@@ -58,6 +58,7 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     fleet->stored_speeds =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    fleet->reserve = reserve_create();
     g_queue_init(&fleet->dirty_jobs);
     g_queue_init(&fleet->expired_jobs);
     g_queue_init(&fleet->expired_progress);
@@ -79,6 +80,7 @@
     g_hash_table_destroy(fleet->label_numbers);
     g_hash_table_destroy(fleet->queue_run_times);
     g_hash_table_destroy(fleet->stored_speeds);
+    reserve_free(fleet->reserve);
 }
 
 void
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -47,6 +47,7 @@
 struct job;
 struct step;
 struct advice;
+struct reserve;
 
 /* A worker as the holder of the cell knows it, across its incarnations. */
 struct worker {
@@ -252,7 +253,8 @@
                                  tasks */
     bool advice_pending;      /* a query to the adviser is in flight */
     int64_t next_timed_work_us;
-    cs_headroom headroom; /* of the urgent tasks that are placed */
+    cs_headroom headroom;    /* of the urgent tasks that are placed */
+    struct reserve *reserve; /* for waiting gangs, see reserve.h */
 };
 
 /* Run times of the tasks of a queue. */
--- a/src/fleet/status.c
+++ b/src/fleet/status.c
@@ -1,5 +1,5 @@
 /* JSON descriptions of the process, the cell and its jobs for operators. */
-#include "fleet_internal.h"
+#include "reserve.h"
 
 static const char *
 tenure_name(tenure_state tenure)
@@ -122,16 +122,24 @@
 {
     int64_t now_us = fleet_now(fleet).boot_us;
     json_t *tasks = json_array();
+    char *reason = NULL;
+    json_t *reservation = reserve_status(fleet, step, &reason);
+    json_t *status;
     uint32_t i;
 
     for (i = 0; i < step->spec->task_count; i++)
         json_array_append_new(tasks, task_status(&step->tasks[i]));
-    return json_pack(
+    status = json_pack(
         "{s:i,s:i,s:s,s:I,s:o}", "occurrence", (int)step->occurrence, "step",
-        (int)step->number, "reason", step_reason(job, step), "waited_ms",
+        (int)step->number, "reason", reason ? reason : step_reason(job, step),
+        "waited_ms",
         (json_int_t)(step->ready_us ? (now_us - step->ready_us) / CS_MS_US
                                     : 0),
         "tasks", tasks);
+    if (reservation)
+        json_object_set_new(status, "reservation", reservation);
+    g_free(reason);
+    return status;
 }
 
 json_t *
--- a/src/fleet/task.c
+++ b/src/fleet/task.c
@@ -2,7 +2,7 @@
  * The lifecycle of a task: placed on a worker, ended, waiting again. Also what
  * the ends and the progress of runs show of run times and of workers' speeds.
  */
-#include "fleet_internal.h"
+#include "reserve.h"
 
 #include <math.h>
 
@@ -129,6 +129,8 @@
         run_time = g_new0(struct queue_run_time, 1);
         g_hash_table_insert(fleet->queue_run_times, g_strdup(queue), run_time);
     }
+    if (run_time->sample_count > 0)
+        reserve_learn(fleet->reserve, queue, ms, run_time->mean_ms);
     run_time->sample_count++;
     run_time->mean_ms +=
         (ms - run_time->mean_ms) *
--- a/standins/fake_fleet.c
+++ b/standins/fake_fleet.c
@@ -792,6 +792,12 @@
     return cs_fleet_status(deployment->vms[vm].fleet);
 }
 
+json_t *
+fake_fleet_explain(const fake_fleet *deployment, uint32_t vm, const char *id)
+{
+    return cs_fleet_explain(deployment->vms[vm].fleet, id);
+}
+
 int64_t
 fake_fleet_counter(const fake_fleet *deployment, uint32_t vm, const char *name)
 {
--- a/standins/fake_fleet.h
+++ b/standins/fake_fleet.h
@@ -196,6 +196,11 @@
 /** @return the status report of a VM's process, a new reference */
 json_t *fake_fleet_status(const fake_fleet *deployment, uint32_t vm);
 
+/** @return what a VM's process reports of a job, a new reference; NULL if it
+ *          does not know the job */
+json_t *fake_fleet_explain(const fake_fleet *deployment, uint32_t vm,
+                           const char *id);
+
 /** @return value of a metrics counter of a VM's process */
 int64_t fake_fleet_counter(const fake_fleet *deployment, uint32_t vm,
                            const char *name);
--- a/tests/test_backfill.c
+++ b/tests/test_backfill.c
@@ -2,6 +2,8 @@
    stream of single tasks, which fill any free capacity, until they no longer
    count. */
 #include "corianderstair/backfill.h"
+#include "corianderstair/log.h"
+#include "fake_fleet.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
@@ -488,6 +490,119 @@
     measure_update(1100, 8);
 }
 
+#define GANG_ID "0000000000000001"
+
+/* Starts a deployment of two racks that is filled with single tasks, and
+   submits a gang that needs a whole rack. */
+static fake_fleet *
+create_deployment_with_waiting_gang(void)
+{
+    fake_fleet_settings settings = {
+        .vms = 4, .workers = 16, .racks = 2, .seed = 4};
+    fake_fleet *deployment = fake_fleet_create(&settings);
+    fake_job job;
+    uint32_t i;
+
+    fake_fleet_run(deployment, 2 * CS_SEC_US);
+    for (i = 0; i < 16; i++) {
+        fake_job_init(&job, 100 + i, 2, 8, 1, 6000 + 100 * (int64_t)i);
+        fake_fleet_submit(deployment, 0, &job, NULL);
+    }
+    fake_fleet_run(deployment, CS_SEC_US);
+    fake_job_init(&job, 1, 1, 8, 8, 4000);
+    job.spec.steps[0].gang = true;
+    job.spec.steps[0].same_rack = true;
+    fake_fleet_submit(deployment, 0, &job, NULL);
+    fake_fleet_run(deployment, 500 * CS_MS_US);
+    return deployment;
+}
+
+/* Submits single tasks that would fill whatever becomes free. */
+static void
+run_with_single_tasks(fake_fleet *deployment, uint32_t first, uint32_t jobs)
+{
+    uint32_t i;
+
+    for (i = 0; i < jobs; i++) {
+        fake_job job;
+
+        fake_job_init(&job, first + i, 2, 16, 1, 4000);
+        fake_fleet_submit(deployment, i % 4, &job, NULL);
+        fake_fleet_run(deployment, 500 * CS_MS_US);
+    }
+}
+
+static int64_t
+sum_counter(const fake_fleet *deployment, const char *name)
+{
+    int64_t sum = 0;
+    uint32_t vm;
+
+    for (vm = 0; vm < 4; vm++)
+        sum += fake_fleet_counter(deployment, vm, name);
+    return sum;
+}
+
+/* Expects that operators see where and when the gang is to start. */
+static void
+expect_explained(const fake_fleet *deployment)
+{
+    json_t *report = fake_fleet_explain(
+        deployment, (uint32_t)fake_fleet_holder(deployment), GANG_ID);
+    json_t *step = json_array_get(json_object_get(report, "steps"), 0);
+    json_t *reservation = json_object_get(step, "reservation");
+    const char *reason = json_string_value(json_object_get(step, "reason"));
+
+    assert_non_null(reason);
+    assert_true(g_str_has_prefix(reason, "reserved on "));
+    assert_non_null(strstr(reason, " from "));
+    assert_int_equal(
+        json_integer_value(json_object_get(reservation, "workers")), 8);
+    assert_in_range(
+        json_integer_value(json_object_get(reservation, "start_in_ms")), 1,
+        20000);
+    json_decref(report);
+}
+
+static void
+backfill__holder_reserves_for_a_gang(void **state)
+{
+    fake_fleet *deployment = create_deployment_with_waiting_gang();
+
+    expect_explained(deployment);
+    assert_int_equal(sum_counter(deployment, "cs_reservations_made_total"), 1);
+    run_with_single_tasks(deployment, 200, 30);
+    assert_int_equal(fake_fleet_job_state(deployment, GANG_ID),
+                     CS_PROGRESS_COMPLETED);
+    assert_int_equal(sum_counter(deployment, "cs_reservations_used_total"), 1);
+    assert_null(fake_fleet_violation(deployment));
+    fake_fleet_destroy(deployment);
+}
+
+/* Guards against a reservation that is lost with the holder: its successor
+   computes one from the runs that it has adopted. */
+static void
+backfill__successor_of_a_killed_holder_reserves_again(void **state)
+{
+    fake_fleet *deployment = create_deployment_with_waiting_gang();
+    int32_t holder = fake_fleet_holder(deployment);
+
+    assert_int_equal(fake_fleet_counter(deployment, (uint32_t)holder,
+                                        "cs_reservations_made_total"),
+                     1);
+    fake_fleet_kill(deployment, (uint32_t)holder, 60 * CS_SEC_US);
+    run_with_single_tasks(deployment, 200, 36);
+    assert_int_not_equal(fake_fleet_holder(deployment), holder);
+    assert_in_range(fake_fleet_counter(deployment,
+                                       (uint32_t)fake_fleet_holder(deployment),
+                                       "cs_reservations_made_total"),
+                    1, 10);
+    assert_int_equal(fake_fleet_job_state(deployment, GANG_ID),
+                     CS_PROGRESS_COMPLETED);
+    assert_null(fake_fleet_violation(deployment));
+    fake_fleet_destroy(deployment);
+}
+
 int
 main(void)
 {
@@ -503,8 +618,12 @@
         cmocka_unit_test(
             backfill__start_that_keeps_slipping_costs_the_reservation),
         cmocka_unit_test(backfill__cost_of_an_update),
+        cmocka_unit_test(backfill__holder_reserves_for_a_gang),
+        cmocka_unit_test(
+            backfill__successor_of_a_killed_holder_reserves_again),
     };
 
     if (!g_getenv("BF_LOG"))
-        return cmocka_run_group_tests(tests, NULL, NULL);
+        cs_log_silence();
+    return cmocka_run_group_tests(tests, NULL, NULL);
 }
