--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -54,6 +54,7 @@
     char id[CS_JOB_NAME_BYTES];
     char address[48];
     char zone[CS_JOB_NAME_BYTES];
+    uint32_t zone_number; /* unique to the zone's name in this process */
     char service[CS_JOB_NAME_BYTES];
     uint32_t index; /* in fleet->worker_list and the bin packing's cell */
     uint32_t rack;
@@ -62,6 +63,8 @@
     cs_demand used;       /* by the tasks placed on the worker */
     bool listed;          /* has an entry in the store */
     uint64_t read_serial; /* of the last complete read with its entry */
+    int64_t entry_written_after_us; /* its entry was last written after this
+                                       time; 0 unknown */
     bool draining;
     int64_t drain_seen_us; /* when draining was first seen */
     int64_t remaining_ms;  /* minimum time left at drain_seen_us; -1 unknown */
@@ -197,6 +200,8 @@
                                            for the first page */
     uint64_t read_version;     /* of the store when the first page was read */
     uint64_t followed_version; /* changes up to it were applied */
+    int64_t followed_until_us; /* changes that were made before this time were
+                                  applied; 0 unknown */
 };
 
 struct cs_fleet {
@@ -312,6 +317,8 @@
  */
 void worker_limit_adoption(const cs_fleet *fleet, struct worker *worker);
 void worker_unlist(cs_fleet *fleet, struct worker *worker);
+/* Returns whether the worker will get new tasks again, if not now. */
+bool worker_is_expected(const struct worker *worker);
 /* Returns whether the worker may get new tasks. */
 bool worker_is_usable(const cs_fleet *fleet, const struct worker *worker);
 /* Returns the estimated time on the worker's clock; -1 if unknown. */
