backfill: bound the runs that updates consider in a second

The holder listed the expected ends of all runs and swept them every 250 ms, also with the 200,000 runs of the design size. The work grew with the fleet without a limit, while a node may use 4% of a core. The interval now grows with the number of runs: 250 ms up to 25,000, 2 s at 200,000. A test of the interval and a size of 15,000 workers for the printed cost are added. CS_TEST_LOG replaces BF_LOG, as in the other tests.

--- a/include/corianderstair/backfill.h
+++ b/include/corianderstair/backfill.h
@@ -90,6 +90,13 @@
                         double now_s, cs_backfill_observer observer,
                         void *user_data);
 
+/**
+ * @return for how long the next update is to wait after one of this number of
+ *         runs, in seconds. It grows with the number, so that the updates of a
+ *         large fleet take a bounded share of a processor.
+ */
+double cs_backfill_update_interval_s(uint32_t run_count);
+
 /** Drops the reservation of a step, if any, as the step was placed. */
 void cs_backfill_remove(cs_backfill *backfill, const void *key);
 
--- a/src/fleet/cycle_reserve.c
+++ b/src/fleet/cycle_reserve.c
@@ -4,9 +4,6 @@
  */
 #include "reserve.h"
 
-/* Interval of the updates while a gang waits. The expected ends are computed
-   for each. */
-#define UPDATE_INTERVAL_US (250 * CS_MS_US)
 /* Maximum numbers of waiting gangs that an update considers, in total and of
    an organisation's queue. At most one of the latter gets a reservation; the
    others replace one that has lost it for a while. */
@@ -367,9 +364,12 @@
         (cs_backfill_count(reserve->backfill) == 0 &&
          !has_eligible_candidate(cycle)))
         return;
-    reserve->next_update_us = cycle->now.boot_us + UPDATE_INTERVAL_US;
     steps = list_steps(cycle);
     runs = list_runs(cycle);
+    reserve->next_update_us =
+        cycle->now.boot_us +
+        (int64_t)(cs_backfill_update_interval_s(runs->len) *
+                  (double)CS_SEC_US);
     cs_backfill_update(reserve->backfill, &cycle->cell,
                        (const cs_backfill_run *)(void *)runs->data, runs->len,
                        (const cs_backfill_step *)(void *)steps->data,
--- a/src/policy/backfill.c
+++ b/src/policy/backfill.c
@@ -34,6 +34,12 @@
 /* Maximum number of steps without a reservation for which a place is searched
    in an update, to bound its run time. */
 #define MAX_SEARCHES 8
+/* Interval of the updates of a small fleet: half of START_TOLERANCE_S, so that
+   a start which deviates by it is noticed in time. */
+#define UPDATE_INTERVAL_S 0.25
+/* Maximum number of runs that the updates of a second consider. At the design
+   size of docs/CAPACITY.md, 200,000 runs, there is an update every 2 s. */
+#define UPDATE_RUNS_PER_S 100000.0
 /* Pauses that are remembered; the one that ends first is replaced. */
 #define MAX_PAUSES 16
 
@@ -787,6 +793,12 @@
     }
 }
 
+double
+cs_backfill_update_interval_s(uint32_t run_count)
+{
+    return MAX(UPDATE_INTERVAL_S, run_count / UPDATE_RUNS_PER_S);
+}
+
 void
 cs_backfill_update(cs_backfill *backfill, const cs_binpack_cell *cell,
                    const cs_backfill_run *runs, uint32_t run_count,
--- a/tests/test_backfill.c
+++ b/tests/test_backfill.c
@@ -14,7 +14,7 @@
 #include <glib.h>
 #include <cmocka.h>
 
-#define WORKERS_MAX 1100
+#define WORKERS_MAX 15000
 #define TASKS_MAX 64
 #define TICK_S 0.1
 #define UPDATE_TICKS 3
@@ -452,8 +452,8 @@
     destroy_load(load);
 }
 
-/* Prints the processor time of an update, which the holder makes at most four
-   times a second while a gang waits. */
+/* Prints the processor time of an update, and expects that reservations are
+   made at this size. See cs_backfill_update_interval_s(). */
 static void
 measure_update(uint32_t workers, uint32_t rack_workers)
 {
@@ -482,12 +482,26 @@
     destroy_load(load);
 }
 
+/* Guards against updates that take a share of the holder's processor which
+   grows with the fleet: the runs considered in a second are bounded. */
+static void
+backfill__updates_of_a_large_fleet_are_rarer(void **state)
+{
+    const uint32_t design_runs = 200000;
+    const uint32_t target_runs = 350 * 8;
+
+    assert_true(cs_backfill_update_interval_s(target_runs) == 0.25);
+    assert_true(cs_backfill_update_interval_s(design_runs) >= 2);
+    assert_true(cs_backfill_update_interval_s(10 * design_runs) >= 20);
+}
+
 static void
 backfill__cost_of_an_update(void **state)
 {
     measure_update(350, 8);
     measure_update(350, 20);
     measure_update(1100, 8);
+    measure_update(15000, 8);
 }
 
 #define GANG_ID "0000000000000001"
@@ -617,13 +631,14 @@
         cmocka_unit_test(backfill__reservation_moves_when_a_worker_is_lost),
         cmocka_unit_test(
             backfill__start_that_keeps_slipping_costs_the_reservation),
+        cmocka_unit_test(backfill__updates_of_a_large_fleet_are_rarer),
         cmocka_unit_test(backfill__cost_of_an_update),
         cmocka_unit_test(backfill__holder_reserves_for_a_gang),
         cmocka_unit_test(
             backfill__successor_of_a_killed_holder_reserves_again),
     };
 
-    if (!g_getenv("BF_LOG"))
+    if (!g_getenv("CS_TEST_LOG"))
         cs_log_silence();
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
