--- a/src/fleet/cycle_order.c
+++ b/src/fleet/cycle_order.c
@@ -117,10 +117,12 @@
     candidate.objective_ms = objective_ms;
     if (step->ready_us == 0)
         step->ready_us = cycle->now.boot_us;
-    candidate.rank.misses_objective = end_ms > objective_ms;
+    candidate.objective_slack_ms = objective_ms - end_ms;
+    candidate.counted_slack_ms =
+        cycle_counted_until_ms(step->job, objective_ms) - end_ms;
+    candidate.rank.misses_objective = candidate.objective_slack_ms < 0;
     candidate.lateness = cs_zone_lag_of_job(accepted_ms, objective_ms, end_ms);
-    candidate.too_late_to_count =
-        end_ms > cycle_counted_until_ms(step->job, objective_ms);
+    candidate.too_late_to_count = candidate.counted_slack_ms < 0;
     mark_waiting(cycle, &candidate);
     g_array_append_val(cycle->candidates, candidate);
 }
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -51,6 +51,7 @@
 struct step;
 struct advice;
 struct ledger;
+struct reserve;
 
 /* A worker as the holder of the cell knows it, across its incarnations. */
 struct worker {
@@ -267,6 +268,7 @@
     struct ledger *ledger; /* see ledger.h */
     struct forecaster *forecaster; /* NULL until the first forecast of the
                                       tenure */
+    struct reserve *reserve;       /* for waiting gangs, see reserve.h */
 };
 
 /* Run times of the tasks of a queue. */
--- a/src/fleet/task.c
+++ b/src/fleet/task.c
@@ -3,19 +3,14 @@
  * the ends and the progress of runs show of run times and of workers' speeds.
  */
 #include "ledger.h"
+#include "reserve.h"
 
 #include <math.h>
 
-/* An accelerator weighs as much as this many cores in the loss of a stop. */
-#define CORES_PER_ACCELERATOR 8.0
-
 double
 task_cores(const struct task *task)
 {
-    const cs_demand *demand = &task->step->spec->demand;
-
-    return (double)demand->cpu_milli / 1000.0 +
-           CORES_PER_ACCELERATOR * (double)demand->accelerators;
+    return cs_demand_cores(&task->step->spec->demand);
 }
 
 double
@@ -143,6 +138,8 @@
         run_time = g_new0(struct queue_run_time, 1);
         g_hash_table_insert(fleet->queue_run_times, g_strdup(queue), run_time);
     }
+    if (run_time->sample_count > 0)
+        reserve_learn(fleet->reserve, queue, ms, run_time->mean_ms);
     run_time->sample_count++;
     run_time->mean_ms +=
         (ms - run_time->mean_ms) *
