admit: no overflow of figures at their limit

The decoder allows figures up to 1e15, whose products with the number of workers, or with stretch and steps, exceed 64 bits. The overflow could turn into a rejection of a job that fits. The products are limited now; the new test ended with a runtime error of the sanitizer before.

--- a/src/policy/admit.c
+++ b/src/policy/admit.c
@@ -10,6 +10,8 @@
 /* A new holder has read the entries of all workers, which are written every
    1.5 s, several times by then. */
 #define HOLDER_LOADED_MIN_MS 10000
+/* Above any end that a forecast can lead to. */
+#define LIMIT_MAX_MS 1e18
 
 struct cs_admit_returning {
     GHashTable *by_id; /* id to struct rejection */
@@ -145,9 +147,14 @@
 static int64_t
 max_tasks_of(int64_t demand, int64_t worker, int64_t total, uint32_t workers)
 {
+    int64_t by_workers;
+
     if (demand <= 0)
         return INT64_MAX;
-    return MIN(total / demand, worker / demand * workers);
+    /* The figures come from a row, so their product may overflow. */
+    if (__builtin_mul_overflow(worker / demand, (int64_t)workers, &by_workers))
+        return total / demand;
+    return MIN(total / demand, by_workers);
 }
 
 /* Returns why no worker, or for a gang all workers together, could ever hold
@@ -301,6 +308,7 @@
     double declared_ms = (double)job->steps[0].estimate_ms;
     double least_run_ms;
     double most_run_ms;
+    double limit_ms;
     int64_t wait_ms = INT64_MAX;
     uint32_t i;
 
@@ -321,10 +329,11 @@
     }
     out->wait_ms = wait_ms;
     out->end_ms = (wait_ms + (int64_t)least_run_ms) / UNCERTAINTY_FACTOR;
-    out->limit_ms =
-        CS_FORECAST_COUNTED_FACTOR *
-        (input->queue->target_ms +
-         (int64_t)(input->queue->stretch * most_run_ms * job->step_count));
+    limit_ms = CS_FORECAST_COUNTED_FACTOR *
+               ((double)input->queue->target_ms +
+                input->queue->stretch * most_run_ms * job->step_count);
+    /* A double beyond the range of int64_t has no defined conversion. */
+    out->limit_ms = (int64_t)MIN(limit_ms, LIMIT_MAX_MS);
     if (out->end_ms <= out->limit_ms)
         return;
     out->verdict = CS_ADMIT_TOO_LATE;
--- a/tests/test_admit.c
+++ b/tests/test_admit.c
@@ -101,6 +101,34 @@
     g_array_append_val(fixture->forecast.queues, queue);
 }
 
+/* Guards against rejections after an overflow of figures that the decoder
+   still allows. */
+static void
+admit__figures_at_their_limit_accept(void **state)
+{
+    const int64_t figure_max = INT64_C(1000000000000000);
+    struct fixture fixture;
+    cs_forecast_service *service;
+
+    fixture_init(&fixture);
+    service =
+        &g_array_index(fixture.forecast.services, cs_forecast_service, 0);
+    service->worker_count = INT32_MAX;
+    service->largest_worker.cpu_milli = figure_max;
+    service->total.cpu_milli = figure_max;
+    fixture.step.demand.cpu_milli = 1;
+    fixture.step.gang = true;
+    fixture.step.task_count = 10;
+    assert_int_equal(verdict(&fixture), CS_ADMIT_ACCEPT);
+    cs_forecast_dispose(&fixture.forecast);
+    fixture_init(&fixture);
+    g_array_index(fixture.forecast.queues, cs_forecast_queue, 0).run_ms =
+        figure_max;
+    fixture.queue.stretch = 10000;
+    assert_int_equal(verdict(&fixture), CS_ADMIT_ACCEPT);
+    cs_forecast_dispose(&fixture.forecast);
+}
+
 /* Guards against rejections by a forecast that does not describe the present:
    missing, old, of a former holder, or of one that has just begun. */
 static void
@@ -863,6 +891,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(admit__doubtful_forecast_accepts),
+        cmocka_unit_test(admit__figures_at_their_limit_accept),
         cmocka_unit_test(admit__unservable_only_beyond_the_whole_fleet),
         cmocka_unit_test(admit__too_late_only_behind_more_urgent_work),
         cmocka_unit_test(admit__returning_caller_keeps_its_age),
