entry: a job that this VM has found stored is not rejected

A row that was read as absent for a rejection may have been stored by another call of the caller before the answer arrived; and a caller whose reply was lost got 503 for its stored job in an outage or after calls that the store refused. The entry remembers the last 4,096 stored ids and answers 200. A write that did not fit into the table of unsettled ones and gets no answer counts as unsettled from its answer on.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -94,6 +94,21 @@
     request_finish(request, &reply);
 }
 
+/* Counts a submission of a job that an earlier or another call has stored. */
+static void
+note_duplicate(cs_entry *entry, const char *id)
+{
+    (*entry->duplicates)++;
+    cs_log_event("job-accepted", "job %s was stored before", id);
+}
+
+static void
+accept_stored(struct request *request)
+{
+    note_duplicate(request->entry, request->id);
+    finish_with_type(request, CS_REPLY_ACCEPTED);
+}
+
 /* Replies that the request could not be completed in time. */
 static void
 give_up(struct request *request)
@@ -106,9 +121,16 @@
         .code = CS_E_STORE_UNAVAILABLE,
         .message = "the store cannot be reached"};
 
+    bool submits = request->stage == STAGE_INSERT ||
+                   request->stage == STAGE_ADMIT_READ ||
+                   request->stage == STAGE_VERIFY;
+
+    if (submits && entry_admit_is_stored(entry->admit, request->id)) {
+        accept_stored(request);
+        return;
+    }
     /* An earlier call of the same caller may have sent a write. */
-    if (request->stage == STAGE_INSERT &&
-        entry_admit_is_unsettled(entry->admit, request->id))
+    if (submits && entry_admit_is_unsettled(entry->admit, request->id))
         request->outcome_unknown = true;
     if (request->outcome_unknown) {
         reply.type = CS_REPLY_UNKNOWN;
@@ -211,7 +233,7 @@
 on_admit_read(struct request *request, const cs_store_answer *answer)
 {
     cs_entry *entry = request->entry;
-    cs_entry_reply reply = {.type = CS_REPLY_ACCEPTED};
+    cs_entry_reply reply = {0};
 
     if (answer->code) {
         /* Whether the job is stored cannot be told, so it must not be
@@ -220,21 +242,21 @@
         retry_later(request);
         return;
     }
-    if (answer->row_count > 0) {
-        (*entry->duplicates)++;
+    if (answer->row_count > 0)
         entry_admit_note_stored(entry->admit, request->id);
-        cs_log_event("job-accepted", "job %s was stored before", request->id);
+    /* Another call of the same caller may have stored the job after the read
+       was served. */
+    if (entry_admit_is_stored(entry->admit, request->id)) {
+        accept_stored(request);
+        return;
     }
-    else if (entry_admit_is_unsettled(entry->admit, request->id)) {
+    if (entry_admit_is_unsettled(entry->admit, request->id)) {
         /* Another call of the same caller has sent a write meanwhile. */
         request->stage = STAGE_INSERT;
         start_attempt(request);
         return;
     }
-    else {
-        entry_admit_reject(entry->admit, request->id, request->verdict,
-                           &reply);
-    }
+    entry_admit_reject(entry->admit, request->id, request->verdict, &reply);
     request_finish(request, &reply);
 }
 
@@ -510,6 +532,21 @@
     return step->speculative ? "singles, speculative" : "singles";
 }
 
+/* Replies to a submission that cannot be sent to the store. */
+static void
+reply_in_outage(cs_entry *entry, const char *id, int64_t deadline_us,
+                cs_entry_done done, void *user_data)
+{
+    cs_entry_reply reply = {.type = CS_REPLY_ACCEPTED};
+
+    /* The caller may have lost the reply to an earlier call. */
+    if (entry_admit_is_stored(entry->admit, id))
+        note_duplicate(entry, id);
+    else
+        entry_outage_reject(entry->outage, id, deadline_us, &reply);
+    done(user_data, &reply);
+}
+
 static void
 submit(cs_entry *entry, const cs_entry_call *call,
        const cs_queue_config *queue,
@@ -518,7 +555,6 @@
 {
     cs_job_spec *spec = call->spec;
     struct request *request;
-    cs_entry_reply reply;
 
     if ((int64_t)call->body_bytes >
         entry->fleet_state->config->max_body_bytes) {
@@ -539,10 +575,9 @@
                   spec ? cs_error_last() : call->spec_error);
         return;
     }
-    if (!entry_admit_is_unsettled(entry->admit, spec->id) &&
-        entry_outage_reject(entry->outage, spec->id, call->deadline_us,
-                            &reply)) {
-        done(user_data, &reply);
+    if (entry_outage_is_present(entry->outage) &&
+        !entry_admit_is_unsettled(entry->admit, spec->id)) {
+        reply_in_outage(entry, spec->id, call->deadline_us, done, user_data);
         return;
     }
     request = request_create(entry, STAGE_INSERT, id, call, done, user_data);
--- a/src/entry/entry_admit.c
+++ b/src/entry/entry_admit.c
@@ -14,6 +14,9 @@
    back, which is seconds. */
 #define UNSETTLED_US (30 * CS_SEC_US)
 #define UNSETTLED_MAX 1024
+/* Ids of stored jobs that are remembered, the newest. A caller returns within
+   seconds, and a read for a rejection takes at most 0.9 s. */
+#define STORED_MAX 4096
 
 /* Writes of a job's row that this process has sent. */
 struct unsettled_write {
@@ -28,6 +31,8 @@
     uint64_t forecast_serial; /* of the record that was decoded */
     cs_admit_returning *returning;
     GHashTable *unsettled;     /* id to struct unsettled_write */
+    GHashTable *stored;        /* set of ids, owned */
+    GQueue stored_order;       /* the same ids, oldest first */
     int64_t unlisted_until_us; /* boot clock; writes of ids that did not fit
                                   into the table may be unsettled before */
     int64_t *rejected;
@@ -45,6 +50,9 @@
     admit->returning = cs_admit_returning_create();
     admit->unsettled =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    admit->stored =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    g_queue_init(&admit->stored_order);
     admit->rejected =
         cs_fleet_state_counter(fleet_state, "cs_jobs_rejected_total");
     admit->unservable =
@@ -65,6 +73,8 @@
         cs_forecast_dispose(&admit->forecast);
     cs_admit_returning_destroy(admit->returning);
     g_hash_table_destroy(admit->unsettled);
+    g_queue_clear(&admit->stored_order);
+    g_hash_table_destroy(admit->stored);
     g_free(admit);
 }
 
@@ -202,8 +212,12 @@
     struct unsettled_write *write = g_hash_table_lookup(admit->unsettled, id);
     int64_t now = now_us(admit);
 
-    if (!write)
+    if (!write) {
+        /* The table was full when the write was sent. */
+        if (unknown && !entry_admit_is_stored(admit, id))
+            admit->unlisted_until_us = now + UNSETTLED_US;
         return;
+    }
     if (write->in_flight > 0)
         write->in_flight--;
     if (unknown)
@@ -212,13 +226,35 @@
         g_hash_table_remove(admit->unsettled, id);
 }
 
+static void
+remember_stored(struct entry_admit *admit, const char *id)
+{
+    char *copy;
+
+    if (g_hash_table_contains(admit->stored, id))
+        return;
+    if (g_hash_table_size(admit->stored) >= STORED_MAX)
+        g_hash_table_remove(admit->stored,
+                            g_queue_pop_head(&admit->stored_order));
+    copy = g_strdup(id);
+    g_hash_table_add(admit->stored, copy);
+    g_queue_push_tail(&admit->stored_order, copy);
+}
+
 void
 entry_admit_note_stored(struct entry_admit *admit, const char *id)
 {
+    remember_stored(admit, id);
     g_hash_table_remove(admit->unsettled, id);
     cs_admit_returning_remove(admit->returning, id);
 }
 
+bool
+entry_admit_is_stored(const struct entry_admit *admit, const char *id)
+{
+    return g_hash_table_contains(admit->stored, id);
+}
+
 bool
 entry_admit_is_unsettled(const struct entry_admit *admit, const char *id)
 {
--- a/src/entry/entry_internal.h
+++ b/src/entry/entry_internal.h
@@ -41,6 +41,8 @@
 void entry_admit_note_stored(struct entry_admit *admit, const char *id);
 /* Returns whether a write of this process may still store the job. */
 bool entry_admit_is_unsettled(const struct entry_admit *admit, const char *id);
+/* Returns whether this process has found lately that the job is stored. */
+bool entry_admit_is_stored(const struct entry_admit *admit, const char *id);
 
 /* entry_outage.c: outages of the store. */
 struct entry_outage;
@@ -49,12 +51,11 @@
 void entry_outage_destroy(struct entry_outage *outage);
 /* Notices outages and their ends, and sends probes during them. */
 void entry_outage_tick(struct entry_outage *outage);
-/*
- * Rejects a submission for which nothing was sent if the store is unreachable
- * and being probed: logs and counts it and fills the reply. Returns whether it
- * did.
- */
-bool entry_outage_reject(struct entry_outage *outage, const char *id,
+/* Returns whether the store is unreachable and being probed. */
+bool entry_outage_is_present(const struct entry_outage *outage);
+/* Rejects a submission for which nothing was sent: logs and counts it and
+   fills the reply. */
+void entry_outage_reject(struct entry_outage *outage, const char *id,
                          int64_t deadline_us, cs_entry_reply *reply);
 /* Returns after how many seconds a caller should return. */
 uint32_t entry_outage_retry_after_s(const struct entry_outage *outage,
--- a/src/entry/entry_outage.c
+++ b/src/entry/entry_outage.c
@@ -11,10 +11,10 @@
 #include <inttypes.h>
 #include <string.h>
 
-/* Callers retry about twice a second for their 3 s, so the end of an outage has
-   to be known sooner than that. The next probe is sent before former ones
-   without an answer are given up. A slow store answers a probe in time although
-   it does not answer other calls in theirs. */
+/* Callers retry about twice a second for their 3 s, so the end of an outage
+   has to be known sooner than that. The next probe is sent before former ones
+   without an answer are given up. A slow store answers a probe in time
+   although it does not answer other calls in theirs. */
 #define PROBE_INTERVAL_US (300 * CS_MS_US)
 #define PROBE_TIMEOUT_US (2 * CS_SEC_US)
 #define PROBES_MAX 8
@@ -114,17 +114,24 @@
 }
 
 bool
-entry_outage_reject(struct entry_outage *outage, const char *id,
-                    int64_t deadline_us, cs_entry_reply *reply)
+entry_outage_is_present(const struct entry_outage *outage)
 {
     int64_t now_us = cs_fleet_state_now(outage->fleet_state).boot_us;
     int64_t answered_us = outage->fleet_state->last_store_answer_us;
 
     /* An answer since the last tick ends the outage. A store that refuses
        calls answers a probe at once, so the next one may not be due yet. */
-    if (!outage->outage.since_us || answered_us > outage->outage.since_us ||
-        (outage->probes == 0 && now_us >= outage->next_probe_us))
-        return false;
+    return outage->outage.since_us && answered_us <= outage->outage.since_us &&
+           (outage->probes > 0 || now_us < outage->next_probe_us);
+}
+
+void
+entry_outage_reject(struct entry_outage *outage, const char *id,
+                    int64_t deadline_us, cs_entry_reply *reply)
+{
+    int64_t now_us = cs_fleet_state_now(outage->fleet_state).boot_us;
+    int64_t answered_us = outage->fleet_state->last_store_answer_us;
+
     memset(reply, 0, sizeof(*reply));
     reply->type = CS_REPLY_REJECTED;
     reply->code = CS_E_STORE_UNAVAILABLE;
@@ -137,5 +144,4 @@
                  "job %s: outage, no answer of the store for %" PRId64
                  " ms, retry after %u s",
                  id, (now_us - answered_us) / CS_MS_US, reply->retry_after_s);
-    return true;
 }
--- a/tests/test_admit.c
+++ b/tests/test_admit.c
@@ -794,6 +794,42 @@
     }
 }
 
+/* Guards against the rejection of a job that another call of its caller has
+   stored while the row was read for the rejection, and of a stored job whose
+   caller returns in an outage because the reply was lost. */
+static void
+entry__stored_job_is_not_rejected(void **state)
+{
+    struct bench bench;
+    cs_store_answer absent = {0};
+    cs_store_done read_done;
+    void *read;
+
+    bench_init(&bench);
+    cs_fleet_state_record_store_answer(&bench.state, 0);
+    bench_submit(&bench, 1, CORES + 1);
+    assert_int_equal(bench.calls, 1);
+    read_done = bench.done[0];
+    read = bench.user_data[0];
+    bench.calls = 0;
+    /* The forecast is of a former epoch now, so the second call writes. */
+    bench.state.cell.epoch = 8;
+    bench_submit(&bench, 1, CORES + 1);
+    assert_int_equal(bench.writes, 1);
+    bench_answer(&bench, 0, 0, 0);
+    assert_int_equal(bench.reply.type, CS_REPLY_ACCEPTED);
+    read_done(read, &absent);
+    assert_int_equal(bench.replies, 2);
+    assert_int_equal(bench.reply.type, CS_REPLY_ACCEPTED);
+    bench_fail(&bench, 4 * CS_SEC_US);
+    bench_submit(&bench, 2, 1);
+    assert_int_equal(bench.reply.type, CS_REPLY_REJECTED);
+    bench_submit(&bench, 1, 1);
+    assert_int_equal(bench.replies, 1);
+    assert_int_equal(bench.reply.type, CS_REPLY_ACCEPTED);
+    bench_dispose(&bench);
+}
+
 /* Guards against callers that wait for a third of their time in an outage,
    against rejections in a short disturbance or after the outage, and against
    writes for rejected submissions. */
@@ -903,6 +939,7 @@
         cmocka_unit_test(outage__estimate_follows_past_lengths),
         cmocka_unit_test(entry__rejects_only_what_is_not_stored),
         cmocka_unit_test(entry__unsettled_job_is_not_rejected),
+        cmocka_unit_test(entry__stored_job_is_not_rejected),
         cmocka_unit_test(entry__unreadable_or_stale_forecast_accepts),
         cmocka_unit_test(
             entry__outage_rejects_at_once_and_ends_with_an_answer),
