admit: no rejection by a mean, or for absent workers after a takeover

A job was rejected as too late by the learned mean of its queue alone, without work ahead of it, although its declared time was far shorter. A new holder did not know workers that were gone when it took over, and refused gangs that fit the whole fleet; the least wait used the rate of the workers that were listed at the moment. Now the smaller run time counts, only behind other work; the peaks continue from the former holder's forecast, and the largest rate is used. Both tests failed before.

--- a/src/fleet/forecast.c
+++ b/src/fleet/forecast.c
@@ -12,7 +12,8 @@
 #define FORECAST_INTERVAL_US CS_SEC_US
 
 struct forecaster {
-    cs_forecast peak; /* services and labels: the largest figures so far */
+    cs_forecast peak; /* services and labels: the largest figures so far, also
+                         of former holders */
     GByteArray *record;
     int64_t loaded_us; /* when the holder began to schedule */
     int64_t next_us;
@@ -89,7 +90,7 @@
     cs_demand_add(&label->total, &worker->capacity);
 }
 
-/* Raises the peaks of a service, and replaces what is of the moment. */
+/* Raises the peaks of a service, and replaces what is free now. */
 static void
 merge_service(cs_forecast_service *peak, const cs_forecast_service *present)
 {
@@ -98,8 +99,11 @@
     cs_forecast_raise(&peak->largest_rack, &present->largest_rack);
     cs_forecast_raise(&peak->total, &present->total);
     peak->largest_free = present->largest_free;
-    peak->rate_cpu_milli = present->rate_cpu_milli;
-    peak->rate_accelerator_milli = present->rate_accelerator_milli;
+    /* Workers that are drained or gone for a moment return, so that the least
+       wait follows from the largest rate. */
+    peak->rate_cpu_milli = MAX(peak->rate_cpu_milli, present->rate_cpu_milli);
+    peak->rate_accelerator_milli =
+        MAX(peak->rate_accelerator_milli, present->rate_accelerator_milli);
 }
 
 static void
@@ -354,6 +358,25 @@
     g_hash_table_destroy(indexes);
 }
 
+/* Initializes the peaks from the former holder's forecast: a new holder does
+   not know workers that are gone while it takes over, such as those of an
+   evacuated zone. */
+static void
+load_peaks(const cs_fleet *fleet, cs_forecast *peak)
+{
+    const GByteArray *record = fleet->state->cell.forecast;
+
+    if (!record || cs_forecast_decode(peak, record->data, record->len)) {
+        cs_forecast_init(peak);
+        return;
+    }
+    g_array_set_size(peak->queues, 0);
+    if (peak->services->len > CS_FORECAST_SERVICES_MAX) {
+        cs_forecast_dispose(peak);
+        cs_forecast_init(peak);
+    }
+}
+
 void
 forecast_tick(cs_fleet *fleet)
 {
@@ -364,7 +387,7 @@
         forecaster = g_new0(struct forecaster, 1);
         forecaster->record = g_byte_array_new();
         forecaster->loaded_us = now_us;
-        cs_forecast_init(&forecaster->peak);
+        load_peaks(fleet, &forecaster->peak);
         fleet->forecaster = forecaster;
     }
     if (now_us < forecaster->next_us || !fleet->state->config ||
--- a/src/policy/admit.c
+++ b/src/policy/admit.c
@@ -322,10 +322,15 @@
                 MIN(wait_ms, least_wait_ms(input, service, &job->steps[i]));
     }
     wait_ms = limit_returning_wait(input, wait_ms);
-    least_run_ms = most_run_ms = (double)queue->run_ms;
-    if (queue->run_ms <= 0) {
-        least_run_ms = declared_ms * (1 - CS_FORECAST_DECLARED_ERROR);
-        most_run_ms = declared_ms * (1 + CS_FORECAST_DECLARED_ERROR);
+    /* Without work ahead of it, the job would end no sooner later on. */
+    if (wait_ms <= 0)
+        return;
+    /* The learned run time is a mean, which a short job stays below. */
+    least_run_ms = declared_ms * (1 - CS_FORECAST_DECLARED_ERROR);
+    most_run_ms = declared_ms * (1 + CS_FORECAST_DECLARED_ERROR);
+    if (queue->run_ms > 0) {
+        least_run_ms = MIN(least_run_ms, (double)queue->run_ms);
+        most_run_ms = (double)queue->run_ms;
     }
     out->wait_ms = wait_ms;
     out->end_ms = (wait_ms + (int64_t)least_run_ms) / UNCERTAINTY_FACTOR;
--- a/tests/test_admit.c
+++ b/tests/test_admit.c
@@ -101,6 +101,25 @@
     g_array_append_val(fixture->forecast.queues, queue);
 }
 
+/* Guards against rejections that no load causes, and against those of a short
+   job by the longer mean of its queue. */
+static void
+admit__learned_mean_alone_does_not_reject(void **state)
+{
+    struct fixture fixture;
+
+    fixture_init(&fixture);
+    g_array_index(fixture.forecast.queues, cs_forecast_queue, 0).run_ms =
+        100000;
+    fixture.queue.stretch = 0;
+    assert_int_equal(verdict(&fixture), CS_ADMIT_ACCEPT);
+    add_backlog(&fixture, 1, 1, 1000000);
+    assert_int_equal(verdict(&fixture), CS_ADMIT_ACCEPT);
+    fixture.step.estimate_ms = 100000;
+    assert_int_equal(verdict(&fixture), CS_ADMIT_TOO_LATE);
+    cs_forecast_dispose(&fixture.forecast);
+}
+
 /* Guards against rejections after an overflow of figures that the decoder
    still allows. */
 static void
@@ -922,11 +941,43 @@
     fake_fleet_destroy(deployment);
 }
 
+/* Guards against the rejection of a gang that fits the fleet, by a holder that
+   took over while a worker was gone. */
+static void
+fleet__takeover_keeps_absent_workers(void **state)
+{
+    fake_fleet_settings settings = {
+        .vms = 4, .workers = 16, .racks = 2, .seed = 42};
+    fake_fleet *deployment = fake_fleet_create(&settings);
+    uint32_t holder;
+    uint32_t vm;
+
+    fake_fleet_run(deployment, 16 * CS_SEC_US);
+    fake_fleet_remove_worker(deployment, 3);
+    fake_fleet_run(deployment, 3 * CS_SEC_US);
+    holder = (uint32_t)fake_fleet_holder(deployment);
+    fake_fleet_kill(deployment, holder, 60 * CS_SEC_US);
+    fake_fleet_run(deployment, 20 * CS_SEC_US);
+    assert_int_not_equal(fake_fleet_holder(deployment), holder);
+    for (vm = 0; vm < 4; vm++) {
+        if (vm == holder)
+            continue;
+        assert_int_equal(submit_gang(deployment, vm, 10 + vm, 17),
+                         CS_REPLY_REJECTED);
+        assert_int_equal(submit_gang(deployment, vm, 20 + vm, 16),
+                         CS_REPLY_ACCEPTED);
+    }
+    if (fake_fleet_violation(deployment))
+        fail_msg("%s", fake_fleet_violation(deployment));
+    fake_fleet_destroy(deployment);
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(admit__doubtful_forecast_accepts),
+        cmocka_unit_test(admit__learned_mean_alone_does_not_reject),
         cmocka_unit_test(admit__figures_at_their_limit_accept),
         cmocka_unit_test(admit__unservable_only_beyond_the_whole_fleet),
         cmocka_unit_test(admit__too_late_only_behind_more_urgent_work),
@@ -944,6 +995,7 @@
         cmocka_unit_test(
             entry__outage_rejects_at_once_and_ends_with_an_answer),
         cmocka_unit_test(fleet__unservable_gang_is_rejected_by_every_vm),
+        cmocka_unit_test(fleet__takeover_keeps_absent_workers),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
