--- a/include/corianderstair/forecast.h
+++ b/include/corianderstair/forecast.h
@@ -58,7 +58,8 @@
     cs_forecast_backlog backlog[CS_FORECAST_CLASSES];
 } cs_forecast_queue;
 
-/** What the workers of a service are and have been in this tenure. */
+/** What the workers of a service are and have been, also under former holders.
+ */
 typedef struct {
     char name[CS_JOB_NAME_BYTES];
     uint32_t worker_count;
@@ -66,7 +67,7 @@
     cs_demand largest_rack;   /**< the same, of the sums of racks */
     cs_demand total;
     cs_demand largest_free;         /**< free now on one usable worker */
-    int64_t rate_cpu_milli;         /**< of all listed workers, by speed */
+    int64_t rate_cpu_milli;         /**< largest so far, by speed */
     int64_t rate_accelerator_milli; /**< the same, in thousandths */
 } cs_forecast_service;
 
--- a/tests/test_admit.c
+++ b/tests/test_admit.c
@@ -941,8 +941,23 @@
     fake_fleet_destroy(deployment);
 }
 
+/* Returns the rate of the first service in the forecast that a VM has. */
+static int64_t
+forecast_cores(const fake_fleet *deployment, uint32_t vm)
+{
+    json_t *status = fake_fleet_status(deployment, vm);
+    const json_t *services =
+        json_object_get(json_object_get(status, "forecast"), "services");
+    int64_t cores = json_integer_value(
+        json_object_get(json_array_get(services, 0), "cores"));
+
+    json_decref(status);
+    return cores;
+}
+
 /* Guards against the rejection of a gang that fits the fleet, by a holder that
-   took over while a worker was gone. */
+   took over while a worker was gone, and against waits that are too long for
+   a fleet whose worker returns. */
 static void
 fleet__takeover_keeps_absent_workers(void **state)
 {
@@ -951,17 +966,22 @@
     fake_fleet *deployment = fake_fleet_create(&settings);
     uint32_t holder;
     uint32_t vm;
+    int64_t cores;
 
     fake_fleet_run(deployment, 16 * CS_SEC_US);
+    holder = (uint32_t)fake_fleet_holder(deployment);
+    cores = forecast_cores(deployment, holder);
+    assert_true(cores > 0);
     fake_fleet_remove_worker(deployment, 3);
     fake_fleet_run(deployment, 3 * CS_SEC_US);
-    holder = (uint32_t)fake_fleet_holder(deployment);
+    assert_true(forecast_cores(deployment, holder) >= cores);
     fake_fleet_kill(deployment, holder, 60 * CS_SEC_US);
     fake_fleet_run(deployment, 20 * CS_SEC_US);
     assert_int_not_equal(fake_fleet_holder(deployment), holder);
     for (vm = 0; vm < 4; vm++) {
         if (vm == holder)
             continue;
+        assert_true(forecast_cores(deployment, vm) >= cores);
         assert_int_equal(submit_gang(deployment, vm, 10 + vm, 17),
                          CS_REPLY_REJECTED);
         assert_int_equal(submit_gang(deployment, vm, 20 + vm, 16),
