--- a/src/policy/forecast.c
+++ b/src/policy/forecast.c
@@ -366,6 +366,11 @@
     bool valid;
 
     cs_forecast_init(out);
+    /* Bounds the lists, whose lengths the record tells. */
+    if (size_bytes > CS_FORECAST_MAX_BYTES) {
+        cs_forecast_dispose(out);
+        return cs_error_set(CS_E_INVALID, "the forecast is too large");
+    }
     cs_record_open(&record, bytes, size_bytes);
     valid = cs_record_read_int(&record.reader) == RECORD_VERSION;
     out->epoch = (uint64_t)cs_record_read_int(&record.reader);
--- a/tests/test_admit.c
+++ b/tests/test_admit.c
@@ -490,7 +490,8 @@
     g_byte_array_free(record, TRUE);
 }
 
-/* Guards against the use of forecasts with impossible figures. */
+/* Guards against the use of forecasts with impossible figures, and against
+   lists that only the record's own lengths bound. */
 static void
 forecast__absurd_or_cut_records_are_refused(void **state)
 {
@@ -531,6 +532,17 @@
         *service = saved;
         *queue = saved_queue;
     }
+    for (cut = 0; cut < 100; cut++) {
+        cs_forecast_service more =
+            g_array_index(fixture.forecast.services, cs_forecast_service, 0);
+
+        g_array_append_val(fixture.forecast.services, more);
+    }
+    g_byte_array_set_size(record, 0);
+    cs_forecast_encode(record, &fixture.forecast);
+    assert_true(record->len > CS_FORECAST_MAX_BYTES);
+    assert_int_equal(cs_forecast_decode(&decoded, record->data, record->len),
+                     CS_E_INVALID);
     cs_forecast_dispose(&fixture.forecast);
     g_byte_array_free(record, TRUE);
 }
