--- a/src/programs/csctl_fleet.c
+++ b/src/programs/csctl_fleet.c
@@ -154,12 +154,15 @@
            "CORE-S", "ACC-S", "WAIT-MS", "OLDEST-MS");
     json_array_foreach(backlog, i, item)
     {
-        printf("%-20s %8d %-8s %10d %10d %9d %10d\n",
+        printf("%-20s %8d %-8s %10lld %10lld %9lld %10lld\n",
                string_member(item, "queue"), integer_member(item, "priority"),
-               string_member(item, "class"), integer_member(item, "core_s"),
-               integer_member(item, "accelerator_s"),
-               integer_member(item, "wait_ms"),
-               integer_member(item, "oldest_wait_ms"));
+               string_member(item, "class"),
+               (long long)json_integer_value(json_object_get(item, "core_s")),
+               (long long)json_integer_value(
+                   json_object_get(item, "accelerator_s")),
+               (long long)json_integer_value(json_object_get(item, "wait_ms")),
+               (long long)json_integer_value(
+                   json_object_get(item, "oldest_wait_ms")));
     }
 }
 
