--- a/src/policy/admit.c
+++ b/src/policy/admit.c
@@ -104,10 +104,9 @@
     /* To the nearest second: some ms of the timeout have passed already. */
     int64_t latest_s = MAX((timeout_ms + 500) / 1000, 1);
     int64_t delay_s = CLAMP((delay_ms + 999) / 1000, 1, latest_s);
-    int64_t last_s = MIN(delay_s + (delay_s + 1) / 2, latest_s + 1);
+    int64_t spread_s = MIN((delay_s + 1) / 2, latest_s + 1 - delay_s);
 
-    return (uint32_t)(delay_s +
-                      g_str_hash(id) % (uint32_t)(last_s - delay_s + 1));
+    return (uint32_t)(delay_s + g_str_hash(id) % (spread_s + 1));
 }
 
 static bool
