--- a/src/entry/entry_admit.c
+++ b/src/entry/entry_admit.c
@@ -15,7 +15,9 @@
 #define UNSETTLED_US (30 * CS_SEC_US)
 #define UNSETTLED_MAX 1024
 /* Ids of stored jobs that are remembered, the newest. A caller returns within
-   seconds, and a read for a rejection takes at most 0.9 s. */
+   seconds, and a read for a rejection takes at most 0.9 s. Later the row may
+   have been deleted. */
+#define STORED_US (30 * CS_SEC_US)
 #define STORED_MAX 4096
 
 /* Writes of a job's row that this process has sent. */
@@ -30,9 +32,9 @@
     bool forecast_valid;
     uint64_t forecast_serial; /* of the record that was decoded */
     cs_admit_returning *returning;
-    GHashTable *unsettled;     /* id to struct unsettled_write */
-    GHashTable *stored;        /* set of ids, owned */
-    GQueue stored_order;       /* the same ids, oldest first */
+    GHashTable *unsettled; /* id to struct unsettled_write */
+    GHashTable *stored;    /* id to boot clock until which it is remembered */
+    GQueue stored_order;   /* the same ids, oldest first */
     int64_t unlisted_until_us; /* boot clock; writes of ids that did not fit
                                   into the table may be unsettled before */
     int64_t *rejected;
@@ -51,7 +53,7 @@
     admit->unsettled =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     admit->stored =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     g_queue_init(&admit->stored_order);
     admit->rejected =
         cs_fleet_state_counter(fleet_state, "cs_jobs_rejected_total");
@@ -229,15 +231,20 @@
 static void
 remember_stored(struct entry_admit *admit, const char *id)
 {
+    int64_t until_us = now_us(admit) + STORED_US;
+    int64_t *known = g_hash_table_lookup(admit->stored, id);
     char *copy;
 
-    if (g_hash_table_contains(admit->stored, id))
+    if (known) {
+        *known = until_us;
         return;
+    }
     if (g_hash_table_size(admit->stored) >= STORED_MAX)
         g_hash_table_remove(admit->stored,
                             g_queue_pop_head(&admit->stored_order));
     copy = g_strdup(id);
-    g_hash_table_add(admit->stored, copy);
+    g_hash_table_insert(admit->stored, copy,
+                        g_memdup2(&until_us, sizeof(until_us)));
     g_queue_push_tail(&admit->stored_order, copy);
 }
 
@@ -252,7 +259,9 @@
 bool
 entry_admit_is_stored(const struct entry_admit *admit, const char *id)
 {
-    return g_hash_table_contains(admit->stored, id);
+    const int64_t *until_us = g_hash_table_lookup(admit->stored, id);
+
+    return until_us && now_us(admit) < *until_us;
 }
 
 bool
--- a/tests/test_admit.c
+++ b/tests/test_admit.c
@@ -858,6 +858,10 @@
     bench_submit(&bench, 1, 1);
     assert_int_equal(bench.replies, 1);
     assert_int_equal(bench.reply.type, CS_REPLY_ACCEPTED);
+    /* The row of a job that was stored long ago may be deleted. */
+    bench_fail(&bench, 30 * CS_SEC_US);
+    bench_submit(&bench, 1, 1);
+    assert_int_equal(bench.reply.type, CS_REPLY_REJECTED);
     bench_dispose(&bench);
 }
 
