--- a/src/entry/entry_admit.c
+++ b/src/entry/entry_admit.c
@@ -14,6 +14,11 @@
    back, which is seconds. */
 #define UNSETTLED_US (30 * CS_SEC_US)
 #define UNSETTLED_MAX 1024
+/* Ids of stored jobs that are remembered, the newest. A caller returns within
+   seconds, and a read for a rejection takes at most 0.9 s. Later the row may
+   have been deleted. */
+#define STORED_US (30 * CS_SEC_US)
+#define STORED_MAX 4096
 
 /* Writes of a job's row that this process has sent. */
 struct unsettled_write {
@@ -27,7 +32,9 @@
     bool forecast_valid;
     uint64_t forecast_serial; /* of the record that was decoded */
     cs_admit_returning *returning;
-    GHashTable *unsettled;     /* id to struct unsettled_write */
+    GHashTable *unsettled; /* id to struct unsettled_write */
+    GHashTable *stored;    /* id to boot clock until which it is remembered */
+    GQueue stored_order;   /* the same ids, oldest first */
     int64_t unlisted_until_us; /* boot clock; writes of ids that did not fit
                                   into the table may be unsettled before */
     int64_t *rejected;
@@ -45,6 +52,9 @@
     admit->returning = cs_admit_returning_create();
     admit->unsettled =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    admit->stored =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    g_queue_init(&admit->stored_order);
     admit->rejected =
         cs_fleet_state_counter(fleet_state, "cs_jobs_rejected_total");
     admit->unservable =
@@ -65,6 +75,8 @@
         cs_forecast_dispose(&admit->forecast);
     cs_admit_returning_destroy(admit->returning);
     g_hash_table_destroy(admit->unsettled);
+    g_queue_clear(&admit->stored_order);
+    g_hash_table_destroy(admit->stored);
     g_free(admit);
 }
 
@@ -202,8 +214,12 @@
     struct unsettled_write *write = g_hash_table_lookup(admit->unsettled, id);
     int64_t now = now_us(admit);
 
-    if (!write)
+    if (!write) {
+        /* The table was full when the write was sent. */
+        if (unknown && !entry_admit_is_stored(admit, id))
+            admit->unlisted_until_us = now + UNSETTLED_US;
         return;
+    }
     if (write->in_flight > 0)
         write->in_flight--;
     if (unknown)
@@ -212,13 +228,42 @@
         g_hash_table_remove(admit->unsettled, id);
 }
 
+static void
+remember_stored(struct entry_admit *admit, const char *id)
+{
+    int64_t until_us = now_us(admit) + STORED_US;
+    int64_t *known = g_hash_table_lookup(admit->stored, id);
+    char *copy;
+
+    if (known) {
+        *known = until_us;
+        return;
+    }
+    if (g_hash_table_size(admit->stored) >= STORED_MAX)
+        g_hash_table_remove(admit->stored,
+                            g_queue_pop_head(&admit->stored_order));
+    copy = g_strdup(id);
+    g_hash_table_insert(admit->stored, copy,
+                        g_memdup2(&until_us, sizeof(until_us)));
+    g_queue_push_tail(&admit->stored_order, copy);
+}
+
 void
 entry_admit_note_stored(struct entry_admit *admit, const char *id)
 {
+    remember_stored(admit, id);
     g_hash_table_remove(admit->unsettled, id);
     cs_admit_returning_remove(admit->returning, id);
 }
 
+bool
+entry_admit_is_stored(const struct entry_admit *admit, const char *id)
+{
+    const int64_t *until_us = g_hash_table_lookup(admit->stored, id);
+
+    return until_us && now_us(admit) < *until_us;
+}
+
 bool
 entry_admit_is_unsettled(const struct entry_admit *admit, const char *id)
 {
--- a/src/policy/admit.c
+++ b/src/policy/admit.c
@@ -10,6 +10,8 @@
 /* A new holder has read the entries of all workers, which are written every
    1.5 s, several times by then. */
 #define HOLDER_LOADED_MIN_MS 10000
+/* Above any end that a forecast can lead to. */
+#define LIMIT_MAX_MS 1e18
 
 struct cs_admit_returning {
     GHashTable *by_id; /* id to struct rejection */
@@ -102,10 +104,9 @@
     /* To the nearest second: some ms of the timeout have passed already. */
     int64_t latest_s = MAX((timeout_ms + 500) / 1000, 1);
     int64_t delay_s = CLAMP((delay_ms + 999) / 1000, 1, latest_s);
-    int64_t last_s = MIN(delay_s + (delay_s + 1) / 2, latest_s + 1);
+    int64_t spread_s = MIN((delay_s + 1) / 2, latest_s + 1 - delay_s);
 
-    return (uint32_t)(delay_s +
-                      g_str_hash(id) % (uint32_t)(last_s - delay_s + 1));
+    return (uint32_t)(delay_s + g_str_hash(id) % (spread_s + 1));
 }
 
 static bool
@@ -145,9 +146,14 @@
 static int64_t
 max_tasks_of(int64_t demand, int64_t worker, int64_t total, uint32_t workers)
 {
+    int64_t by_workers;
+
     if (demand <= 0)
         return INT64_MAX;
-    return MIN(total / demand, worker / demand * workers);
+    /* The figures come from a row, so their product may overflow. */
+    if (__builtin_mul_overflow(worker / demand, (int64_t)workers, &by_workers))
+        return total / demand;
+    return MIN(total / demand, by_workers);
 }
 
 /* Returns why no worker, or for a gang all workers together, could ever hold
@@ -301,6 +307,7 @@
     double declared_ms = (double)job->steps[0].estimate_ms;
     double least_run_ms;
     double most_run_ms;
+    double limit_ms;
     int64_t wait_ms = INT64_MAX;
     uint32_t i;
 
@@ -314,17 +321,23 @@
                 MIN(wait_ms, least_wait_ms(input, service, &job->steps[i]));
     }
     wait_ms = limit_returning_wait(input, wait_ms);
-    least_run_ms = most_run_ms = (double)queue->run_ms;
-    if (queue->run_ms <= 0) {
-        least_run_ms = declared_ms * (1 - CS_FORECAST_DECLARED_ERROR);
-        most_run_ms = declared_ms * (1 + CS_FORECAST_DECLARED_ERROR);
+    /* Without work ahead of it, the job would end no sooner later on. */
+    if (wait_ms <= 0)
+        return;
+    /* The learned run time is a mean, which a short job stays below. */
+    least_run_ms = declared_ms * (1 - CS_FORECAST_DECLARED_ERROR);
+    most_run_ms = declared_ms * (1 + CS_FORECAST_DECLARED_ERROR);
+    if (queue->run_ms > 0) {
+        least_run_ms = MIN(least_run_ms, (double)queue->run_ms);
+        most_run_ms = (double)queue->run_ms;
     }
     out->wait_ms = wait_ms;
     out->end_ms = (wait_ms + (int64_t)least_run_ms) / UNCERTAINTY_FACTOR;
-    out->limit_ms =
-        CS_FORECAST_COUNTED_FACTOR *
-        (input->queue->target_ms +
-         (int64_t)(input->queue->stretch * most_run_ms * job->step_count));
+    limit_ms = CS_FORECAST_COUNTED_FACTOR *
+               ((double)input->queue->target_ms +
+                input->queue->stretch * most_run_ms * job->step_count);
+    /* A double beyond the range of int64_t has no defined conversion. */
+    out->limit_ms = (int64_t)MIN(limit_ms, LIMIT_MAX_MS);
     if (out->end_ms <= out->limit_ms)
         return;
     out->verdict = CS_ADMIT_TOO_LATE;
--- a/tests/test_admit.c
+++ b/tests/test_admit.c
@@ -101,6 +101,53 @@
     g_array_append_val(fixture->forecast.queues, queue);
 }
 
+/* Guards against rejections that no load causes, and against those of a short
+   job by the longer mean of its queue. */
+static void
+admit__learned_mean_alone_does_not_reject(void **state)
+{
+    struct fixture fixture;
+
+    fixture_init(&fixture);
+    g_array_index(fixture.forecast.queues, cs_forecast_queue, 0).run_ms =
+        100000;
+    fixture.queue.stretch = 0;
+    assert_int_equal(verdict(&fixture), CS_ADMIT_ACCEPT);
+    add_backlog(&fixture, 1, 1, 1000000);
+    assert_int_equal(verdict(&fixture), CS_ADMIT_ACCEPT);
+    fixture.step.estimate_ms = 100000;
+    assert_int_equal(verdict(&fixture), CS_ADMIT_TOO_LATE);
+    cs_forecast_dispose(&fixture.forecast);
+}
+
+/* Guards against rejections after an overflow of figures that the decoder
+   still allows. */
+static void
+admit__figures_at_their_limit_accept(void **state)
+{
+    const int64_t figure_max = INT64_C(1000000000000000);
+    struct fixture fixture;
+    cs_forecast_service *service;
+
+    fixture_init(&fixture);
+    service =
+        &g_array_index(fixture.forecast.services, cs_forecast_service, 0);
+    service->worker_count = INT32_MAX;
+    service->largest_worker.cpu_milli = figure_max;
+    service->total.cpu_milli = figure_max;
+    fixture.step.demand.cpu_milli = 1;
+    fixture.step.gang = true;
+    fixture.step.task_count = 10;
+    assert_int_equal(verdict(&fixture), CS_ADMIT_ACCEPT);
+    cs_forecast_dispose(&fixture.forecast);
+    fixture_init(&fixture);
+    g_array_index(fixture.forecast.queues, cs_forecast_queue, 0).run_ms =
+        figure_max;
+    fixture.queue.stretch = 10000;
+    assert_int_equal(verdict(&fixture), CS_ADMIT_ACCEPT);
+    cs_forecast_dispose(&fixture.forecast);
+}
+
 /* Guards against rejections by a forecast that does not describe the present:
    missing, old, of a former holder, or of one that has just begun. */
 static void
@@ -443,7 +490,8 @@
     g_byte_array_free(record, TRUE);
 }
 
-/* Guards against the use of forecasts with impossible figures. */
+/* Guards against the use of forecasts with impossible figures, and against
+   lists that only the record's own lengths bound. */
 static void
 forecast__absurd_or_cut_records_are_refused(void **state)
 {
@@ -484,6 +532,17 @@
         *service = saved;
         *queue = saved_queue;
     }
+    for (cut = 0; cut < 100; cut++) {
+        cs_forecast_service more =
+            g_array_index(fixture.forecast.services, cs_forecast_service, 0);
+
+        g_array_append_val(fixture.forecast.services, more);
+    }
+    g_byte_array_set_size(record, 0);
+    cs_forecast_encode(record, &fixture.forecast);
+    assert_true(record->len > CS_FORECAST_MAX_BYTES);
+    assert_int_equal(cs_forecast_decode(&decoded, record->data, record->len),
+                     CS_E_INVALID);
     cs_forecast_dispose(&fixture.forecast);
     g_byte_array_free(record, TRUE);
 }
@@ -766,6 +825,46 @@
     }
 }
 
+/* Guards against the rejection of a job that another call of its caller has
+   stored while the row was read for the rejection, and of a stored job whose
+   caller returns in an outage because the reply was lost. */
+static void
+entry__stored_job_is_not_rejected(void **state)
+{
+    struct bench bench;
+    cs_store_answer absent = {0};
+    cs_store_done read_done;
+    void *read;
+
+    bench_init(&bench);
+    cs_fleet_state_record_store_answer(&bench.state, 0);
+    bench_submit(&bench, 1, CORES + 1);
+    assert_int_equal(bench.calls, 1);
+    read_done = bench.done[0];
+    read = bench.user_data[0];
+    bench.calls = 0;
+    /* The forecast is of a former epoch now, so the second call writes. */
+    bench.state.cell.epoch = 8;
+    bench_submit(&bench, 1, CORES + 1);
+    assert_int_equal(bench.writes, 1);
+    bench_answer(&bench, 0, 0, 0);
+    assert_int_equal(bench.reply.type, CS_REPLY_ACCEPTED);
+    read_done(read, &absent);
+    assert_int_equal(bench.replies, 2);
+    assert_int_equal(bench.reply.type, CS_REPLY_ACCEPTED);
+    bench_fail(&bench, 4 * CS_SEC_US);
+    bench_submit(&bench, 2, 1);
+    assert_int_equal(bench.reply.type, CS_REPLY_REJECTED);
+    bench_submit(&bench, 1, 1);
+    assert_int_equal(bench.replies, 1);
+    assert_int_equal(bench.reply.type, CS_REPLY_ACCEPTED);
+    /* The row of a job that was stored long ago may be deleted. */
+    bench_fail(&bench, 30 * CS_SEC_US);
+    bench_submit(&bench, 1, 1);
+    assert_int_equal(bench.reply.type, CS_REPLY_REJECTED);
+    bench_dispose(&bench);
+}
+
 /* Guards against callers that wait for a third of their time in an outage,
    against rejections in a short disturbance or after the outage, and against
    writes for rejected submissions. */
@@ -858,11 +957,64 @@
     fake_fleet_destroy(deployment);
 }
 
+/* Returns the rate of the first service in the forecast that a VM has. */
+static int64_t
+forecast_cores(const fake_fleet *deployment, uint32_t vm)
+{
+    json_t *status = fake_fleet_status(deployment, vm);
+    const json_t *services =
+        json_object_get(json_object_get(status, "forecast"), "services");
+    int64_t cores = json_integer_value(
+        json_object_get(json_array_get(services, 0), "cores"));
+
+    json_decref(status);
+    return cores;
+}
+
+/* Guards against the rejection of a gang that fits the fleet, by a holder that
+   took over while a worker was gone, and against waits that are too long for
+   a fleet whose worker returns. */
+static void
+fleet__takeover_keeps_absent_workers(void **state)
+{
+    fake_fleet_settings settings = {
+        .vms = 4, .workers = 16, .racks = 2, .seed = 42};
+    fake_fleet *deployment = fake_fleet_create(&settings);
+    uint32_t holder;
+    uint32_t vm;
+    int64_t cores;
+
+    fake_fleet_run(deployment, 16 * CS_SEC_US);
+    holder = (uint32_t)fake_fleet_holder(deployment);
+    cores = forecast_cores(deployment, holder);
+    assert_true(cores > 0);
+    fake_fleet_remove_worker(deployment, 3);
+    fake_fleet_run(deployment, 3 * CS_SEC_US);
+    assert_true(forecast_cores(deployment, holder) >= cores);
+    fake_fleet_kill(deployment, holder, 60 * CS_SEC_US);
+    fake_fleet_run(deployment, 20 * CS_SEC_US);
+    assert_int_not_equal(fake_fleet_holder(deployment), holder);
+    for (vm = 0; vm < 4; vm++) {
+        if (vm == holder)
+            continue;
+        assert_true(forecast_cores(deployment, vm) >= cores);
+        assert_int_equal(submit_gang(deployment, vm, 10 + vm, 17),
+                         CS_REPLY_REJECTED);
+        assert_int_equal(submit_gang(deployment, vm, 20 + vm, 16),
+                         CS_REPLY_ACCEPTED);
+    }
+    if (fake_fleet_violation(deployment))
+        fail_msg("%s", fake_fleet_violation(deployment));
+    fake_fleet_destroy(deployment);
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(admit__doubtful_forecast_accepts),
+        cmocka_unit_test(admit__learned_mean_alone_does_not_reject),
+        cmocka_unit_test(admit__figures_at_their_limit_accept),
         cmocka_unit_test(admit__unservable_only_beyond_the_whole_fleet),
         cmocka_unit_test(admit__too_late_only_behind_more_urgent_work),
         cmocka_unit_test(admit__returning_caller_keeps_its_age),
@@ -874,10 +1026,12 @@
         cmocka_unit_test(outage__estimate_follows_past_lengths),
         cmocka_unit_test(entry__rejects_only_what_is_not_stored),
         cmocka_unit_test(entry__unsettled_job_is_not_rejected),
+        cmocka_unit_test(entry__stored_job_is_not_rejected),
         cmocka_unit_test(entry__unreadable_or_stale_forecast_accepts),
         cmocka_unit_test(
             entry__outage_rejects_at_once_and_ends_with_an_answer),
         cmocka_unit_test(fleet__unservable_gang_is_rejected_by_every_vm),
+        cmocka_unit_test(fleet__takeover_keeps_absent_workers),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
