fleet: guaranteed claims have searches for victims of their own

A cycle made at most 8 estimates and 4 searches, guaranteed claims included, and these were repeated in each cycle. Guaranteed claims that no stop helps therefore kept all later ones from being searched for, so that these missed reclaimMs.

Guaranteed claims now have 16 searches of their own in a cycle, and each is repeated every 200 ms as for other steps, but at once when its bound begins to require a stop.

The new test fails without the change: five gangs that fit no worker delayed a sixth beyond its bound.

--- a/src/fleet/cycle_preempt.c
+++ b/src/fleet/cycle_preempt.c
@@ -12,6 +12,9 @@
 #define MAX_RUNNING_TASKS 4096
 #define MAX_WAIT_ESTIMATES 8
 #define MAX_VICTIM_SEARCHES 4
+/* Guaranteed claims have searches of their own, so that neither other claims
+   nor guaranteed ones that no stop helps use up theirs. */
+#define MAX_GUARANTEED_SEARCHES 16
 /* A search that has stopped nothing is repeated no sooner, so that further
    steps get theirs. Ends of short work change the result within this time. */
 #define SEARCH_INTERVAL_US (200 * CS_MS_US)
@@ -41,6 +44,7 @@
     GArray *claimed;   /* of cs_preempt_claimed */
     uint32_t estimates;
     uint32_t searches;
+    uint32_t guaranteed_searches; /* with their estimates */
 };
 
 static cs_preempt_costs
@@ -456,15 +460,40 @@
     }
 }
 
+/* Returns whether the last search for the step is recent. One from before a
+   guaranteed claim's bound required a stop does not count after that. */
 static bool
-may_search(struct cycle *cycle, const struct search *search)
+was_searched(const struct cycle *cycle, const struct search *search)
 {
     int64_t searched_us = search->candidate->step->preemption.searched_us;
+    cs_preempt_claim claim = search->claim;
 
-    if (!search->claim.guaranteed && searched_us != 0 &&
-        cycle->now.boot_us - searched_us < SEARCH_INTERVAL_US)
+    if (searched_us == 0 ||
+        cycle->now.boot_us - searched_us >= SEARCH_INTERVAL_US)
         return false;
-    return cycle->running->searches++ < MAX_VICTIM_SEARCHES;
+    claim.waited_s -= seconds_between(searched_us, cycle->now.boot_us);
+    return cs_preempt_is_forced(&claim) ==
+           cs_preempt_is_forced(&search->claim);
+}
+
+/* Returns whether the wait without a stop is to be estimated. */
+static bool
+may_estimate(struct cycle *cycle, const struct search *search)
+{
+    struct running_work *running = cycle->running;
+
+    if (!search->claim.guaranteed)
+        return running->estimates++ < MAX_WAIT_ESTIMATES;
+    return !was_searched(cycle, search) &&
+           running->guaranteed_searches++ < MAX_GUARANTEED_SEARCHES;
+}
+
+static bool
+may_search(struct cycle *cycle, const struct search *search)
+{
+    return search->claim.guaranteed ||
+           (!was_searched(cycle, search) &&
+            cycle->running->searches++ < MAX_VICTIM_SEARCHES);
 }
 
 static void
@@ -503,12 +532,12 @@
 
     ensure_running_work(cycle);
     running = cycle->running;
-    if (cycle->running->estimates++ >= MAX_WAIT_ESTIMATES)
+    init_claim(cycle, &search);
+    if (!may_estimate(cycle, &search))
         return;
     search.victims = g_array_new(FALSE, FALSE, sizeof(cs_binpack_victim));
     search.tasks = g_ptr_array_new();
     search.workers = g_new(uint32_t, candidate->step->spec->task_count);
-    init_claim(cycle, &search);
     search.wait_s = cs_preempt_wait_s(
         search.workers, &cycle->cell, request,
         (const cs_preempt_end *)(void *)running->ends->data,
@@ -521,6 +550,8 @@
     first_claimed = running->claimed->len;
     claim_capacity(cycle, &search, request);
     if (verdict != CS_PREEMPT_UNDECIDED) {
+        if (candidate->guaranteed)
+            candidate->step->preemption.searched_us = cycle->now.boot_us;
         carry_out(cycle, &search, verdict);
     }
     else if (may_search(cycle, &search)) {
--- a/tests/test_preempt_gain.c
+++ b/tests/test_preempt_gain.c
@@ -419,13 +419,19 @@
                               "cs_preemptions_total");
 }
 
-static void
-expect_starts(const fake_fleet *deployment, uint32_t number, uint32_t count)
+static uint32_t
+start_count(const fake_fleet *deployment, uint32_t number)
 {
     char id[CS_JOB_ID_BYTES];
 
     g_snprintf(id, sizeof(id), "%016x", number);
-    assert_int_equal(fake_fleet_start_count(deployment, id), count);
+    return fake_fleet_start_count(deployment, id);
+}
+
+static void
+expect_starts(const fake_fleet *deployment, uint32_t number, uint32_t count)
+{
+    assert_int_equal(start_count(deployment, number), count);
 }
 
 static void
@@ -531,6 +537,25 @@
     end_test(deployment);
 }
 
+/* Guards against guaranteed claims that no stop helps and that use up the
+   searches of each cycle. */
+static void
+preempt_gain__claims_without_victims_delay_no_others(void **state)
+{
+    fake_fleet *deployment = create_deployment();
+    uint32_t i;
+
+    submit_job(deployment, 1, 2, 16, 8, 300 * 1000, false);
+    fake_fleet_run(deployment, 5 * CS_SEC_US);
+    for (i = 0; i < 5; i++)
+        submit_job(deployment, 2 + i, 0, 1, 9, 60 * 1000, true);
+    fake_fleet_run(deployment, 100 * CS_MS_US);
+    submit_job(deployment, 9, 0, 2, 8, 2000, true);
+    fake_fleet_run(deployment, 2900 * CS_MS_US);
+    expect_starts(deployment, 0x9, 2);
+    end_test(deployment);
+}
+
 int
 main(void)
 {
@@ -543,6 +568,7 @@
         cmocka_unit_test(preempt_gain__step_is_not_stopped_again_and_again),
         cmocka_unit_test(preempt_gain__no_stop_if_loss_exceeds_gain),
         cmocka_unit_test(preempt_gain__no_stop_just_before_end_of_victim),
+        cmocka_unit_test(preempt_gain__claims_without_victims_delay_no_others),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
