fleet: a lost reservation does not delay a guaranteed claim

Capacity that a stop frees stayed reserved for 2.5 s also if the worker was cut off, no longer listed or draining. A guaranteed claim whose stop was made 1.0 s after its acceptance missed its bound then.

The reservation of a guaranteed claim now ends 100 ms after stop_ms, and each ends when one of its workers is not expected to run tasks.

The new test fails without the change: the claim had not started 3.4 s after its acceptance. With it the claim starts within 2.9 s.

--- a/src/fleet/cycle.c
+++ b/src/fleet/cycle.c
@@ -9,6 +9,11 @@
 
 /* How long capacity freed by preemption stays reserved for a step. */
 #define RESERVATION_US (2500 * CS_MS_US)
+/* A guaranteed step has to start within 2.9 s (the smallest reclaimMs) and may
+   have waited for 1.0 s before the stop. If the stop has not taken effect
+   within stop_ms and this time for its answer, there is still time for one
+   other stop. */
+#define STOP_ANSWER_US (100 * CS_MS_US)
 /* The capacity counts as idle if about half of it is free and no job has been
    submitted for a while. The requirements limit how long a step may wait on
    idle capacity (see IDLE_RACK_WAIT_S in cycle_request.c) from 14 s after the
@@ -128,17 +133,26 @@
     step->reserved_workers = NULL;
 }
 
+/* Returns how long a step's capacity stays reserved at most. */
+static int64_t
+reservation_us(const struct cycle *cycle, const struct candidate *candidate)
+{
+    int64_t stop_ms = cycle->fleet->state->settings.bounds.stop_ms;
+
+    if (!candidate->guaranteed)
+        return RESERVATION_US;
+    return MIN(stop_ms * CS_MS_US + STOP_ANSWER_US, RESERVATION_US);
+}
+
+/* Returns whether a reserved worker is not going to run the step: it is no
+   longer listed, is draining, or its zone is evacuated. */
 static bool
-is_reserved_in_evacuated_zone(const struct cycle *cycle,
-                              const struct step *step)
+reservation_is_lost(const struct cycle *cycle, const struct step *step)
 {
-    const GPtrArray *workers = cycle->fleet->worker_list;
     uint32_t i;
 
     for (i = 0; i < step->spec->task_count; i++) {
-        if (start_gate_is_closed_at(
-                cycle->fleet,
-                g_ptr_array_index(workers, step->reserved_workers[i])))
+        if (!cycle->expected_cell.workers[step->reserved_workers[i]].usable)
             return true;
     }
     return false;
@@ -150,13 +164,15 @@
     guint i;
 
     for (i = 0; i < cycle->candidates->len; i++) {
-        struct step *step =
-            g_array_index(cycle->candidates, struct candidate, i).step;
+        const struct candidate *candidate =
+            &g_array_index(cycle->candidates, struct candidate, i);
+        struct step *step = candidate->step;
 
         if (!step->reserved_workers)
             continue;
-        if (cycle->now.boot_us - step->reserved_us > RESERVATION_US ||
-            is_reserved_in_evacuated_zone(cycle, step))
+        if (cycle->now.boot_us - step->reserved_us >
+                reservation_us(cycle, candidate) ||
+            reservation_is_lost(cycle, step))
             drop_reservation(step);
         else
             cycle_apply_reservation(cycle, step, true);
--- a/tests/test_preempt_gain.c
+++ b/tests/test_preempt_gain.c
@@ -537,6 +537,34 @@
     end_test(deployment);
 }
 
+/* Guards against capacity that stays reserved for a guaranteed claim on a
+   worker that is cut off while it stops work, beyond the bound of the claim. */
+static void
+preempt_gain__claim_keeps_bound_if_worker_is_cut_off(void **state)
+{
+    uint32_t worker;
+    uint32_t i;
+    int64_t ms;
+
+    for (worker = 0; worker < 16; worker++) {
+        fake_fleet *deployment = create_deployment();
+
+        /* Without checkpoints, so that the stop is only made when the bound
+           requires it, 1.0 s after the acceptance. */
+        for (i = 0; i < 16; i++)
+            submit_job(deployment, 10 + i, 2, 1, 8, 300 * 1000, false);
+        fake_fleet_run(deployment, 30 * CS_SEC_US);
+        submit_job(deployment, 2, 0, 1, 8, 2000, true);
+        for (ms = 0; count_preemptions(deployment) == 0; ms += 10)
+            fake_fleet_run(deployment, 10 * CS_MS_US);
+        assert_in_range(ms, 900, 1200);
+        fake_fleet_set_worker_disconnected(deployment, worker, true);
+        fake_fleet_run(deployment, (2900 - ms) * CS_MS_US);
+        assert_true(start_count(deployment, 0x2) >= 1);
+        end_test(deployment);
+    }
+}
+
 /* Guards against guaranteed claims that no stop helps and that use up the
    searches of each cycle. */
 static void
@@ -568,6 +596,7 @@
         cmocka_unit_test(preempt_gain__step_is_not_stopped_again_and_again),
         cmocka_unit_test(preempt_gain__no_stop_if_loss_exceeds_gain),
         cmocka_unit_test(preempt_gain__no_stop_just_before_end_of_victim),
+        cmocka_unit_test(preempt_gain__claim_keeps_bound_if_worker_is_cut_off),
         cmocka_unit_test(preempt_gain__claims_without_victims_delay_no_others),
     };
 
