fleet: work that may not be stopped hides no victims

A cycle looked at the first 4,096 running tasks and chose victims among them, whereas before preemption by gain the bound counted victims only. With that many urgent tasks on the first workers a guaranteed claim found no victims on the others. Estimates did not know the ends beyond either.

The bound counts the tasks that may be stopped; the ends of all are known.

The new test fails without the change: beside 4,096 urgent tasks a guaranteed gang did not start.

--- a/src/entry/entry_outage.c
+++ b/src/entry/entry_outage.c
@@ -11,10 +11,10 @@
 #include <inttypes.h>
 #include <string.h>
 
-/* Callers retry about twice a second for their 3 s, so the end of an outage has
-   to be known sooner than that. The next probe is sent before former ones
-   without an answer are given up. A slow store answers a probe in time although
-   it does not answer other calls in theirs. */
+/* Callers retry about twice a second for their 3 s, so the end of an outage
+   has to be known sooner than that. The next probe is sent before former ones
+   without an answer are given up. A slow store answers a probe in time
+   although it does not answer other calls in theirs. */
 #define PROBE_INTERVAL_US (300 * CS_MS_US)
 #define PROBE_TIMEOUT_US (2 * CS_SEC_US)
 #define PROBES_MAX 8
--- a/src/fleet/cycle_preempt.c
+++ b/src/fleet/cycle_preempt.c
@@ -7,9 +7,9 @@
 
 #include <math.h>
 
-/* Bounds of a cycle's work. Running tasks beyond the first are neither victims
-   nor expected to end. */
-#define MAX_RUNNING_TASKS 4096
+/* Bounds of a cycle's work. Of the work that may be stopped at all, the tasks
+   beyond the first are no victims. */
+#define MAX_VICTIMS 4096
 #define MAX_WAIT_ESTIMATES 8
 #define MAX_VICTIM_SEARCHES 4
 /* Guaranteed claims have searches of their own, so that neither other claims
@@ -38,10 +38,11 @@
 /* The running work as a cycle knows it. */
 struct running_work {
     GArray *groups;    /* of struct running_group */
-    GArray *tasks;     /* of struct running_task */
+    GArray *tasks;     /* of struct running_task; those that may be stopped */
     GArray *ends;      /* of cs_preempt_end, sorted by end_s */
     GHashTable *gangs; /* struct step to its group + 1 */
     GArray *claimed;   /* of cs_preempt_claimed */
+    bool collected;
     uint32_t estimates;
     uint32_t searches;
     uint32_t guaranteed_searches; /* with their estimates */
@@ -190,18 +191,22 @@
             cs_preempt_end end = {.worker = i,
                                   .demand = entry.task->step->spec->demand};
 
-            if (running->tasks->len >= MAX_RUNNING_TASKS)
-                break;
+            const struct running_group *group;
+
             entry.group = group_of(cycle, entry.task);
-            g_array_append_val(running->tasks, entry);
-            end.end_s = g_array_index(running->groups, struct running_group,
-                                      entry.group)
-                            .victim.remaining_s;
+            group = &g_array_index(running->groups, struct running_group,
+                                   entry.group);
+            /* Only steps of priority 0 have others stopped. */
+            if (group->stoppable && group->priority > 0 &&
+                running->tasks->len < MAX_VICTIMS)
+                g_array_append_val(running->tasks, entry);
+            end.end_s = group->victim.remaining_s;
             if (!entry.task->step->spec->perpetual)
                 g_array_append_val(running->ends, end);
         }
     }
     g_array_sort(running->ends, compare_ends);
+    running->collected = true;
 }
 
 /* Collects the running work unless it is known. */
@@ -222,7 +227,7 @@
             g_array_new(FALSE, FALSE, sizeof(cs_preempt_claimed));
         cycle->running = running;
     }
-    if (running->tasks->len == 0)
+    if (!running->collected)
         collect_running_work(cycle);
 }
 
@@ -230,6 +235,7 @@
 static void
 forget_running_work(struct running_work *running)
 {
+    running->collected = false;
     g_array_set_size(running->groups, 0);
     g_array_set_size(running->tasks, 0);
     g_array_set_size(running->ends, 0);
--- a/tests/test_preempt_gain.c
+++ b/tests/test_preempt_gain.c
@@ -538,7 +538,8 @@
 }
 
 /* Guards against capacity that stays reserved for a guaranteed claim on a
-   worker that is cut off while it stops work, beyond the bound of the claim. */
+   worker that is cut off while it stops work, beyond the bound of the claim.
+ */
 static void
 preempt_gain__claim_keeps_bound_if_worker_is_cut_off(void **state)
 {
@@ -584,6 +585,29 @@
     end_test(deployment);
 }
 
+/* Guards against a guaranteed claim that finds no victims because the bound on
+   them is used up by work that may not be stopped. */
+static void
+preempt_gain__urgent_work_hides_no_victims(void **state)
+{
+    fake_fleet *deployment = create_deployment();
+    fake_job job;
+
+    fake_job_init(&job, 1, 0, 4096, 0, 300 * 1000);
+    job.spec.steps[0].demand.cpu_milli = 1;
+    job.spec.steps[0].demand.memory_mb = 1;
+    fake_fleet_submit(deployment, 0, &job, NULL);
+    fake_fleet_run(deployment, 20 * CS_SEC_US);
+    expect_starts(deployment, 0x1, 4096);
+    submit_job(deployment, 2, 2, 16, 8, 300 * 1000, false);
+    fake_fleet_run(deployment, 10 * CS_SEC_US);
+    expect_starts(deployment, 0x2, 16);
+    submit_job(deployment, 3, 0, 2, 8, 2000, true);
+    fake_fleet_run(deployment, 2900 * CS_MS_US);
+    expect_starts(deployment, 0x3, 2);
+    end_test(deployment);
+}
+
 int
 main(void)
 {
@@ -597,6 +621,7 @@
         cmocka_unit_test(preempt_gain__no_stop_if_loss_exceeds_gain),
         cmocka_unit_test(preempt_gain__no_stop_just_before_end_of_victim),
         cmocka_unit_test(preempt_gain__claim_keeps_bound_if_worker_is_cut_off),
+        cmocka_unit_test(preempt_gain__urgent_work_hides_no_victims),
         cmocka_unit_test(preempt_gain__claims_without_victims_delay_no_others),
     };
 
