fleet: stops for the rest of a partly started guaranteed step

Stops were only made for a step of which no task was placed. If a part of a guaranteed step that is no gang fitted, or its victims ended one after another, the other tasks waited for the end of other work.

Stops are now made for the waiting tasks of a guaranteed step, and the reservation is kept for those not placed yet.

The new test fails without the change: of three tasks one started.

--- a/src/fleet/cycle.c
+++ b/src/fleet/cycle.c
@@ -116,7 +116,7 @@
 {
     uint32_t i;
 
-    for (i = 0; step->reserved_workers && i < step->spec->task_count; i++) {
+    for (i = 0; i < step->reserved_count; i++) {
         cs_demand *free = &cycle->cell.workers[step->reserved_workers[i]].free;
 
         if (reserve)
@@ -131,6 +131,27 @@
 {
     g_free(step->reserved_workers);
     step->reserved_workers = NULL;
+    step->reserved_count = 0;
+}
+
+/* Ends the reservations of tasks that were placed. The others are kept, so
+   that no further stops are made for them. */
+static void
+reduce_reservation(struct step *step, const uint32_t *workers, uint32_t count)
+{
+    uint32_t i;
+    uint32_t k;
+
+    for (i = 0; i < count && step->reserved_count > 0; i++) {
+        for (k = 0; k < step->reserved_count - 1; k++) {
+            if (step->reserved_workers[k] == workers[i])
+                break;
+        }
+        step->reserved_workers[k] =
+            step->reserved_workers[--step->reserved_count];
+    }
+    if (step->reserved_count == 0)
+        drop_reservation(step);
 }
 
 /* Returns how long a step's capacity stays reserved at most. */
@@ -151,7 +172,7 @@
 {
     uint32_t i;
 
-    for (i = 0; i < step->spec->task_count; i++) {
+    for (i = 0; i < step->reserved_count; i++) {
         if (!cycle->expected_cell.workers[step->reserved_workers[i]].usable)
             return true;
     }
@@ -293,7 +314,8 @@
     if (placed == 0 && !had_reservation && !request.allowed)
         g_array_append_val(cycle->failed_requests, request);
     if (placed > 0) {
-        drop_reservation(step);
+        reduce_reservation(step, workers, placed);
+        cycle_apply_reservation(cycle, step, true);
         observe_lateness(cycle->fleet, candidate);
         place_tasks(cycle, step, workers, placed);
     }
@@ -302,7 +324,8 @@
     }
     else if (candidate->queue->priority == 0 &&
              (candidate->guaranteed || !candidate->too_late_to_count) &&
-             step->waiting_count == step->spec->task_count) {
+             (candidate->guaranteed ||
+              step->waiting_count == step->spec->task_count)) {
         cycle_preempt(cycle, candidate, &request);
     }
     if (request.allowed && step->waiting_count > 0)
--- a/src/fleet/cycle_preempt.c
+++ b/src/fleet/cycle_preempt.c
@@ -512,6 +512,7 @@
         log_stop(cycle, search);
         stop_groups(cycle, search);
         step->reserved_workers = search->workers;
+        step->reserved_count = step->waiting_count;
         step->reserved_us = cycle->now.boot_us;
         search->workers = NULL;
         cycle_apply_reservation(cycle, step, true);
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -148,8 +148,10 @@
     int64_t rack_check_us;    /* when exceeds_racks was computed; 0 never */
     bool exceeds_racks;       /* no single rack could hold it, even if empty */
     struct advice *advice;    /* of an advised queue; NULL none yet */
-    uint32_t *reserved_workers; /* indexes, one for each task, of the capacity
-                                   that preemption frees; NULL for none */
+    uint32_t *reserved_workers; /* indexes of the workers whose capacity
+                                   preemption frees; NULL for none */
+    uint32_t reserved_count;    /* of reserved_workers, one for each task that
+                                   waits */
     int64_t reserved_us;
     cs_preempt_record preemption; /* of it, and searches for victims for it */
 };
--- a/tests/test_preempt_gain.c
+++ b/tests/test_preempt_gain.c
@@ -608,6 +608,21 @@
     end_test(deployment);
 }
 
+/* Guards against a guaranteed step that is no gang, part of which starts at
+   once, and whose other tasks no stop is made for. */
+static void
+preempt_gain__partly_started_claim_keeps_its_bound(void **state)
+{
+    fake_fleet *deployment = create_deployment();
+
+    submit_job(deployment, 1, 2, 15, 8, 300 * 1000, false);
+    fake_fleet_run(deployment, 5 * CS_SEC_US);
+    submit_job(deployment, 2, 0, 3, 8, 60 * 1000, false);
+    fake_fleet_run(deployment, 2900 * CS_MS_US);
+    expect_starts(deployment, 0x2, 3);
+    end_test(deployment);
+}
+
 int
 main(void)
 {
@@ -622,6 +637,7 @@
         cmocka_unit_test(preempt_gain__no_stop_just_before_end_of_victim),
         cmocka_unit_test(preempt_gain__claim_keeps_bound_if_worker_is_cut_off),
         cmocka_unit_test(preempt_gain__urgent_work_hides_no_victims),
+        cmocka_unit_test(preempt_gain__partly_started_claim_keeps_its_bound),
         cmocka_unit_test(preempt_gain__claims_without_victims_delay_no_others),
     };
 
