--- a/src/fleet/cycle.c
+++ b/src/fleet/cycle.c
@@ -142,7 +142,9 @@
     uint32_t i;
     uint32_t k;
 
-    for (i = 0; i < count && step->reserved_count > 0; i++) {
+    for (i = 0;
+         i < count && step->reserved_workers && step->reserved_count > 0;
+         i++) {
         for (k = 0; k < step->reserved_count - 1; k++) {
             if (step->reserved_workers[k] == workers[i])
                 break;
