--- a/src/fleet/cycle.c
+++ b/src/fleet/cycle.c
@@ -116,7 +116,7 @@
 {
     uint32_t i;
 
-    for (i = 0; i < step->reserved_count; i++) {
+    for (i = 0; step->reserved_workers && i < step->reserved_count; i++) {
         cs_demand *free = &cycle->cell.workers[step->reserved_workers[i]].free;
 
         if (reserve)
