--- a/src/fleet/cycle.c
+++ b/src/fleet/cycle.c
@@ -9,6 +9,11 @@
 
 /* How long capacity freed by preemption stays reserved for a step. */
 #define RESERVATION_US (2500 * CS_MS_US)
+/* A guaranteed step has to start within 2.9 s (the smallest reclaimMs) and may
+   have waited for 1.0 s before the stop. If the stop has not taken effect
+   within stop_ms and this time for its answer, there is still time for one
+   other stop. */
+#define STOP_ANSWER_US (100 * CS_MS_US)
 /* The capacity counts as idle if about half of it is free and no job has been
    submitted for a while. The requirements limit how long a step may wait on
    idle capacity (see IDLE_RACK_WAIT_S in cycle_request.c) from 14 s after the
@@ -111,7 +116,7 @@
 {
     uint32_t i;
 
-    for (i = 0; step->reserved_workers && i < step->spec->task_count; i++) {
+    for (i = 0; step->reserved_workers && i < step->reserved_count; i++) {
         cs_demand *free = &cycle->cell.workers[step->reserved_workers[i]].free;
 
         if (reserve)
@@ -126,19 +131,51 @@
 {
     g_free(step->reserved_workers);
     step->reserved_workers = NULL;
+    step->reserved_count = 0;
 }
 
+/* Ends the reservations of tasks that were placed. The others are kept, so
+   that no further stops are made for them. */
+static void
+reduce_reservation(struct step *step, const uint32_t *workers, uint32_t count)
+{
+    uint32_t i;
+    uint32_t k;
+
+    for (i = 0;
+         i < count && step->reserved_workers && step->reserved_count > 0;
+         i++) {
+        for (k = 0; k < step->reserved_count - 1; k++) {
+            if (step->reserved_workers[k] == workers[i])
+                break;
+        }
+        step->reserved_workers[k] =
+            step->reserved_workers[--step->reserved_count];
+    }
+    if (step->reserved_count == 0)
+        drop_reservation(step);
+}
+
+/* Returns how long a step's capacity stays reserved at most. */
+static int64_t
+reservation_us(const struct cycle *cycle, const struct candidate *candidate)
+{
+    int64_t stop_ms = cycle->fleet->state->settings.bounds.stop_ms;
+
+    if (!candidate->guaranteed)
+        return RESERVATION_US;
+    return MIN(stop_ms * CS_MS_US + STOP_ANSWER_US, RESERVATION_US);
+}
+
+/* Returns whether a reserved worker is not going to run the step: it is no
+   longer listed, is draining, or its zone is evacuated. */
 static bool
-is_reserved_in_evacuated_zone(const struct cycle *cycle,
-                              const struct step *step)
+reservation_is_lost(const struct cycle *cycle, const struct step *step)
 {
-    const GPtrArray *workers = cycle->fleet->worker_list;
     uint32_t i;
 
-    for (i = 0; i < step->spec->task_count; i++) {
-        if (start_gate_is_closed_at(
-                cycle->fleet,
-                g_ptr_array_index(workers, step->reserved_workers[i])))
+    for (i = 0; i < step->reserved_count; i++) {
+        if (!cycle->expected_cell.workers[step->reserved_workers[i]].usable)
             return true;
     }
     return false;
@@ -150,13 +187,15 @@
     guint i;
 
     for (i = 0; i < cycle->candidates->len; i++) {
-        struct step *step =
-            g_array_index(cycle->candidates, struct candidate, i).step;
+        const struct candidate *candidate =
+            &g_array_index(cycle->candidates, struct candidate, i);
+        struct step *step = candidate->step;
 
         if (!step->reserved_workers)
             continue;
-        if (cycle->now.boot_us - step->reserved_us > RESERVATION_US ||
-            is_reserved_in_evacuated_zone(cycle, step))
+        if (cycle->now.boot_us - step->reserved_us >
+                reservation_us(cycle, candidate) ||
+            reservation_is_lost(cycle, step))
             drop_reservation(step);
         else
             cycle_apply_reservation(cycle, step, true);
@@ -311,7 +350,8 @@
         cycle_apply_reservation(cycle, step, false);
     placed = try_place(cycle, candidate, &request, workers, had_reservation);
     if (placed > 0) {
-        drop_reservation(step);
+        reduce_reservation(step, workers, placed);
+        cycle_apply_reservation(cycle, step, true);
         observe_lateness(cycle->fleet, candidate);
         place_tasks(cycle, step, workers, placed);
     }
@@ -320,7 +360,8 @@
     }
     else if (candidate->queue->priority == 0 &&
              (candidate->guaranteed || !candidate->too_late_to_count) &&
-             step->waiting_count == step->spec->task_count) {
+             (candidate->guaranteed ||
+              step->waiting_count == step->spec->task_count)) {
         cycle_preempt(cycle, candidate, &request);
     }
     if (request.allowed && step->waiting_count > 0) {
--- a/src/fleet/cycle_preempt.c
+++ b/src/fleet/cycle_preempt.c
@@ -7,11 +7,14 @@
 
 #include <math.h>
 
-/* Bounds of a cycle's work. Running tasks beyond the first are neither victims
-   nor expected to end. */
-#define MAX_RUNNING_TASKS 4096
+/* Bounds of a cycle's work. Of the work that may be stopped at all, the tasks
+   beyond the first are no victims. */
+#define MAX_VICTIMS 4096
 #define MAX_WAIT_ESTIMATES 8
 #define MAX_VICTIM_SEARCHES 4
+/* Guaranteed claims have searches of their own, so that neither other claims
+   nor guaranteed ones that no stop helps use up theirs. */
+#define MAX_GUARANTEED_SEARCHES 16
 /* A search that has stopped nothing is repeated no sooner, so that further
    steps get theirs. Ends of short work change the result within this time. */
 #define SEARCH_INTERVAL_US (200 * CS_MS_US)
@@ -35,12 +38,14 @@
 /* The running work as a cycle knows it. */
 struct running_work {
     GArray *groups;    /* of struct running_group */
-    GArray *tasks;     /* of struct running_task */
+    GArray *tasks;     /* of struct running_task; those that may be stopped */
     GArray *ends;      /* of cs_preempt_end, sorted by end_s */
     GHashTable *gangs; /* struct step to its group + 1 */
     GArray *claimed;   /* of cs_preempt_claimed */
+    bool collected;
     uint32_t estimates;
     uint32_t searches;
+    uint32_t guaranteed_searches; /* with their estimates */
 };
 
 static cs_preempt_costs
@@ -186,18 +191,22 @@
             cs_preempt_end end = {.worker = i,
                                   .demand = entry.task->step->spec->demand};
 
-            if (running->tasks->len >= MAX_RUNNING_TASKS)
-                break;
+            const struct running_group *group;
+
             entry.group = group_of(cycle, entry.task);
-            g_array_append_val(running->tasks, entry);
-            end.end_s = g_array_index(running->groups, struct running_group,
-                                      entry.group)
-                            .victim.remaining_s;
+            group = &g_array_index(running->groups, struct running_group,
+                                   entry.group);
+            /* Only steps of priority 0 have others stopped. */
+            if (group->stoppable && group->priority > 0 &&
+                running->tasks->len < MAX_VICTIMS)
+                g_array_append_val(running->tasks, entry);
+            end.end_s = group->victim.remaining_s;
             if (!entry.task->step->spec->perpetual)
                 g_array_append_val(running->ends, end);
         }
     }
     g_array_sort(running->ends, compare_ends);
+    running->collected = true;
 }
 
 /* Collects the running work unless it is known. */
@@ -218,7 +227,7 @@
             g_array_new(FALSE, FALSE, sizeof(cs_preempt_claimed));
         cycle->running = running;
     }
-    if (running->tasks->len == 0)
+    if (!running->collected)
         collect_running_work(cycle);
 }
 
@@ -226,6 +235,7 @@
 static void
 forget_running_work(struct running_work *running)
 {
+    running->collected = false;
     g_array_set_size(running->groups, 0);
     g_array_set_size(running->tasks, 0);
     g_array_set_size(running->ends, 0);
@@ -456,15 +466,40 @@
     }
 }
 
+/* Returns whether the last search for the step is recent. One from before a
+   guaranteed claim's bound required a stop does not count after that. */
 static bool
-may_search(struct cycle *cycle, const struct search *search)
+was_searched(const struct cycle *cycle, const struct search *search)
 {
     int64_t searched_us = search->candidate->step->preemption.searched_us;
+    cs_preempt_claim claim = search->claim;
 
-    if (!search->claim.guaranteed && searched_us != 0 &&
-        cycle->now.boot_us - searched_us < SEARCH_INTERVAL_US)
+    if (searched_us == 0 ||
+        cycle->now.boot_us - searched_us >= SEARCH_INTERVAL_US)
         return false;
-    return cycle->running->searches++ < MAX_VICTIM_SEARCHES;
+    claim.waited_s -= seconds_between(searched_us, cycle->now.boot_us);
+    return cs_preempt_is_forced(&claim) ==
+           cs_preempt_is_forced(&search->claim);
+}
+
+/* Returns whether the wait without a stop is to be estimated. */
+static bool
+may_estimate(struct cycle *cycle, const struct search *search)
+{
+    struct running_work *running = cycle->running;
+
+    if (!search->claim.guaranteed)
+        return running->estimates++ < MAX_WAIT_ESTIMATES;
+    return !was_searched(cycle, search) &&
+           running->guaranteed_searches++ < MAX_GUARANTEED_SEARCHES;
+}
+
+static bool
+may_search(struct cycle *cycle, const struct search *search)
+{
+    return search->claim.guaranteed ||
+           (!was_searched(cycle, search) &&
+            cycle->running->searches++ < MAX_VICTIM_SEARCHES);
 }
 
 static void
@@ -477,6 +512,7 @@
         log_stop(cycle, search);
         stop_groups(cycle, search);
         step->reserved_workers = search->workers;
+        step->reserved_count = step->waiting_count;
         step->reserved_us = cycle->now.boot_us;
         search->workers = NULL;
         cycle_apply_reservation(cycle, step, true);
@@ -503,12 +539,12 @@
 
     ensure_running_work(cycle);
     running = cycle->running;
-    if (cycle->running->estimates++ >= MAX_WAIT_ESTIMATES)
+    init_claim(cycle, &search);
+    if (!may_estimate(cycle, &search))
         return;
     search.victims = g_array_new(FALSE, FALSE, sizeof(cs_binpack_victim));
     search.tasks = g_ptr_array_new();
     search.workers = g_new(uint32_t, candidate->step->spec->task_count);
-    init_claim(cycle, &search);
     search.wait_s = cs_preempt_wait_s(
         search.workers, &cycle->cell, request,
         (const cs_preempt_end *)(void *)running->ends->data,
@@ -521,6 +557,8 @@
     first_claimed = running->claimed->len;
     claim_capacity(cycle, &search, request);
     if (verdict != CS_PREEMPT_UNDECIDED) {
+        if (candidate->guaranteed)
+            candidate->step->preemption.searched_us = cycle->now.boot_us;
         carry_out(cycle, &search, verdict);
     }
     else if (may_search(cycle, &search)) {
--- a/tests/test_preempt_gain.c
+++ b/tests/test_preempt_gain.c
@@ -419,13 +419,19 @@
                               "cs_preemptions_total");
 }
 
-static void
-expect_starts(const fake_fleet *deployment, uint32_t number, uint32_t count)
+static uint32_t
+start_count(const fake_fleet *deployment, uint32_t number)
 {
     char id[CS_JOB_ID_BYTES];
 
     g_snprintf(id, sizeof(id), "%016x", number);
-    assert_int_equal(fake_fleet_start_count(deployment, id), count);
+    return fake_fleet_start_count(deployment, id);
+}
+
+static void
+expect_starts(const fake_fleet *deployment, uint32_t number, uint32_t count)
+{
+    assert_int_equal(start_count(deployment, number), count);
 }
 
 static void
@@ -531,6 +537,92 @@
     end_test(deployment);
 }
 
+/* Guards against capacity that stays reserved for a guaranteed claim on a
+   worker that is cut off while it stops work, beyond the bound of the claim.
+ */
+static void
+preempt_gain__claim_keeps_bound_if_worker_is_cut_off(void **state)
+{
+    uint32_t worker;
+    uint32_t i;
+    int64_t ms;
+
+    for (worker = 0; worker < 16; worker++) {
+        fake_fleet *deployment = create_deployment();
+
+        /* Without checkpoints, so that the stop is only made when the bound
+           requires it, 1.0 s after the acceptance. */
+        for (i = 0; i < 16; i++)
+            submit_job(deployment, 10 + i, 2, 1, 8, 300 * 1000, false);
+        fake_fleet_run(deployment, 30 * CS_SEC_US);
+        submit_job(deployment, 2, 0, 1, 8, 2000, true);
+        for (ms = 0; count_preemptions(deployment) == 0; ms += 10)
+            fake_fleet_run(deployment, 10 * CS_MS_US);
+        assert_in_range(ms, 900, 1200);
+        fake_fleet_set_worker_disconnected(deployment, worker, true);
+        fake_fleet_run(deployment, (2900 - ms) * CS_MS_US);
+        assert_true(start_count(deployment, 0x2) >= 1);
+        end_test(deployment);
+    }
+}
+
+/* Guards against guaranteed claims that no stop helps and that use up the
+   searches of each cycle. */
+static void
+preempt_gain__claims_without_victims_delay_no_others(void **state)
+{
+    fake_fleet *deployment = create_deployment();
+    uint32_t i;
+
+    submit_job(deployment, 1, 2, 16, 8, 300 * 1000, false);
+    fake_fleet_run(deployment, 5 * CS_SEC_US);
+    for (i = 0; i < 5; i++)
+        submit_job(deployment, 2 + i, 0, 1, 9, 60 * 1000, true);
+    fake_fleet_run(deployment, 100 * CS_MS_US);
+    submit_job(deployment, 9, 0, 2, 8, 2000, true);
+    fake_fleet_run(deployment, 2900 * CS_MS_US);
+    expect_starts(deployment, 0x9, 2);
+    end_test(deployment);
+}
+
+/* Guards against a guaranteed claim that finds no victims because the bound on
+   them is used up by work that may not be stopped. */
+static void
+preempt_gain__urgent_work_hides_no_victims(void **state)
+{
+    fake_fleet *deployment = create_deployment();
+    fake_job job;
+
+    fake_job_init(&job, 1, 0, 4096, 0, 300 * 1000);
+    job.spec.steps[0].demand.cpu_milli = 1;
+    job.spec.steps[0].demand.memory_mb = 1;
+    fake_fleet_submit(deployment, 0, &job, NULL);
+    fake_fleet_run(deployment, 20 * CS_SEC_US);
+    expect_starts(deployment, 0x1, 4096);
+    submit_job(deployment, 2, 2, 16, 8, 300 * 1000, false);
+    fake_fleet_run(deployment, 10 * CS_SEC_US);
+    expect_starts(deployment, 0x2, 16);
+    submit_job(deployment, 3, 0, 2, 8, 2000, true);
+    fake_fleet_run(deployment, 2900 * CS_MS_US);
+    expect_starts(deployment, 0x3, 2);
+    end_test(deployment);
+}
+
+/* Guards against a guaranteed step that is no gang, part of which starts at
+   once, and whose other tasks no stop is made for. */
+static void
+preempt_gain__partly_started_claim_keeps_its_bound(void **state)
+{
+    fake_fleet *deployment = create_deployment();
+
+    submit_job(deployment, 1, 2, 15, 8, 300 * 1000, false);
+    fake_fleet_run(deployment, 5 * CS_SEC_US);
+    submit_job(deployment, 2, 0, 3, 8, 60 * 1000, false);
+    fake_fleet_run(deployment, 2900 * CS_MS_US);
+    expect_starts(deployment, 0x2, 3);
+    end_test(deployment);
+}
+
 int
 main(void)
 {
@@ -543,6 +635,10 @@
         cmocka_unit_test(preempt_gain__step_is_not_stopped_again_and_again),
         cmocka_unit_test(preempt_gain__no_stop_if_loss_exceeds_gain),
         cmocka_unit_test(preempt_gain__no_stop_just_before_end_of_victim),
+        cmocka_unit_test(preempt_gain__claim_keeps_bound_if_worker_is_cut_off),
+        cmocka_unit_test(preempt_gain__urgent_work_hides_no_victims),
+        cmocka_unit_test(preempt_gain__partly_started_claim_keeps_its_bound),
+        cmocka_unit_test(preempt_gain__claims_without_victims_delay_no_others),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
