fleet: reservations read only as many preempted workers as remain

A claim that is placed in parts gives back its reserved workers one by one. The list of running work went over one worker for each task of the step, beyond those that are left.

--- a/src/fleet/cycle_reserve.c
+++ b/src/fleet/cycle_reserve.c
@@ -344,7 +344,7 @@
             now_s(&cycle->now) +
             run_expected_work_ms(cycle->fleet, step, &spread_ms) / 1000.0;
         run.spread_s = spread_ms / 1000.0;
-        for (k = 0; k < step->spec->task_count; k++) {
+        for (k = 0; k < step->reserved_count; k++) {
             run.worker = step->reserved_workers[k];
             g_array_append_val(runs, run);
         }
