--- a/src/fleet/cycle.c
+++ b/src/fleet/cycle.c
@@ -3,15 +3,17 @@
  * run. Each candidate step is placed if there is capacity for it. Otherwise
  * lower-priority work may be preempted for it, or it waits.
  */
-#include "cycle_internal.h"
+#include "reserve.h"
 
 #include <math.h>
 
 /* How long capacity freed by preemption stays reserved for a step. */
 #define RESERVATION_US (2500 * CS_MS_US)
-/* Maximum searches for victims in a cycle, to bound its run time. Further
-   steps get theirs in later cycles. */
-#define MAX_VICTIM_SEARCHES 4
+/* A guaranteed step has to start within 2.9 s (the smallest reclaimMs) and may
+   have waited for 1.0 s before the stop. If the stop has not taken effect
+   within stop_ms and this time for its answer, there is still time for one
+   other stop. */
+#define STOP_ANSWER_US (100 * CS_MS_US)
 /* The capacity counts as idle if about half of it is free and no job has been
    submitted for a while. The requirements limit how long a step may wait on
    idle capacity (see IDLE_RACK_WAIT_S in cycle_request.c) from 14 s after the
@@ -68,6 +70,7 @@
 {
     cs_fleet *fleet = cycle->fleet;
     struct usable_capacity capacity = {{0}, {0}};
+    cs_demand listed = {0};
     guint i;
 
     cycle->cell.worker_count = fleet->worker_list->len;
@@ -86,11 +89,14 @@
         binpack_worker->labels = worker->labels;
         binpack_worker->speed = exp(worker->speed.log_speed);
         binpack_worker->usable = worker_is_usable(fleet, worker);
+        if (worker->listed)
+            cs_demand_add(&listed, &worker->capacity);
         if (!binpack_worker->usable)
             continue;
         cs_demand_add(&capacity.total, &binpack_worker->capacity);
         cs_demand_add(&capacity.free, &binpack_worker->free);
     }
+    ledger_begin_cycle(fleet, &listed);
     cs_binpack_cell_index(&cycle->cell);
     build_expected_cell(cycle);
     cycle->urgent_only_racks =
@@ -110,7 +116,7 @@
 {
     uint32_t i;
 
-    for (i = 0; step->reserved_workers && i < step->spec->task_count; i++) {
+    for (i = 0; step->reserved_workers && i < step->reserved_count; i++) {
         cs_demand *free = &cycle->cell.workers[step->reserved_workers[i]].free;
 
         if (reserve)
@@ -125,19 +131,51 @@
 {
     g_free(step->reserved_workers);
     step->reserved_workers = NULL;
+    step->reserved_count = 0;
 }
 
+/* Ends the reservations of tasks that were placed. The others are kept, so
+   that no further stops are made for them. */
+static void
+reduce_reservation(struct step *step, const uint32_t *workers, uint32_t count)
+{
+    uint32_t i;
+    uint32_t k;
+
+    for (i = 0;
+         i < count && step->reserved_workers && step->reserved_count > 0;
+         i++) {
+        for (k = 0; k < step->reserved_count - 1; k++) {
+            if (step->reserved_workers[k] == workers[i])
+                break;
+        }
+        step->reserved_workers[k] =
+            step->reserved_workers[--step->reserved_count];
+    }
+    if (step->reserved_count == 0)
+        drop_reservation(step);
+}
+
+/* Returns how long a step's capacity stays reserved at most. */
+static int64_t
+reservation_us(const struct cycle *cycle, const struct candidate *candidate)
+{
+    int64_t stop_ms = cycle->fleet->state->settings.bounds.stop_ms;
+
+    if (!candidate->guaranteed)
+        return RESERVATION_US;
+    return MIN(stop_ms * CS_MS_US + STOP_ANSWER_US, RESERVATION_US);
+}
+
+/* Returns whether a reserved worker is not going to run the step: it is no
+   longer listed, is draining, or its zone is evacuated. */
 static bool
-is_reserved_in_evacuated_zone(const struct cycle *cycle,
-                              const struct step *step)
+reservation_is_lost(const struct cycle *cycle, const struct step *step)
 {
-    const GPtrArray *workers = cycle->fleet->worker_list;
     uint32_t i;
 
-    for (i = 0; i < step->spec->task_count; i++) {
-        if (start_gate_is_closed_at(
-                cycle->fleet,
-                g_ptr_array_index(workers, step->reserved_workers[i])))
+    for (i = 0; i < step->reserved_count; i++) {
+        if (!cycle->expected_cell.workers[step->reserved_workers[i]].usable)
             return true;
     }
     return false;
@@ -149,13 +187,15 @@
     guint i;
 
     for (i = 0; i < cycle->candidates->len; i++) {
-        struct step *step =
-            g_array_index(cycle->candidates, struct candidate, i).step;
+        const struct candidate *candidate =
+            &g_array_index(cycle->candidates, struct candidate, i);
+        struct step *step = candidate->step;
 
         if (!step->reserved_workers)
             continue;
-        if (cycle->now.boot_us - step->reserved_us > RESERVATION_US ||
-            is_reserved_in_evacuated_zone(cycle, step))
+        if (cycle->now.boot_us - step->reserved_us >
+                reservation_us(cycle, candidate) ||
+            reservation_is_lost(cycle, step))
             drop_reservation(step);
         else
             cycle_apply_reservation(cycle, step, true);
@@ -232,21 +272,70 @@
     return cs_demand_fits(&failed->demand, &request->demand);
 }
 
-/* Returns whether a less demanding request has failed in this cycle. */
+/* Returns whether a less demanding request, which reservations have limited no
+   more, has failed in this cycle. */
 static bool
-is_known_to_fail(const struct cycle *cycle, const cs_binpack_request *request)
+is_known_to_fail(const struct cycle *cycle, const cs_binpack_request *request,
+                 double duration_s)
 {
     guint i;
 
     for (i = 0; i < cycle->failed_requests->len; i++) {
-        if (is_at_least_as_demanding(
-                request,
-                &g_array_index(cycle->failed_requests, cs_binpack_request, i)))
+        const struct failed_request *failed =
+            &g_array_index(cycle->failed_requests, struct failed_request, i);
+
+        if (failed->duration_s <= duration_s &&
+            is_at_least_as_demanding(request, &failed->request))
             return true;
     }
     return false;
 }
 
+/* Counts the lateness of a job at the first placement of its tasks. */
+static void
+observe_lateness(cs_fleet *fleet, const struct candidate *candidate)
+{
+    if (candidate->step->job->state == CS_PROGRESS_QUEUED &&
+        cycle_counts_for_zone(candidate))
+        cs_zone_lag_add_placed(&fleet->ledger->zones, candidate->zone,
+                               candidate->queue->priority,
+                               candidate->lateness);
+}
+
+static void
+add_failed_request(struct cycle *cycle, const cs_binpack_request *request,
+                   double duration_s)
+{
+    struct failed_request failed = {*request, duration_s};
+
+    g_array_append_val(cycle->failed_requests, failed);
+}
+
+/* Places a step without preemption. Returns the number of tasks placed. */
+static uint32_t
+try_place(struct cycle *cycle, const struct candidate *candidate,
+          const cs_binpack_request *request, uint32_t *workers,
+          bool had_reservation)
+{
+    double duration_s = reserve_duration_s(cycle, candidate);
+    bool limited;
+    uint32_t placed;
+
+    /* A step's own reservation limits others but not the step, so only
+       failures without any limit apply to it. */
+    if (is_known_to_fail(cycle, request,
+                         reserve_has(cycle, candidate->step) ? 0 : duration_s))
+        return 0;
+    limited = reserve_withhold(cycle, candidate->step, duration_s);
+    placed = cs_binpack_place(workers, &cycle->cell, request);
+    reserve_restore(cycle);
+    if (placed == 0 && !had_reservation && !request->allowed)
+        add_failed_request(cycle, request, limited ? duration_s : 0);
+    if (placed > 0)
+        reserve_placed(cycle, candidate->step, workers, placed, duration_s);
+    return placed;
+}
+
 static void
 schedule_candidate(struct cycle *cycle, const struct candidate *candidate)
 {
@@ -259,26 +348,27 @@
     cycle_make_request(cycle, candidate, &request);
     if (had_reservation)
         cycle_apply_reservation(cycle, step, false);
-    placed = 0;
-    if (!is_known_to_fail(cycle, &request))
-        placed = cs_binpack_place(workers, &cycle->cell, &request);
-    if (placed == 0 && !had_reservation && !request.allowed)
-        g_array_append_val(cycle->failed_requests, request);
+    placed = try_place(cycle, candidate, &request, workers, had_reservation);
     if (placed > 0) {
-        drop_reservation(step);
+        reduce_reservation(step, workers, placed);
+        cycle_apply_reservation(cycle, step, true);
+        observe_lateness(cycle->fleet, candidate);
         place_tasks(cycle, step, workers, placed);
     }
     else if (had_reservation) {
         cycle_apply_reservation(cycle, step, true);
     }
     else if (candidate->queue->priority == 0 &&
-             (candidate->guaranteed || !candidate->misses_objective) &&
-             step->waiting_count == step->spec->task_count &&
-             cycle->victim_searches++ < MAX_VICTIM_SEARCHES) {
+             (candidate->guaranteed || !candidate->too_late_to_count) &&
+             (candidate->guaranteed ||
+              step->waiting_count == step->spec->task_count)) {
         cycle_preempt(cycle, candidate, &request);
     }
-    if (request.allowed && step->waiting_count > 0)
+    if (request.allowed && step->waiting_count > 0) {
+        reserve_withhold(cycle, step, reserve_duration_s(cycle, candidate));
         cycle_request_advice(cycle, candidate, &request);
+        reserve_restore(cycle);
+    }
     cycle_free_request(&request);
     g_free(workers);
 }
@@ -294,7 +384,7 @@
         return;
     cycle.candidates = g_array_new(FALSE, FALSE, sizeof(struct candidate));
     cycle.failed_requests =
-        g_array_new(FALSE, FALSE, sizeof(cs_binpack_request));
+        g_array_new(FALSE, FALSE, sizeof(struct failed_request));
     cycle.guarantee_used =
         g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
     build_cell(&cycle);
@@ -303,6 +393,8 @@
     for (i = 0; i < cycle.candidates->len; i++)
         schedule_candidate(
             &cycle, &g_array_index(cycle.candidates, struct candidate, i));
+    reserve_update(&cycle);
+    cycle_preempt_dispose(&cycle);
     cs_binpack_cell_unindex(&cycle.cell);
     g_free(cycle.expected_cell.workers);
     g_free(cycle.cell.workers);
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -1,5 +1,6 @@
 /* Creation of a fleet, its periodic work, and state shared by its files. */
-#include "fleet_internal.h"
+#include "ledger.h"
+#include "reserve.h"
 
 /* Interval of the work that depends on the time only. */
 #define TIMED_WORK_INTERVAL_US (100 * CS_MS_US)
@@ -58,6 +59,7 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     fleet->stored_speeds =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    fleet->reserve = reserve_create();
     g_queue_init(&fleet->dirty_jobs);
     g_queue_init(&fleet->expired_jobs);
     g_queue_init(&fleet->expired_progress);
@@ -79,6 +81,7 @@
     g_hash_table_destroy(fleet->label_numbers);
     g_hash_table_destroy(fleet->queue_run_times);
     g_hash_table_destroy(fleet->stored_speeds);
+    reserve_free(fleet->reserve);
 }
 
 void
@@ -86,8 +89,10 @@
 {
     fleet->generation++;
     commit_clear(fleet);
+    forecast_reset(fleet);
     destroy_tables(fleet);
     create_tables(fleet);
+    ledger_reset(fleet->ledger);
     feeds_init(fleet);
     fleet->cycle_requested = false;
     fleet->advice_pending = false;
@@ -105,6 +110,7 @@
     fleet->tenure = TENURE_FOLLOWING;
     fleet->created_us = fleet_now(fleet).boot_us;
     create_tables(fleet);
+    fleet->ledger = ledger_create();
     feeds_init(fleet);
     commit_init(&fleet->commit);
     return fleet;
@@ -115,8 +121,10 @@
 {
     if (!fleet)
         return;
+    forecast_reset(fleet);
     destroy_tables(fleet);
     commit_dispose(&fleet->commit);
+    ledger_destroy(fleet->ledger);
     g_free(fleet);
 }
 
@@ -159,6 +167,7 @@
         run_timed_work(fleet);
         if (fleet->cycle_requested)
             cycle_run(fleet);
+        forecast_tick(fleet);
         commit_tick(fleet);
         return;
     }
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -15,6 +15,7 @@
 #include "corianderstair/job_progress.h"
 #include "corianderstair/job_spec.h"
 #include "corianderstair/log.h"
+#include "corianderstair/preempt_gain.h"
 #include "corianderstair/speed.h"
 
 #include <inttypes.h>
@@ -49,6 +50,8 @@
 struct job;
 struct step;
 struct advice;
+struct ledger;
+struct reserve;
 
 /* A worker as the holder of the cell knows it, across its incarnations. */
 struct worker {
@@ -146,9 +149,12 @@
     int64_t rack_check_us;    /* when exceeds_racks was computed; 0 never */
     bool exceeds_racks;       /* no single rack could hold it, even if empty */
     struct advice *advice;    /* of an advised queue; NULL none yet */
-    uint32_t *reserved_workers; /* indexes, one for each task, of the capacity
-                                   that preemption frees; NULL for none */
+    uint32_t *reserved_workers; /* indexes of the workers whose capacity
+                                   preemption frees; NULL for none */
+    uint32_t reserved_count;    /* of reserved_workers, one for each task that
+                                   waits */
     int64_t reserved_us;
+    cs_preempt_record preemption; /* of it, and searches for victims for it */
 };
 
 struct job {
@@ -259,8 +265,12 @@
                                  tasks */
     bool advice_pending;      /* a query to the adviser is in flight */
     int64_t next_timed_work_us;
-    cs_headroom headroom; /* of the urgent tasks that are placed */
-    bool starts_held;     /* the evacuations were not confirmed in time */
+    cs_headroom headroom;  /* of the urgent tasks that are placed */
+    bool starts_held;      /* the evacuations were not confirmed in time */
+    struct ledger *ledger; /* see ledger.h */
+    struct forecaster *forecaster; /* NULL until the first forecast of the
+                                      tenure */
+    struct reserve *reserve;       /* for waiting gangs, see reserve.h */
 };
 
 /* Run times of the tasks of a queue. */
@@ -417,6 +427,9 @@
 uint32_t step_next_run(const struct step *step);
 /* Stops or releases all members of a gang after one of them has ended. */
 void step_stop_members(cs_fleet *fleet, struct step *step);
+/* Returns the task's demand in cores, accelerators included by their weight.
+ */
+double task_cores(const struct task *task);
 /* Returns the core-seconds of work lost if the task were stopped now. */
 double task_stop_loss(const cs_fleet *fleet, const struct task *task,
                       int64_t now_us);
@@ -463,6 +476,16 @@
 /* Sets a worker's speed to the stored one if none is known yet. */
 void speeds_restore(const cs_fleet *fleet, struct worker *worker);
 
+/* forecast.c */
+/* Makes a forecast if one is due. */
+void forecast_tick(cs_fleet *fleet);
+/* Returns the record of the last forecast of this tenure, or NULL. */
+const GByteArray *forecast_record(const cs_fleet *fleet);
+/* Drops what forecasts were made from. */
+void forecast_reset(cs_fleet *fleet);
+/* Describes the forecast that the process knows; NULL if there is none. */
+json_t *forecast_status(const cs_fleet *fleet);
+
 /* evacuate.c */
 void evacuate_tick(cs_fleet *fleet);
 
--- a/src/fleet/status.c
+++ b/src/fleet/status.c
@@ -1,5 +1,8 @@
 /* JSON descriptions of the process, the cell and its jobs for operators. */
-#include "fleet_internal.h"
+#include "ledger.h"
+#include "reserve.h"
+
+#include <math.h>
 
 static const char *
 tenure_name(tenure_state tenure)
@@ -54,8 +57,9 @@
     int64_t now_us = fleet_now(fleet).boot_us;
 
     return json_pack(
-        "{s:s,s:s,s:s,s:I,s:s,s:I,s:I,s:b,s:i,s:i,s:i,s:b,s:o,s:o}", "vm",
-        state->settings.name, "zone", state->settings.zone, "tenure",
+        "{s:s,s:s,s:s,s:I,s:s,s:I,s:I,s:b,s:i,s:i,s:i,s:b,s:o,s:o,s:o,s:o,"
+        "s:o*}",
+        "vm", state->settings.name, "zone", state->settings.zone, "tenure",
         tenure_name(fleet->tenure), "epoch", (json_int_t)state->cell.epoch,
         "holder", state->cell.holder, "config",
         (json_int_t)(state->config ? state->config->version : 0),
@@ -67,7 +71,8 @@
         (int)g_queue_get_length((GQueue *)&fleet->dirty_jobs), "starts_held",
         fleet->starts_held, "evacuations",
         cs_evacuations_status(state->evacuations, now_us), "workers",
-        list_workers(fleet));
+        list_workers(fleet), "organisations", ledger_list_organisations(fleet),
+        "zones", ledger_list_zones(fleet), "forecast", forecast_status(fleet));
 }
 
 static const char *
@@ -121,23 +126,41 @@
     return "no room on usable workers";
 }
 
+static json_t *
+preemption_status(const cs_preempt_record *record)
+{
+    return json_pack("{s:i,s:s,s:f,s:f,s:I}", "stops", (int)record->stops,
+                     "verdict", cs_preempt_verdict_name(record->verdict),
+                     "loss", record->loss, "gain", record->gain, "wait_ms",
+                     isinf(record->wait_s)
+                         ? (json_int_t)-1
+                         : (json_int_t)(record->wait_s * 1000.0));
+}
+
 static json_t *
 step_status(const cs_fleet *fleet, const struct job *job,
             const struct step *step)
 {
     int64_t now_us = fleet_now(fleet).boot_us;
     json_t *tasks = json_array();
+    char *reason = NULL;
+    json_t *reservation = reserve_status(fleet, step, &reason);
+    json_t *status;
     uint32_t i;
 
     for (i = 0; i < step->spec->task_count; i++)
         json_array_append_new(tasks, task_status(&step->tasks[i]));
-    return json_pack("{s:i,s:i,s:s,s:I,s:o}", "occurrence",
-                     (int)step->occurrence, "step", (int)step->number,
-                     "reason", step_reason(fleet, job, step), "waited_ms",
-                     (json_int_t)(step->ready_us
-                                      ? (now_us - step->ready_us) / CS_MS_US
-                                      : 0),
-                     "tasks", tasks);
+    status = json_pack(
+        "{s:i,s:i,s:s,s:I,s:o,s:o}", "occurrence", (int)step->occurrence,
+        "step", (int)step->number, "reason",
+        reason ? reason : step_reason(fleet, job, step), "waited_ms",
+        (json_int_t)(step->ready_us ? (now_us - step->ready_us) / CS_MS_US
+                                    : 0),
+        "preemption", preemption_status(&step->preemption), "tasks", tasks);
+    if (reservation)
+        json_object_set_new(status, "reservation", reservation);
+    g_free(reason);
+    return status;
 }
 
 json_t *
--- a/src/fleet/task.c
+++ b/src/fleet/task.c
@@ -2,19 +2,15 @@
  * The lifecycle of a task: placed on a worker, ended, waiting again. Also what
  * the ends and the progress of runs show of run times and of workers' speeds.
  */
-#include "fleet_internal.h"
+#include "ledger.h"
+#include "reserve.h"
 
 #include <math.h>
 
-/* An accelerator weighs as much as this many cores in the loss of a stop. */
-#define CORES_PER_ACCELERATOR 8.0
-
-/* Returns the demand in cores, accelerators included by their weight. */
-static double
-demand_cores(const cs_demand *demand)
+double
+task_cores(const struct task *task)
 {
-    return (double)demand->cpu_milli / 1000.0 +
-           CORES_PER_ACCELERATOR * (double)demand->accelerators;
+    return cs_demand_cores(&task->step->spec->demand);
 }
 
 double
@@ -29,7 +25,7 @@
     /* A stop saves a checkpoint, so that only the restore is lost. */
     if (task->step->spec->checkpoint)
         run_s = MIN(run_s, restore_s);
-    return run_s * demand_cores(&task->step->spec->demand);
+    return run_s * task_cores(task);
 }
 
 void
@@ -77,6 +73,7 @@
     task->step->waiting_count--;
     task->step->job->active_tasks++;
     cs_demand_add(&worker->used, &task->step->spec->demand);
+    ledger_add_use(fleet, task);
     g_ptr_array_add(worker->tasks, task);
 }
 
@@ -87,6 +84,7 @@
 
     g_ptr_array_remove_fast(worker->tasks, task);
     cs_demand_subtract(&worker->used, &task->step->spec->demand);
+    ledger_remove_use(fleet, task);
     if (task->urgent)
         fleet->headroom.used_accelerators -=
             task->step->spec->demand.accelerators;
@@ -140,6 +138,8 @@
         run_time = g_new0(struct queue_run_time, 1);
         g_hash_table_insert(fleet->queue_run_times, g_strdup(queue), run_time);
     }
+    if (run_time->sample_count > 0)
+        reserve_learn(fleet->reserve, queue, ms, run_time->mean_ms);
     run_time->sample_count++;
     run_time->mean_ms +=
         (ms - run_time->mean_ms) *
--- a/src/programs/csctl_fleet.c
+++ b/src/programs/csctl_fleet.c
@@ -48,6 +48,42 @@
     }
 }
 
+static void
+print_organisations(const json_t *organisations)
+{
+    const json_t *item;
+    size_t i;
+
+    if (json_array_size(organisations) == 0)
+        return;
+    printf("\n%-24s %7s %7s %s\n", "ORGANISATION", "SHARE", "WEIGHT", "STATE");
+    json_array_foreach(organisations, i, item)
+    {
+        printf("%-24s %6.1f%% %7.1f %s\n", string_member(item, "organisation"),
+               json_number_value(json_object_get(item, "share")) * 100.0,
+               json_number_value(json_object_get(item, "weight")),
+               json_is_true(json_object_get(item, "over")) ? "over"
+                                                           : "within");
+    }
+}
+
+static void
+print_zones(const json_t *zones)
+{
+    const json_t *item;
+    size_t i;
+
+    if (json_array_size(zones) == 0)
+        return;
+    printf("\n%-24s %8s %s\n", "ZONE OF ENTRY", "LATENESS", "STATE");
+    json_array_foreach(zones, i, item)
+    {
+        printf("%-24s %8.2f %s\n", string_member(item, "zone"),
+               json_number_value(json_object_get(item, "lateness")),
+               json_is_true(json_object_get(item, "late")) ? "late" : "even");
+    }
+}
+
 static void
 print_executors(const json_t *executors)
 {
@@ -84,6 +120,65 @@
         printf("no task is started: the evacuated zones are not known\n");
 }
 
+static void
+print_forecast_services(const json_t *services)
+{
+    const json_t *item;
+    size_t i;
+
+    if (json_array_size(services) == 0)
+        return;
+    printf("%-16s %7s %12s %10s %10s %10s\n", "SERVICE", "WORKERS",
+           "WORKER-CORES", "WORKER-ACC", "RACK-CORES", "RACK-ACC");
+    json_array_foreach(services, i, item)
+    {
+        printf("%-16s %7d %12d %10d %10d %10d\n",
+               string_member(item, "service"), integer_member(item, "workers"),
+               integer_member(item, "worker_cores"),
+               integer_member(item, "worker_accelerators"),
+               integer_member(item, "rack_cores"),
+               integer_member(item, "rack_accelerators"));
+    }
+}
+
+/* WAIT-MS is the time that the work takes all workers of the service. */
+static void
+print_forecast_backlog(const json_t *backlog)
+{
+    const json_t *item;
+    size_t i;
+
+    if (json_array_size(backlog) == 0)
+        return;
+    printf("%-20s %8s %-8s %10s %10s %9s %10s\n", "QUEUE", "PRIORITY", "CLASS",
+           "CORE-S", "ACC-S", "WAIT-MS", "OLDEST-MS");
+    json_array_foreach(backlog, i, item)
+    {
+        printf("%-20s %8d %-8s %10lld %10lld %9lld %10lld\n",
+               string_member(item, "queue"), integer_member(item, "priority"),
+               string_member(item, "class"),
+               (long long)json_integer_value(json_object_get(item, "core_s")),
+               (long long)json_integer_value(
+                   json_object_get(item, "accelerator_s")),
+               (long long)json_integer_value(json_object_get(item, "wait_ms")),
+               (long long)json_integer_value(
+                   json_object_get(item, "oldest_wait_ms")));
+    }
+}
+
+static void
+print_forecast(const json_t *forecast)
+{
+    if (!forecast)
+        return;
+    printf("\nforecast of epoch %d, %d ms old, holder loaded for %d ms\n",
+           integer_member(forecast, "epoch"),
+           integer_member(forecast, "age_ms"),
+           integer_member(forecast, "loaded_ms"));
+    print_forecast_services(json_object_get(forecast, "services"));
+    print_forecast_backlog(json_object_get(forecast, "backlog"));
+}
+
 static void
 print_fleet(const json_t *body)
 {
@@ -102,7 +197,10 @@
            integer_member(body, "ended_jobs"),
            integer_member(body, "unrecorded_jobs"));
     print_evacuations(body);
+    print_forecast(json_object_get(body, "forecast"));
     print_executors(json_object_get(body, "executors"));
+    print_organisations(json_object_get(body, "organisations"));
+    print_zones(json_object_get(body, "zones"));
     print_workers(json_object_get(body, "workers"));
 }
 
