fleet: a data rack without workers is not waited for

A rack whose workers are all gone, draining or in an evacuated zone was waited for in vain, up to 1.5 run times.

Change: only racks with workers that get tasks now or soon are waited for.

--- a/src/fleet/cycle_request.c
+++ b/src/fleet/cycle_request.c
@@ -76,13 +76,33 @@
     return (double)(cycle->now.boot_us - step->ready_us) / (double)CS_SEC_US;
 }
 
+/* Returns whether a rack has workers that get tasks now or soon. Racks that
+   are first named by a step are not in the cell yet. */
+static bool
+has_expected_worker(const struct cycle *cycle, uint32_t rack)
+{
+    const cs_binpack_cell *cell = &cycle->expected_cell;
+    uint32_t i;
+
+    if (rack >= cell->rack_count)
+        return false;
+    for (i = cell->rack_first[rack]; i < cell->rack_first[rack + 1]; i++) {
+        if (cell->workers[cell->by_rack[i]].usable)
+            return true;
+    }
+    return false;
+}
+
 /* Returns whether the step still waits for the rack that has its data. */
 static bool
-waits_for_data(const struct cycle *cycle, const struct step *step)
+waits_for_data(const struct cycle *cycle, const struct step *step,
+               uint32_t rack)
 {
     double wait_limit_s =
         DATA_RACK_WAIT_FACTOR * cycle_expected_run_s(cycle->fleet, step);
 
+    if (!has_expected_worker(cycle, rack))
+        return false;
     if (cycle->capacity_idle)
         wait_limit_s = MIN(wait_limit_s, IDLE_RACK_WAIT_S);
     return waited_seconds(cycle, step) < wait_limit_s;
@@ -140,8 +160,12 @@
     request->all_or_nothing = step->spec->gang;
     request->same_rack = step->spec->same_rack;
     request->data_rack = CS_BINPACK_ANY;
-    if (step->spec->data_rack[0] && waits_for_data(cycle, step))
-        request->data_rack = worker_rack_number(fleet, step->spec->data_rack);
+    if (step->spec->data_rack[0]) {
+        uint32_t rack = worker_rack_number(fleet, step->spec->data_rack);
+
+        if (waits_for_data(cycle, step, rack))
+            request->data_rack = rack;
+    }
     g_snprintf(service, sizeof(service), "service:%s",
                candidate->queue->service);
     request->first_reserved_rack = cycle->cell.rack_count;
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -269,6 +269,29 @@
     fake_fleet_destroy(deployment);
 }
 
+/*
+ * Guards against a wait for a rack of the data that has no workers, and
+ * against a read beyond the racks of the cell when a step is the first to name
+ * one.
+ */
+static void
+fleet__data_rack_without_workers_is_not_waited_for(void **state)
+{
+    fake_fleet *deployment = create_deployment(25);
+    fake_job job;
+    int32_t reply;
+
+    fake_job_init(&job, 1, 2, 2, 1, 4000);
+    g_strlcpy(job.spec.steps[0].data_rack, "r9-9",
+              sizeof(job.spec.steps[0].data_rack));
+    fake_fleet_submit(deployment, 0, &job, &reply);
+    fake_fleet_run(deployment, CS_SEC_US);
+    assert_int_equal(fake_fleet_start_count(deployment, "0000000000000001"),
+                     2);
+    expect_no_violation(deployment);
+    fake_fleet_destroy(deployment);
+}
+
 /*
  * Guards against spreading a gang over racks, which triples its run time,
  * because most workers have not answered a new holder yet.
@@ -993,6 +1016,7 @@
             fleet__gang_waits_for_the_leases_of_a_silent_draining_worker),
         cmocka_unit_test(
             fleet__new_configuration_is_applied_after_the_relaying_peer_is_lost),
+        cmocka_unit_test(fleet__data_rack_without_workers_is_not_waited_for),
         cmocka_unit_test(fleet__gang_waits_for_a_rack_after_a_takeover),
         cmocka_unit_test(fleet__advised_step_runs_on_allowed_workers),
         cmocka_unit_test(fleet__advised_gang_may_span_racks),
