feeds: an answer that is full is followed by the next at once

Cause: the holder asks for changed entries of workers every 0.4 s. At 3,000 workers 2,000 entries change a second, more than the 500 rows of an answer, so the feed fell behind without end.

Change: an answer with 500 rows, or marked as incomplete, is followed by the next call at once. It also does not tell until when changes are known, which decides whether a worker has surely left.

Test: scale__feed_of_workers_keeps_up fails without the change.

--- a/src/fleet/feeds.c
+++ b/src/fleet/feeds.c
@@ -10,6 +10,9 @@
 /* Timeout of a call, counted from the end of that delay, if any. */
 #define ANSWER_TIMEOUT_US (700 * CS_MS_US)
 #define RETRY_US (100 * CS_MS_US)
+/* The store returns at most this many rows at a time. An answer with as many
+   may have left out later changes. */
+#define ANSWER_ROWS_MAX 500
 /* Draining must be seen well within the notice that a worker gives. */
 #define WORKERS_POLL_INTERVAL_US (400 * CS_MS_US)
 
@@ -151,6 +154,13 @@
     follow_workers(fleet);
 }
 
+/* Returns whether the store may have had more changes than it has returned. */
+static bool
+is_incomplete(const cs_store_answer *answer)
+{
+    return answer->has_more || answer->row_count >= ANSWER_ROWS_MAX;
+}
+
 static void
 on_changes(void *user_data, const cs_store_answer *answer)
 {
@@ -162,7 +172,12 @@
     if (!feed)
         return;
     apply_rows(fleet, feed, answer);
-    feed->followed_until_us = sent_us;
+    /* 2,000 workers write more rows between two polls than one answer holds.
+       Without the rest at once, the feed falls behind without end. */
+    if (is_incomplete(answer))
+        feed->next_call_us = 0;
+    else
+        feed->followed_until_us = sent_us;
     feed->followed_version = MAX(feed->followed_version, answer->version);
 }
 
--- a/standins/fake_fleet.c
+++ b/standins/fake_fleet.c
@@ -433,6 +433,7 @@
         settings->config_apply_ms ? settings->config_apply_ms : 2000;
     deployment->store_kbps = settings->store_kbps;
     deployment->store_reads_per_s = settings->store_reads_per_s;
+    deployment->feed_rows_max = settings->feed_rows_max;
     fake_store_init(deployment);
     fake_fleet_configure(deployment, 1);
     for (i = 0; i < deployment->worker_count; i++) {
--- a/standins/fake_fleet.h
+++ b/standins/fake_fleet.h
@@ -76,6 +76,8 @@
     int64_t store_kbps;
     /** Maximum reads and polls per second; 0 means unlimited. */
     uint32_t store_reads_per_s;
+    /** Maximum rows of an answer to a poll; 0 means unlimited. */
+    uint32_t feed_rows_max;
 } fake_fleet_settings;
 
 /** What the store has done since the start. */
--- a/standins/fake_fleet_internal.h
+++ b/standins/fake_fleet_internal.h
@@ -166,6 +166,7 @@
     int64_t config_apply_ms;
     int64_t store_kbps;
     uint32_t store_reads_per_s;
+    uint32_t feed_rows_max;
     bool shutting_down;               /* messages are freed, not delivered */
     uint64_t call_count;              /* store changes and worker orders */
     uint32_t pending_advice_requests; /* not yet answered by the adviser */
--- a/standins/fake_fleet_store.c
+++ b/standins/fake_fleet_store.c
@@ -296,14 +296,15 @@
 }
 
 static void
-start_transfer(struct store_call *call, const GPtrArray *rows, bool has_more)
+start_transfer(struct store_call *call, const GPtrArray *rows, bool has_more,
+               uint64_t version)
 {
     struct transfer *transfer = g_new0(struct transfer, 1);
     guint i;
 
     transfer->rows = g_ptr_array_new_with_free_func(row_free);
     transfer->has_more = has_more;
-    transfer->version = call->deployment->store.version;
+    transfer->version = version;
     transfer->store_now_ms = call->deployment->now_us / CS_MS_US + 1;
     transfer->total_bytes = ANSWER_OVERHEAD_BYTES;
     for (i = 0; i < rows->len; i++) {
@@ -325,15 +326,15 @@
 }
 
 static void
-send_rows(struct store_call *call, int code, GPtrArray *rows, bool has_more)
+send_rows(struct store_call *call, int code, GPtrArray *rows, bool has_more,
+          uint64_t version)
 {
     if (call->answered || call->transfer)
         return;
     if (call->extensible)
-        start_transfer(call, rows, has_more);
+        start_transfer(call, rows, has_more, version);
     else
-        deliver_rows(call, code, rows, has_more,
-                     call->deployment->store.version,
+        deliver_rows(call, code, rows, has_more, version,
                      call->deployment->now_us / CS_MS_US + 1);
 }
 
@@ -351,6 +352,9 @@
 send_feed(struct store_call *call)
 {
     const GPtrArray *history = call->deployment->store.history;
+    uint64_t version = call->deployment->store.version;
+    guint limit = call->deployment->feed_rows_max;
+    bool has_more = false;
     GPtrArray *rows;
     guint first;
     guint i;
@@ -368,10 +372,19 @@
     for (i = first; i < history->len; i++) {
         struct fake_row *row = g_ptr_array_index(history, i);
 
-        if (strcmp(row->table, call->table) == 0)
-            g_ptr_array_add(rows, row);
+        if (strcmp(row->table, call->table) != 0)
+            continue;
+        if (limit > 0 && rows->len >= limit) {
+            const struct fake_row *last =
+                g_ptr_array_index(rows, rows->len - 1);
+
+            has_more = true;
+            version = last->version;
+            break;
+        }
+        g_ptr_array_add(rows, row);
     }
-    send_rows(call, 0, rows, false);
+    send_rows(call, 0, rows, has_more, version);
     g_ptr_array_free(rows, TRUE);
 }
 
@@ -478,7 +491,8 @@
         if (row)
             g_ptr_array_add(rows, (gpointer)row);
     }
-    send_rows(call, CS_E_CONFLICT, rows, false);
+    send_rows(call, CS_E_CONFLICT, rows, false,
+              call->deployment->store.version);
     g_ptr_array_free(rows, TRUE);
 }
 
@@ -613,7 +627,7 @@
     has_more = rows->len > limit;
     if (has_more)
         g_ptr_array_set_size(rows, (gint)limit);
-    send_rows(call, 0, rows, has_more);
+    send_rows(call, 0, rows, has_more, call->deployment->store.version);
     g_ptr_array_free(rows, TRUE);
 }
 
--- a/tests/test_scale.c
+++ b/tests/test_scale.c
@@ -313,6 +313,41 @@
     fake_fleet_destroy(fleet);
 }
 
+static bool
+is_draining(const fake_fleet *fleet, size_t index)
+{
+    json_t *status =
+        fake_fleet_status(fleet, (uint32_t)fake_fleet_holder(fleet));
+    const json_t *workers = json_object_get(status, "workers");
+    bool draining = json_is_true(
+        json_object_get(json_array_get(workers, index), "draining"));
+
+    json_decref(status);
+    return draining;
+}
+
+/*
+ * Guards against a feed of workers that falls behind without end, so that
+ * tasks are started on workers that have announced long ago that they leave:
+ * 400 workers write more rows between two polls than an answer holds.
+ */
+static void
+scale__feed_of_workers_keeps_up(void **state)
+{
+    fake_fleet_settings settings = medium_fleet;
+    fake_fleet *fleet;
+
+    settings.workers = 400;
+    settings.feed_rows_max = 50;
+    fleet = create_fleet(&settings);
+    fake_fleet_run(fleet, 20 * CS_SEC_US);
+    fake_fleet_drain_worker(fleet, 0);
+    /* The smallest drainMs. */
+    fake_fleet_run(fleet, 2 * CS_SEC_US);
+    assert_true(is_draining(fleet, 0));
+    fake_fleet_destroy(fleet);
+}
+
 int
 main(void)
 {
@@ -325,6 +360,7 @@
         cmocka_unit_test(scale__frozen_executor_costs_no_job),
         cmocka_unit_test(scale__holder_killed_in_a_burst_costs_no_job),
         cmocka_unit_test(scale__isolated_holder_calls_workers_directly),
+        cmocka_unit_test(scale__feed_of_workers_keeps_up),
         cmocka_unit_test(scale__strongest_vms_take_the_cell),
     };
 
