store router: limits do not delay the return from a silent peer

Cause: after several changes of the route a VM had to stay up to 4 s with a peer that answered nothing, though a direct probe had been answered.

Change: the limits apply to the return only if the peer answers.

Test: fails without the change.

--- a/src/members/store_router.c
+++ b/src/members/store_router.c
@@ -255,8 +255,10 @@
         router->direct_refused = false;
         router->next_probe_us = MIN(router->next_probe_us,
                                     now_us(router) + NEXT_PROBE_INTERVAL_US);
+        /* The limits on changes must not keep a VM with a peer that answers
+           nothing while the store serves it. */
         if (router->answered_probes >= probes_to_return(router) &&
-            may_switch(router))
+            (!router->peer_answered || may_switch(router)))
             switch_route(router, DIRECT);
     }
     if (route != router->route)
--- a/tests/test_store_router.c
+++ b/tests/test_store_router.c
@@ -286,6 +286,28 @@
     fixture_dispose(&fixture);
 }
 
+/* Guards against a VM that has changed its route often in an outage and may
+   not return to the store although it serves the VM again. */
+static void
+store_router__limits_do_not_delay_the_return_from_a_silent_peer(void **state)
+{
+    struct fixture fixture;
+    uint32_t i;
+
+    fixture_init(&fixture, 1);
+    fixture.serving = fixture.refusing;
+    fixture.direct_answer.code = CS_E_OUTCOME_UNKNOWN;
+    for (i = 0; i < 1000 || !cs_store_router_is_relayed(fixture.router); i++) {
+        fixture.now_us += 10 * CS_MS_US;
+        read_once(&fixture);
+    }
+    fixture.direct_answer.code = 0;
+    fixture.now_us += CS_SEC_US;
+    cs_store_router_tick(fixture.router);
+    assert_false(cs_store_router_is_relayed(fixture.router));
+    fixture_dispose(&fixture);
+}
+
 /* Guards against a VM that waits for its configuration from a peer that has
    stopped answering, as large calls are not counted as failures. */
 static void
@@ -342,6 +364,8 @@
         cmocka_unit_test(
             store_router__silent_peer_is_left_by_a_vm_that_reads_little),
         cmocka_unit_test(store_router__served_vm_leaves_a_silent_peer),
+        cmocka_unit_test(
+            store_router__limits_do_not_delay_the_return_from_a_silent_peer),
         cmocka_unit_test(
             store_router__peer_that_stops_answering_bulk_calls_is_left),
     };
