review: a machine that relays hangs when the other one is killed

A machine that is cut off from the store is killed with relayed calls open; the calm machine that relays them turns its main loop at a full core and takes in no answer for up to 2.8 s, so that it handles requests by an old configuration.

--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -587,7 +587,8 @@
                        "maxFds": 4100, "linkMbps": 1000.0, "diskMb": 0},
             "dataDir": None, "discovery": "platform", "entry": "vip",
             "heartbeatMs": HEARTBEAT_MS, "bounds": BOUNDS, "orders": "call",
-            "platform": {"addr": self.fleet.store.server.address,
+            "platform": {"addr": self.fleet.store_paths.get(
+                             self.name, self.fleet.store.server.address),
                          "form": "table", "writesPerS": 600,
                          "readsPerS": 2000, "txMs": 5.0,
                          "partWritesPerS": 200, "rowBytes": ROW_BYTES,
@@ -643,6 +644,7 @@
         self.notes = []    # (time, runner, seenUpto)
         self.tasks = []
         self.note_runs = True
+        self.store_paths = {}  # name of a machine to its way to the store
 
     def on_start(self, runner, run, order):
         self.starts.append((self.record.now(), runner, run.task, run.run,
