review: the runners of case 3 name as many slots as they hold runs

So that no page is read as a lower limit than capacity. Shown by: review/3/run.sh, and the other cases once more.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -19,7 +19,8 @@
     for number in range(2):
         await fleet.add_runner("i-%08x" % (0x7f3a91c2 + number), "svc-a",
                                ["a", "r1-1"],
-                               {"cpu": 64000, "memMb": 131072, "gpu": 8})
+                               {"cpu": 64000, "memMb": 131072, "gpu": 8},
+                               slots=2 * SUBTASKS)
     await fleet.start_machines(7)
     await fleet.wait_for_holder()
     await asyncio.sleep(2)
--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -365,6 +365,7 @@
         self.capacity = capacity
         self.zone = zone
         self.state = "ready"
+        self.slots = 8
         self.born = int(time.time() * 1000)
         self.start = time.monotonic()
         self.sequence = 0
@@ -388,7 +389,7 @@
     def entry(self):
         self.sequence += 1
         return {"service": self.service, "addr": self.server.address,
-                "zone": self.zone, "version": "v1", "slots": 8,
+                "zone": self.zone, "version": "v1", "slots": self.slots,
                 "state": self.state, "coldLeftMs": 0,
                 "capacity": self.capacity, "labels": self.labels,
                 "clockMs": self.clock_ms(), "seq": self.sequence,
@@ -690,8 +691,10 @@
             json.dumps(config).encode()).decode())
         self.record.note("operator: configuration %d" % version)
 
-    async def add_runner(self, name, service, labels, capacity, zone="z1"):
+    async def add_runner(self, name, service, labels, capacity, zone="z1",
+                         slots=8):
         runner = Runner(self, name, service, labels, capacity, zone)
+        runner.slots = slots
         await runner.server.start()
         self.runners.append(runner)
         runner.check_in()
