--- a/review/1/case.py
+++ b/review/1/case.py
@@ -39,7 +39,7 @@
                           dict(DEMAND, ms=2000, saves=True),
                           more=more) != 200:
         raise RuntimeError("the large job wasn't accepted")
-    jobs = [(LARGE, DEMAND, WIDTH * STEPS * times)]
+    jobs = [{"id": LARGE, "steps": steps, "times": times, "attempts": 2}]
     small = [{"count": 3, "estimateMs": 500, **DEMAND}]
     start = fleet.record.now()
     number = 0
@@ -49,15 +49,16 @@
         number += 1
         if await fleet.submit(machine, "/q/", job, small,
                               dict(DEMAND, ms=500)) == 200:
-            jobs.append((job, DEMAND, 3))
+            jobs.append({"id": job, "steps": small, "times": 1,
+                         "attempts": 2})
         await asyncio.sleep(1)
     fleet.record.note("traffic ends: %d jobs accepted" % len(jobs))
     await asyncio.sleep(standin.BOUNDS["finish_s"])
     samples = await fleet.sample_for(3)
     broken = fleet.find_lost(jobs, samples)
-    for job, _, _ in jobs:
-        await fleet.state(fleet.machines[1],
-                          "/large/" if job == LARGE else "/q/", job)
+    for job in jobs:
+        await fleet.state(fleet.machines[1], "/large/" if job["id"] == LARGE
+                          else "/q/", job["id"])
     fleet.record.note(
         "%d starts, %d ends, %d changes refused by the store"
         % (len(fleet.starts), len(fleet.ends), fleet.store.refused))
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -38,13 +38,13 @@
         if await fleet.submit(fleet.machines[number % 7], "/q/", job, [step],
                               dict(DEMAND, ms=2500)) != 200:
             raise RuntimeError("a job wasn't accepted")
-        jobs.append((job, DEMAND, 2))
+        jobs.append({"id": job, "steps": [step], "times": 1, "attempts": 4})
         await asyncio.sleep(1)
     fleet.record.note("traffic ends")
     await asyncio.sleep(standin.BOUNDS["finish_s"])
     samples = await fleet.sample_for(3)
-    for job, _, _ in jobs:
-        await fleet.state(fleet.machines[0], "/q/", job)
+    for job in jobs:
+        await fleet.state(fleet.machines[0], "/q/", job["id"])
     return fleet.find_lost(jobs, samples)
 
 
--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -772,34 +772,73 @@
         return status
 
     def find_lost(self, jobs, samples):
-        """LOST: accepted jobs that have nothing running in all samples,
-        though a subtask's turn has come and under half of the capacity is in
-        use. A job is (id, demand of a subtask, number of subtasks)."""
+        """LOST: accepted jobs that have nothing running in all samples (3 s),
+        though a subtask's turn has come, there is capacity for it twice over
+        and under half of the service's capacity is in use.
+
+        A job is a dict with id, steps (each with count, after, requires and
+        the demand), times, attempts. Its occurrences are all due by now.
+        Not counted: jobs of which a subtask has ended `failed` as often as
+        its queue allows.
+        """
         broken = []
-        for job, demand, count in jobs:
-            done = {task for _, _, task, _, how, _ in self.ends
-                    if how == "done" and task.startswith(job)}
-            if len(done) < count and all(
-                    job not in sample["running"] and
-                    sample["use"] < 0.5 and
-                    sample["room"](demand) >= 2 for sample in samples):
+        use = max(sample["use"] for sample in samples)
+        for job in jobs:
+            ends = [(task, how) for _, _, task, _, how, _ in self.ends
+                    if task.startswith(job["id"])]
+            done = {task for task, how in ends if how == "done"}
+            failed = {}
+            for task, how in ends:
+                failed[task] = failed.get(task, 0) + (how == "failed")
+            if max(failed.values(), default=0) >= job["attempts"]:
+                continue
+            turns = self.find_turns(job, done)
+            if turns and use < 0.5 and all(
+                    job["id"] not in sample["running"] and
+                    any(self.room(sample, step) >= 2 for step in turns)
+                    for sample in samples):
                 broken.append(
-                    "LOST: %s was accepted; %d of its %d subtasks are done, "
-                    "nothing ran for 3 s, %.0f%% of the capacity was in use"
-                    % (job, len(done), count,
-                       100 * max(sample["use"] for sample in samples)))
+                    "LOST: %s was accepted; %d of its subtasks are done, %d "
+                    "have their turn, nothing ran for 3 s, at most %.0f%% of "
+                    "the capacity was in use" % (
+                        job["id"], len(done),
+                        sum(step["open"] for step in turns), 100 * use))
         return broken
 
+    def find_turns(self, job, done):
+        """Returns the steps with subtasks whose turn has come."""
+        turns = []
+        for occurrence in range(job["times"]):
+            open_counts = [
+                sum("%s.%d.%d.%d" % (job["id"], occurrence, number, index)
+                    not in done for index in range(step["count"]))
+                for number, step in enumerate(job["steps"])]
+            for number, step in enumerate(job["steps"]):
+                if open_counts[number] and not any(
+                        open_counts[earlier]
+                        for earlier in step.get("after", [])):
+                    turns.append(dict(step, open=open_counts[number]))
+        return turns
+
     def sample(self):
-        total = sum(runner.capacity["cpu"] for runner in self.runners)
         free = [dict(runner.free) for runner in self.runners]
+        used = [1 - sum(item[name] for item in free) /
+                sum(runner.capacity[name] for runner in self.runners)
+                for name in ("cpu", "memMb", "gpu")]
         return {"running": {task[:16] for runner in self.runners
                             for task, _ in runner.running},
-                "use": 1 - sum(item["cpu"] for item in free) / total,
-                "room": lambda demand: sum(
-                    min(item[name] // demand[name]
-                        for name in demand if demand[name])
-                    for item in free)}
+                "use": max(used), "free": free}
+
+    def room(self, sample, step):
+        """Returns how many subtasks of a step fit on the runners that have
+        its label and don't drain."""
+        label = step.get("requires")
+        return sum(
+            min(item[name] // step[name]
+                for name in ("cpu", "memMb", "gpu") if step.get(name))
+            for runner, item in zip(self.runners, sample["free"])
+            if runner.state == "ready" and
+            (not label or label in runner.labels))
 
     async def sample_for(self, seconds):
         samples = []
