--- a/include/corianderstair/fleet_state.h
+++ b/include/corianderstair/fleet_state.h
@@ -43,14 +43,26 @@
 typedef struct {
     char holder[96]; /**< incarnation of the holder */
     uint64_t epoch;
-    GHashTable
-        *waiting_jobs;    /**< queue name to number of waiting jobs; owned */
-    GByteArray *forecast; /**< record of forecast.h; NULL: none; owned */
+    GHashTable *waiting_jobs; /**< queue name, or the name of its hash, to
+                                 number of waiting jobs; owned */
+    GByteArray *forecast;     /**< record of forecast.h; NULL: none; owned */
     int64_t forecast_read_us; /**< boot clock when it was read */
     int64_t forecast_read_ms; /**< the store's clock when it was read */
     uint64_t forecast_serial; /**< raised whenever forecast is replaced */
 } cs_cell_view;
 
+/** Size of a name that stands for the hash of a queue's name. */
+#define CS_QUEUE_HASH_NAME_BYTES 12
+
+/** @return the hash of a queue's name that a lease row may contain instead */
+uint32_t cs_cell_view_queue_hash(const char *queue);
+/** Writes the name under which waiting_jobs holds a hash. */
+void cs_cell_view_hash_name(char out[CS_QUEUE_HASH_NAME_BYTES], uint32_t hash);
+/** @return the number of waiting jobs of a queue; of all queues with the same
+ *          hash if the holder has written no names */
+uint32_t cs_cell_view_waiting_jobs(const cs_cell_view *cell,
+                                   const char *queue);
+
 /**
  * Number of VMs of each zone that are candidates: the strongest ones, which
  * acquire the cell before any other VM tries to.
--- a/include/corianderstair/job_progress.h
+++ b/include/corianderstair/job_progress.h
@@ -44,7 +44,8 @@
     CS_PROGRESS_CANCELLED
 } cs_progress_state;
 
-/** A task that has been started at least once. */
+/** A task that has been started at least once. Its record takes at most 256
+    bytes, besides the checkpoint. */
 typedef struct {
     uint32_t occurrence; /**< of a repeated job, from 0 */
     uint32_t step;       /**< index of the step in the job */
@@ -58,10 +59,16 @@
                               owned */
 } cs_task_progress;
 
-/** The progress of a job. */
+/**
+ * A row with the progress of a job. The first row of a job has its id as key;
+ * further ones, with more tasks, are named ID.1, ID.2 and so on, and their
+ * state and end do not count.
+ */
 typedef struct {
     cs_progress_state state;
-    int64_t ended_ms; /**< wall clock; 0 if not ended */
+    int64_t ended_ms;   /**< wall clock; 0 if not ended */
+    uint32_t row_tasks; /**< tasks of the job in each of its rows; 0: all of
+                             them are in the first one */
     GArray *tasks; /**< of cs_task_progress; NULL if only the state was read */
 } cs_job_progress;
 
--- a/include/corianderstair/vm_settings.h
+++ b/include/corianderstair/vm_settings.h
@@ -39,7 +39,9 @@
     char seeds[3][48];        /**< peer addresses of some VMs; may be empty */
     int64_t
         max_descriptors; /**< limit of open files and sockets; 0 if unknown */
-    double cpu_share;    /**< share of a core that the VM has; 0 if unknown */
+    int64_t
+        row_bytes;    /**< longest value of a row in the store; 0 if unknown */
+    double cpu_share; /**< share of a core that the VM has; 0 if unknown */
     int64_t worker_heartbeat_ms; /**< how often a worker writes its entry in
                                       the store; 0 if unknown */
     cs_vm_bounds bounds;
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -515,8 +515,8 @@
 {
     cs_entry_reply reply = {.type = CS_REPLY_QUEUE_LENGTH};
 
-    reply.queue_length = GPOINTER_TO_UINT(g_hash_table_lookup(
-        entry->fleet_state->cell.waiting_jobs, queue->name));
+    reply.queue_length =
+        cs_cell_view_waiting_jobs(&entry->fleet_state->cell, queue->name);
     done(user_data, &reply);
 }
 
--- a/src/fleet/commit.c
+++ b/src/fleet/commit.c
@@ -3,18 +3,19 @@
  *
  * A change is a transaction of the store. There is one in flight at a time, on
  * condition that the epoch row and the version of each progress row are as
- * expected. What depends on a record happens only after the store has
- * confirmed it: the start of a recorded run and the acknowledgement of an end.
- * A change without an answer is repeated unchanged until its outcome is known,
- * so that at most one of its copies takes effect.
+ * expected. The rows of a large job may be written by several changes, in the
+ * order in which they became out of date. What depends on a record happens
+ * only after the store has confirmed it: the start of a recorded run and the
+ * acknowledgement of an end. A change without an answer is repeated unchanged
+ * until its outcome is known, so that at most one of its copies takes effect.
  */
 #include "ledger.h"
 
-/* The store accepts at most 100 entries in a change. Each job takes two, a
-   condition and a put. The three others are the condition of the epoch row and
-   the puts of the lease and either of the speeds or of the shares. */
+/* The store accepts at most 100 entries in a change. Each progress row takes
+   two, a condition and a put. The three others are the condition of the epoch
+   row and the puts of the lease and either of the speeds or of the shares. */
 #define CHANGE_ENTRIES_MAX 100
-#define CHANGE_JOBS_MAX ((CHANGE_ENTRIES_MAX - 3) / 2 - CHANGE_EXPIRED_MAX)
+#define CHANGE_ROWS_MAX ((CHANGE_ENTRIES_MAX - 3) / 2 - CHANGE_EXPIRED_MAX)
 #define CHANGE_BYTES_MAX (128 * 1024)
 /* Adds to the timeout of a change the time that a VM with a small share of a
    core, and the store, take for its size. */
@@ -29,34 +30,40 @@
 commit_init(struct commit *commit)
 {
     memset(commit, 0, sizeof(*commit));
-    commit->jobs = g_ptr_array_new();
+    commit->rows = g_ptr_array_new();
+    commit->keys = g_ptr_array_new_with_free_func(g_free);
     commit->values =
         g_ptr_array_new_with_free_func((GDestroyNotify)g_byte_array_unref);
     commit->puts = g_array_new(FALSE, TRUE, sizeof(cs_row));
     commit->conditions = g_array_new(FALSE, TRUE, sizeof(cs_row));
     commit->removals = g_array_new(FALSE, TRUE, sizeof(cs_row));
+    commit->expired_rows = g_ptr_array_new();
     commit->expired_jobs = g_ptr_array_new();
 }
 
 void
 commit_dispose(struct commit *commit)
 {
-    g_ptr_array_free(commit->jobs, TRUE);
+    g_ptr_array_free(commit->rows, TRUE);
+    g_ptr_array_free(commit->keys, TRUE);
     g_ptr_array_free(commit->values, TRUE);
     g_array_free(commit->puts, TRUE);
     g_array_free(commit->conditions, TRUE);
     g_array_free(commit->removals, TRUE);
+    g_ptr_array_free(commit->expired_rows, TRUE);
     g_ptr_array_free(commit->expired_jobs, TRUE);
 }
 
 static void
 reset_change(struct commit *commit)
 {
-    g_ptr_array_set_size(commit->jobs, 0);
+    g_ptr_array_set_size(commit->rows, 0);
+    g_ptr_array_set_size(commit->keys, 0);
     g_ptr_array_set_size(commit->values, 0);
     g_array_set_size(commit->puts, 0);
     g_array_set_size(commit->conditions, 0);
     g_array_set_size(commit->removals, 0);
+    g_ptr_array_set_size(commit->expired_rows, 0);
     g_ptr_array_set_size(commit->expired_jobs, 0);
     commit->has_lease = false;
     commit->covers_ends = false;
@@ -97,41 +104,88 @@
     g_array_append_val(commit->puts, row);
 }
 
-static void
-mark_recording(struct job *job)
+/* The key belongs to the change and is freed with it. */
+static const char *
+own_key(struct commit *commit, const struct progress_row *row)
 {
-    uint32_t i;
-    uint32_t k;
+    char *key = g_malloc(CS_PROGRESS_KEY_BYTES);
 
-    for (i = 0; i < job_total_steps(job); i++) {
-        struct step *step = job->steps[i];
-
-        for (k = 0; step && k < step->spec->task_count; k++) {
-            if (step->tasks[k].state == TASK_PLANNED)
-                step->tasks[k].state = TASK_RECORDING;
-        }
-    }
+    progress_key(key, row);
+    g_ptr_array_add(commit->keys, key);
+    return key;
 }
 
+/* Returns the size of the value. */
 static size_t
-add_job(struct commit *commit, struct job *job)
+add_row(cs_fleet *fleet, struct progress_row *row)
 {
+    struct commit *commit = &fleet->commit;
     GByteArray *value = g_byte_array_new();
-    cs_job_progress progress;
-
-    mark_recording(job);
-    job_fill_progress(job, &progress);
-    cs_job_progress_encode(value, &progress);
-    cs_job_progress_dispose(&progress);
-    add_condition(commit, CS_TABLE_PROGRESS, job->spec.id,
-                  job->progress_version);
-    add_put(commit, CS_TABLE_PROGRESS, job->spec.id, value);
-    g_ptr_array_add(commit->jobs, job);
-    job->dirty = false;
-    job->committing = true;
+    GPtrArray *tasks = progress_list_tasks(row);
+    const char *key = own_key(commit, row);
+    guint i;
+
+    for (i = 0; i < tasks->len; i++) {
+        struct task *task = g_ptr_array_index(tasks, i);
+
+        if (task->state == TASK_PLANNED)
+            task->state = TASK_RECORDING;
+    }
+    progress_encode(fleet, row, tasks, value);
+    g_ptr_array_free(tasks, TRUE);
+    add_condition(commit, CS_TABLE_PROGRESS, key, row->version);
+    add_put(commit, CS_TABLE_PROGRESS, key, value);
+    g_ptr_array_add(commit->rows, row);
+    row->dirty = false;
+    row->committing = true;
     return value->len;
 }
 
+/* Adds all rows of a job at once. They replace the single one of a former
+   build, whose size bounds their number. */
+static size_t
+add_all_rows(cs_fleet *fleet, struct job *job)
+{
+    size_t bytes = 0;
+    uint32_t i;
+
+    for (i = 0; i < job->row_count; i++) {
+        g_queue_remove(&fleet->dirty_rows, &job->rows[i]);
+        bytes += add_row(fleet, &job->rows[i]);
+    }
+    job->single_row = false;
+    return bytes;
+}
+
+/* Returns whether the next row, or all rows that go with it, fit. */
+static bool
+has_space(const struct commit *commit, const struct progress_row *row)
+{
+    uint32_t count = row->job->single_row ? row->job->row_count : 1;
+
+    return commit->rows->len == 0 ||
+           commit->rows->len + count <= CHANGE_ROWS_MAX;
+}
+
+static void
+add_dirty_rows(cs_fleet *fleet)
+{
+    size_t bytes = 0;
+
+    while (bytes < CHANGE_BYTES_MAX && !g_queue_is_empty(&fleet->dirty_rows)) {
+        struct progress_row *row = g_queue_peek_head(&fleet->dirty_rows);
+
+        if (!has_space(&fleet->commit, row))
+            return;
+        if (row->job->single_row) {
+            bytes += add_all_rows(fleet, row->job);
+            continue;
+        }
+        g_queue_pop_head(&fleet->dirty_rows);
+        bytes += add_row(fleet, row);
+    }
+}
+
 static void
 add_removal(struct commit *commit, const char *table, const char *key)
 {
@@ -140,21 +194,42 @@
     g_array_append_val(commit->removals, row);
 }
 
+/* Adds the removal of a job's progress rows, the last one first, until the
+   change is full. Returns whether all are removed then. */
+static bool
+add_expired_rows(struct commit *commit, struct job *job)
+{
+    uint32_t i = job->row_count;
+
+    while (i-- > 0) {
+        struct progress_row *row = &job->rows[i];
+
+        if (i > 0 && row->version == 0)
+            continue;
+        if (commit->expired_rows->len >= CHANGE_EXPIRED_MAX)
+            return false;
+        g_ptr_array_add(commit->expired_rows, row);
+        add_removal(commit, CS_TABLE_PROGRESS, own_key(commit, row));
+    }
+    return true;
+}
+
 /*
  * Adds the removal of the progress rows of jobs whose job rows are removed.
- * Once the change is written the jobs are freed.
+ * Once all rows of a job are removed the job is freed.
  */
 static void
 add_expired(cs_fleet *fleet)
 {
     struct commit *commit = &fleet->commit;
 
-    while (commit->expired_jobs->len < CHANGE_EXPIRED_MAX &&
-           !g_queue_is_empty(&fleet->expired_progress)) {
-        struct job *job = g_queue_pop_head(&fleet->expired_progress);
+    while (!g_queue_is_empty(&fleet->expired_progress)) {
+        struct job *job = g_queue_peek_head(&fleet->expired_progress);
 
+        if (!add_expired_rows(commit, job))
+            return;
+        g_queue_pop_head(&fleet->expired_progress);
         g_ptr_array_add(commit->expired_jobs, job);
-        add_removal(commit, CS_TABLE_PROGRESS, job->spec.id);
     }
 }
 
@@ -229,35 +304,53 @@
 {
     struct commit *commit = &fleet->commit;
     int64_t now_us = fleet_now(fleet).boot_us;
-    size_t bytes = 0;
 
     reset_change(commit);
     add_condition(commit, CS_TABLE_CELL, EPOCH_KEY, fleet->epoch_version);
-    while (commit->jobs->len < CHANGE_JOBS_MAX && bytes < CHANGE_BYTES_MAX &&
-           !g_queue_is_empty(&fleet->dirty_jobs))
-        bytes += add_job(commit, g_queue_pop_head(&fleet->dirty_jobs));
+    add_dirty_rows(fleet);
     if (now_us >= fleet->next_renewal_us || fleet->release_requested)
         add_lease(fleet);
     add_expired(fleet);
     /* Speeds wait for the next change, so that the change stays small. */
     if (!add_shares(fleet))
         add_speeds(fleet);
-    if (g_queue_is_empty(&fleet->dirty_jobs)) {
+    if (g_queue_is_empty(&fleet->dirty_rows)) {
         commit->covers_ends = true;
         mark_ends_committing(fleet);
     }
 }
 
+/* Returns whether some members of a gang are not recorded yet: their rows may
+   be written by several changes, and none of a gang starts before all. */
+static bool
+waits_for_members(const struct step *step)
+{
+    uint32_t k;
+
+    if (!step->spec->gang || job_is_final(step->job))
+        return false;
+    for (k = 0; k < step->spec->task_count; k++) {
+        const struct task *task = &step->tasks[k];
+
+        if (task->state == TASK_PLANNED ||
+            (task->state == TASK_RECORDING && !task->recorded))
+            return true;
+    }
+    return false;
+}
+
 static void
 start_recorded(cs_fleet *fleet, struct step *step)
 {
     uint32_t k;
 
+    if (waits_for_members(step))
+        return;
     start_gate_release(fleet, step);
     for (k = 0; k < step->spec->task_count; k++) {
         struct task *task = &step->tasks[k];
 
-        if (task->state != TASK_RECORDING)
+        if (task->state != TASK_RECORDING || !task->recorded)
             continue;
         if (job_is_final(step->job))
             task_release(fleet, task);
@@ -267,18 +360,32 @@
 }
 
 static void
-job_committed(cs_fleet *fleet, struct job *job, uint64_t version)
+row_committed(cs_fleet *fleet, struct progress_row *row, uint64_t version)
 {
-    uint32_t i;
+    GPtrArray *tasks = progress_list_tasks(row);
+    struct step *step = NULL;
+    guint i;
+
+    row->committing = false;
+    row->version = version;
+    if (row->dirty)
+        g_queue_push_tail(&fleet->dirty_rows, row);
+    for (i = 0; i < tasks->len; i++) {
+        struct task *task = g_ptr_array_index(tasks, i);
+
+        if (task->state == TASK_RECORDING)
+            task->recorded = true;
+    }
+    for (i = 0; i < tasks->len; i++) {
+        struct task *task = g_ptr_array_index(tasks, i);
 
-    job->committing = false;
-    job->progress_version = version;
-    if (job->dirty)
-        g_queue_push_tail(&fleet->dirty_jobs, job);
-    for (i = 0; i < job_total_steps(job); i++) {
-        if (job->steps[i])
-            start_recorded(fleet, job->steps[i]);
+        /* The tasks of a step follow one another. */
+        if (task->step == step)
+            continue;
+        step = task->step;
+        start_recorded(fleet, step);
     }
+    g_ptr_array_free(tasks, TRUE);
 }
 
 static void
@@ -305,8 +412,13 @@
 
     cs_fleet_state_record_write_time(fleet->state,
                                      now_us - commit->first_attempt_us);
-    for (i = 0; i < commit->jobs->len; i++)
-        job_committed(fleet, g_ptr_array_index(commit->jobs, i), version);
+    for (i = 0; i < commit->rows->len; i++)
+        row_committed(fleet, g_ptr_array_index(commit->rows, i), version);
+    for (i = 0; i < commit->expired_rows->len; i++) {
+        struct progress_row *row = g_ptr_array_index(commit->expired_rows, i);
+
+        row->version = 0;
+    }
     for (i = 0; i < commit->expired_jobs->len; i++) {
         const struct job *job = g_ptr_array_index(commit->expired_jobs, i);
 
@@ -412,15 +524,15 @@
         tenure_end(fleet, "the store rejects a change as invalid");
         return;
     }
-    cs_log_event("commit-repeated",
-                 "%s after %" PRId64 " ms, %u jobs, %zu bytes, lease written "
-                 "%" PRId64 " ms ago%s",
-                 cs_error_name(answer->code),
-                 (fleet_now(fleet).boot_us - sent_us) / CS_MS_US,
-                 commit->jobs->len, commit->sent_bytes,
-                 (fleet_now(fleet).boot_us - fleet->last_renewal_us) /
-                     CS_MS_US,
-                 fleet->state->relayed ? ", through a peer" : "");
+    cs_log_event(
+        "commit-repeated",
+        "%s after %" PRId64 " ms, %u progress rows, %zu bytes, lease written "
+        "%" PRId64 " ms ago%s",
+        cs_error_name(answer->code),
+        (fleet_now(fleet).boot_us - sent_us) / CS_MS_US, commit->rows->len,
+        commit->sent_bytes,
+        (fleet_now(fleet).boot_us - fleet->last_renewal_us) / CS_MS_US,
+        fleet->state->relayed ? ", through a peer" : "");
     if (answer->code == CS_E_OUTCOME_UNKNOWN) {
         commit->unanswered = true;
         cs_fleet_state_record_write_time(
@@ -485,7 +597,7 @@
         return;
     }
     if (g_queue_is_empty(&fleet->expired_progress) &&
-        g_queue_is_empty(&fleet->dirty_jobs) &&
+        g_queue_is_empty(&fleet->dirty_rows) &&
         now_us < fleet->next_renewal_us && !fleet->release_requested &&
         !has_unrecorded_ends(fleet))
         return;
--- a/src/fleet/cycle.c
+++ b/src/fleet/cycle.c
@@ -233,12 +233,14 @@
         task_place(fleet, task,
                    g_ptr_array_index(fleet->worker_list, workers[placed++]),
                    step->spec->gang ? run : task->run + 1);
+        progress_set_task_dirty(fleet, task);
     }
-    if (step->job->state == CS_PROGRESS_QUEUED)
+    if (step->job->state == CS_PROGRESS_QUEUED) {
         step->job->state = CS_PROGRESS_RUNNING;
+        progress_set_dirty(fleet, step->job);
+    }
     cs_counters_observe_ms(fleet->state->counters, "cs_step_wait_ms",
                            (cycle->now.boot_us - step->ready_us) / CS_MS_US);
-    job_set_dirty(fleet, step->job);
     spread = step->spec->same_rack && spans_racks(cycle, workers, count);
     if (spread)
         fleet_increment_counter(fleet, "cs_gangs_spread_total");
--- a/src/fleet/feeds.c
+++ b/src/fleet/feeds.c
@@ -43,23 +43,30 @@
     fleet->cycle_requested = true;
 }
 
+/* The rows are read in the order of their keys, so that the first row of a
+   job, which says how many tasks the others hold, precedes them. */
 static void
 apply_progress_row(cs_fleet *fleet, const cs_row *row)
 {
-    struct job *job = g_hash_table_lookup(fleet->jobs, row->key);
+    struct progress_row *progress_row = progress_find_row(fleet, row->key);
     cs_job_progress progress;
+    struct job *job;
 
-    if (!job)
+    if (!progress_row)
         return;
+    job = progress_row->job;
+    progress_row->version = row->version;
     if (cs_job_progress_decode(&progress, row->value, row->size_bytes)) {
-        cs_log_event("progress-unreadable", "job %s: %s", row->key,
+        cs_log_event("progress-unreadable", "job %.60s: %s", row->key,
                      cs_error_last());
         fleet_increment_counter(fleet, "cs_rows_unreadable_total");
-        job->progress_version = row->version;
         return;
     }
-    job->progress_version = row->version;
-    job_restore(fleet, job, &progress);
+    if (progress_row->number == 0) {
+        job_restore_state(fleet, job, &progress);
+        job->rows[0].version = row->version;
+    }
+    job_restore_tasks(fleet, job, &progress);
     cs_job_progress_dispose(&progress);
 }
 
@@ -341,6 +348,7 @@
     fleet->tenure = TENURE_HOLDING;
     fleet->cycle_requested = true;
     job_finish_cancelled(fleet);
+    job_update_restored(fleet);
     limit_adoption_of_unlisted(fleet);
     /* A new holder has no past use to average; it begins with what it has
        adopted. */
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -60,7 +60,7 @@
     fleet->stored_speeds =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     fleet->reserve = reserve_create();
-    g_queue_init(&fleet->dirty_jobs);
+    g_queue_init(&fleet->dirty_rows);
     g_queue_init(&fleet->expired_jobs);
     g_queue_init(&fleet->expired_progress);
     fleet->job_removal_pending = false;
@@ -69,7 +69,7 @@
 static void
 destroy_tables(cs_fleet *fleet)
 {
-    g_queue_clear(&fleet->dirty_jobs);
+    g_queue_clear(&fleet->dirty_rows);
     g_queue_clear(&fleet->expired_jobs);
     g_queue_clear(&fleet->expired_progress);
     g_ptr_array_free(fleet->active_jobs, TRUE);
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -118,6 +118,7 @@
     int64_t progress_percent;
     int64_t started_us;     /* when the start was sent or adopted; 0 not yet */
     int64_t confirmed_us;   /* when the start was confirmed; 0 not yet */
+    bool recorded;          /* the store has confirmed the record of the run */
     bool partial;           /* the run is adopted or resumes a checkpoint, so
                                its run time is not that of a whole task */
     bool speed_sampled;     /* its progress has counted for the worker's speed
@@ -140,6 +141,7 @@
     uint32_t occurrence;
     uint32_t number;
     struct task *tasks;
+    uint32_t first_task; /* number of its tasks before it in the job */
     uint32_t waiting_count;
     uint32_t done_count;
     uint32_t last_failed_run; /* gang: the last run that counted as failed */
@@ -157,12 +159,22 @@
     cs_preempt_record preemption; /* of it, and searches for victims for it */
 };
 
+/* A row with the progress of some tasks of a job, see progress.c. */
+struct progress_row {
+    struct job *job;
+    uint32_t number;  /* in job->rows */
+    uint64_t version; /* of the row in the store; 0 none */
+    bool dirty;       /* the row in the store is out of date */
+    bool committing;  /* the row is being written */
+};
+
 struct job {
     cs_job_spec spec;
     cs_progress_state state;
-    uint64_t progress_version; /* of its progress row; 0 none */
-    bool dirty;                /* its progress row is out of date */
-    bool committing;           /* its progress row is being written */
+    struct progress_row *rows;
+    uint32_t row_count; /* at least 1 */
+    uint32_t row_tasks; /* tasks in a row */
+    bool single_row;    /* a former build has stored all tasks in one row */
     int64_t ended_ms;
     uint64_t sequence;     /* in order of acceptance */
     uint32_t occurrences;  /* at least 1 */
@@ -180,12 +192,14 @@
     int64_t first_attempt_us; /* 0 none yet */
     size_t sent_bytes;        /* of the values */
     bool unanswered;    /* an earlier attempt of the same rows got no answer */
-    GPtrArray *jobs;    /* of struct job, whose progress it writes */
+    GPtrArray *rows;    /* of struct progress_row, which it writes */
+    GPtrArray *keys;    /* of char, of progress rows */
     GPtrArray *values;  /* of GByteArray, referenced by puts */
     GArray *puts;       /* of cs_row */
     GArray *conditions; /* of cs_row */
     GArray *removals;   /* of cs_row */
-    GPtrArray *expired_jobs; /* of struct job, whose progress it removes */
+    GPtrArray *expired_rows; /* of struct progress_row, which it removes */
+    GPtrArray *expired_jobs; /* of struct job without further rows */
     char speed_key[12];      /* of the row of speeds among the puts, if any */
     bool has_lease;          /* it renews the lease */
     bool covers_ends;        /* it writes all that the ends processed so far
@@ -242,10 +256,10 @@
     GHashTable *rack_numbers;  /* name to number + 1 */
     GHashTable *label_numbers; /* name to bit number + 1 */
     GHashTable *queue_run_times; /* queue name to struct queue_run_time */
-    GQueue dirty_jobs;           /* of struct job, to be committed */
+    GQueue dirty_rows;           /* of struct progress_row, to be written */
     GQueue expired_jobs; /* of struct job, whose job row is to be removed */
     GQueue expired_progress;  /* of struct job, whose job row was removed and
-                                 whose progress row is to be */
+                                 whose progress rows are to be */
     bool job_removal_pending; /* the removal of a job row is in flight */
     struct commit commit;
     struct feed job_feed;
@@ -376,18 +390,20 @@
 /* Adds an accepted job; takes ownership of what spec owns. */
 struct job *job_add(cs_fleet *fleet, cs_job_spec *spec);
 void job_free(gpointer data);
-/* Restores a job from the record of a former holder. */
-void job_restore(cs_fleet *fleet, struct job *job,
-                 const cs_job_progress *progress);
+/* Restores a job's state from the record of a former holder. */
+void job_restore_state(cs_fleet *fleet, struct job *job,
+                       const cs_job_progress *progress);
+/* Restores the tasks in a record of a former holder. */
+void job_restore_tasks(cs_fleet *fleet, struct job *job,
+                       const cs_job_progress *progress);
 void job_cancel(cs_fleet *fleet, struct job *job);
 /* Ends the jobs whose cancellation was read before their progress. */
 void job_finish_cancelled(cs_fleet *fleet);
 /* Ends the job if all its steps are done or one is out of attempts. */
 void job_update(cs_fleet *fleet, struct job *job);
-/* Schedules a write of the job's progress. */
-void job_set_dirty(cs_fleet *fleet, struct job *job);
-/* Fills out with the job's progress, to be disposed by the caller. */
-void job_fill_progress(const struct job *job, cs_job_progress *out);
+/* Ends the jobs that a former holder has left without doing so: the rows of a
+   job may have been written one after another. */
+void job_update_restored(cs_fleet *fleet);
 /* Creates the steps of the occurrences that are due. */
 void job_create_due_steps(cs_fleet *fleet, struct job *job, int64_t wall_ms);
 /* Returns whether all steps that the step depends on are done. */
@@ -404,6 +420,34 @@
 /* Writes a task's name to out, a buffer of TASK_NAME_BYTES. */
 void task_name(char *out, const struct task *task);
 
+/* progress.c */
+#define CS_PROGRESS_KEY_BYTES (CS_JOB_ID_BYTES + 12)
+/* Returns the store's limit of a row's value. */
+size_t progress_max_row_bytes(const cs_fleet *fleet);
+/* Returns how many tasks a row of a new job holds. */
+uint32_t progress_default_row_tasks(const cs_fleet *fleet);
+/* Creates the job's rows, with a number of tasks each. */
+void progress_init(struct job *job, uint32_t row_tasks);
+/* Schedules a write of the row with the job's state. */
+void progress_set_dirty(cs_fleet *fleet, struct job *job);
+/* Schedules a write of the row with the task. */
+void progress_set_task_dirty(cs_fleet *fleet, const struct task *task);
+/* Returns whether all rows of the job are up to date in the store. */
+bool progress_is_recorded(const struct job *job);
+/* Returns the number of tasks of the job before those of a step. */
+uint32_t progress_first_task(const struct job *job, uint32_t occurrence,
+                             uint32_t step_number);
+void progress_key(char out[CS_PROGRESS_KEY_BYTES],
+                  const struct progress_row *row);
+/* Returns the row with a key, or NULL if no job has such a row. */
+struct progress_row *progress_find_row(cs_fleet *fleet, const char *key);
+/* Returns the tasks in a row, of struct task, to be freed by the caller. */
+GPtrArray *progress_list_tasks(const struct progress_row *row);
+/* Appends the record of a row with the tasks in it. Checkpoints that do not
+   fit into a row of the store are left out. */
+void progress_encode(const cs_fleet *fleet, const struct progress_row *row,
+                     const GPtrArray *tasks, GByteArray *out);
+
 /* task.c */
 void task_place(cs_fleet *fleet, struct task *task, struct worker *worker,
                 uint32_t run);
--- a/src/fleet/job.c
+++ b/src/fleet/job.c
@@ -33,6 +33,7 @@
         MAX(fleet->last_submission_ms, spec->accepted_ms);
     job->occurrences = MAX(spec->repeats, 1);
     job->steps = g_new0(struct step *, job_total_steps(job));
+    progress_init(job, progress_default_row_tasks(fleet));
     g_hash_table_insert(fleet->jobs, job->spec.id, job);
     g_ptr_array_add(fleet->active_jobs, job);
     job_create_due_steps(fleet, job, fleet_now(fleet).wall_us / CS_MS_US);
@@ -63,6 +64,7 @@
     for (i = 0; i < job_total_steps(job); i++)
         step_free(job->steps[i]);
     g_free(job->steps);
+    g_free(job->rows);
     cs_job_spec_dispose(&job->spec);
     g_free(job);
 }
@@ -83,6 +85,7 @@
     step->spec = &job->spec.steps[number];
     step->occurrence = occurrence;
     step->number = number;
+    step->first_task = progress_first_task(job, occurrence, number);
     step->waiting_count = step->spec->task_count;
     step->tasks = g_new0(struct task, step->spec->task_count);
     for (i = 0; i < step->spec->task_count; i++) {
@@ -179,63 +182,32 @@
 }
 
 void
-job_restore(cs_fleet *fleet, struct job *job, const cs_job_progress *progress)
+job_restore_state(cs_fleet *fleet, struct job *job,
+                  const cs_job_progress *progress)
 {
-    guint i;
+    bool was_final = job_is_final(job);
 
     job->state = progress->state;
     job->ended_ms = progress->ended_ms;
-    for (i = 0; i < progress->tasks->len; i++)
-        restore_task(fleet, job,
-                     &g_array_index(progress->tasks, cs_task_progress, i));
-    if (job_is_final(job)) {
+    if (progress->row_tasks > 0)
+        progress_init(job, progress->row_tasks);
+    else
+        job->single_row = job->row_count > 1;
+    if (job_is_final(job) && !was_final) {
         g_ptr_array_remove(fleet->active_jobs, job);
         g_ptr_array_add(fleet->final_jobs, job);
     }
 }
 
-static void
-add_progress(const struct task *task, cs_job_progress *out)
-{
-    cs_task_progress record = {
-        .occurrence = task->step->occurrence,
-        .step = task->step->number,
-        .index = task->index,
-        .run = task->run,
-        .failures = task->failures,
-        .done = task->state == TASK_DONE,
-        .worker = task->worker ? task->worker->id : NULL,
-        .checkpoint_data = task->worker ? NULL : task->checkpoint};
-
-    if (task->run > 0)
-        cs_job_progress_add(out, &record);
-}
-
 void
-job_fill_progress(const struct job *job, cs_job_progress *out)
+job_restore_tasks(cs_fleet *fleet, struct job *job,
+                  const cs_job_progress *progress)
 {
-    uint32_t i;
-    uint32_t k;
-
-    cs_job_progress_init(out);
-    out->state = job->state;
-    out->ended_ms = job->ended_ms;
-    for (i = 0; i < job_total_steps(job); i++) {
-        const struct step *step = job->steps[i];
-
-        for (k = 0; step && k < step->spec->task_count; k++)
-            add_progress(&step->tasks[k], out);
-    }
-}
+    guint i;
 
-void
-job_set_dirty(cs_fleet *fleet, struct job *job)
-{
-    if (job->dirty)
-        return;
-    job->dirty = true;
-    if (!job->committing)
-        g_queue_push_tail(&fleet->dirty_jobs, job);
+    for (i = 0; i < progress->tasks->len; i++)
+        restore_task(fleet, job,
+                     &g_array_index(progress->tasks, cs_task_progress, i));
 }
 
 static void
@@ -246,7 +218,7 @@
 
     job->state = state;
     job->ended_ms = fleet_now(fleet).wall_us / CS_MS_US;
-    job_set_dirty(fleet, job);
+    progress_set_dirty(fleet, job);
     g_ptr_array_remove(fleet->active_jobs, job);
     g_ptr_array_add(fleet->final_jobs, job);
     cs_log_event("job-ended", "job %s queue %s state %d after %" PRId64 " ms",
@@ -340,6 +312,21 @@
     }
 }
 
+void
+job_update_restored(cs_fleet *fleet)
+{
+    guint i = fleet->active_jobs->len;
+
+    while (i-- > 0) {
+        struct job *job = g_ptr_array_index(fleet->active_jobs, i);
+
+        /* The attempts of a queue that was removed are not known. */
+        if (fleet->state->config &&
+            cs_fleet_config_queue(fleet->state->config, job->spec.queue))
+            job_update(fleet, job);
+    }
+}
+
 void
 job_queue_expired(cs_fleet *fleet)
 {
@@ -350,8 +337,8 @@
     while (fleet->final_jobs->len > 0) {
         struct job *job = g_ptr_array_index(fleet->final_jobs, 0);
 
-        if (now_ms - job->ended_ms < retention_ms || job->dirty ||
-            job->committing || job->active_tasks > 0)
+        if (now_ms - job->ended_ms < retention_ms || job->active_tasks > 0 ||
+            !progress_is_recorded(job))
             return;
         g_ptr_array_remove_index(fleet->final_jobs, 0);
         g_queue_push_tail(&fleet->expired_jobs, job);
@@ -359,7 +346,7 @@
 }
 
 /*
- * The job row is removed before the progress row, because a job without
+ * The job row is removed before the progress rows, because a job without
  * progress would run again. One change cannot remove both, as all rows of a
  * change share a part of the store.
  */
--- a/src/fleet/speeds.c
+++ b/src/fleet/speeds.c
@@ -11,6 +11,8 @@
 /* Workers in a row. Keeps the value well below 64 KiB, the smallest limit of a
    row's value. */
 #define GROUP_WORKERS 500
+/* Upper bound of the record of a speed, besides the worker's id. */
+#define SPEED_NUMBERS_BYTES 32
 #define RECORD_VERSION 1
 /* Speeds are stored as integers, in thousandths. */
 #define RECORD_SCALE 1000.0
@@ -27,6 +29,25 @@
     return (fleet->worker_list->len + GROUP_WORKERS - 1) / GROUP_WORKERS;
 }
 
+/* Returns the end of the workers whose speeds fit into a row of the store. The
+   speeds of the others are learned anew by the next holder. */
+static uint32_t
+limit_group(const cs_fleet *fleet, uint32_t first, uint32_t last)
+{
+    size_t limit = progress_max_row_bytes(fleet);
+    size_t bytes = SPEED_NUMBERS_BYTES;
+    uint32_t i;
+
+    for (i = first; i < last; i++) {
+        const struct worker *worker = g_ptr_array_index(fleet->worker_list, i);
+
+        bytes += strlen(worker->id) + SPEED_NUMBERS_BYTES;
+        if (bytes > limit)
+            break;
+    }
+    return i;
+}
+
 static void
 encode_group(const cs_fleet *fleet, uint32_t group, GByteArray *out)
 {
@@ -35,6 +56,7 @@
     msgpack_packer packer;
     uint32_t i;
 
+    last = limit_group(fleet, first, last);
     cs_record_packer_init(&packer, out);
     msgpack_pack_array(&packer, 1 + (last - first) * 4);
     msgpack_pack_int64(&packer, RECORD_VERSION);
--- a/src/fleet/start_gate.c
+++ b/src/fleet/start_gate.c
@@ -50,7 +50,7 @@
 static bool
 must_withhold(cs_fleet *fleet, const struct task *task)
 {
-    return task->state == TASK_RECORDING &&
+    return task->state == TASK_RECORDING && task->recorded &&
            (!start_gate_is_open(fleet) ||
             start_gate_is_closed_at(fleet, task->worker));
 }
--- a/src/fleet/status.c
+++ b/src/fleet/status.c
@@ -68,7 +68,7 @@
         "draining", state->draining, "active_jobs",
         (int)fleet->active_jobs->len, "ended_jobs",
         (int)fleet->final_jobs->len, "unrecorded_jobs",
-        (int)g_queue_get_length((GQueue *)&fleet->dirty_jobs), "starts_held",
+        (int)g_queue_get_length((GQueue *)&fleet->dirty_rows), "starts_held",
         fleet->starts_held, "evacuations",
         cs_evacuations_status(state->evacuations, now_us), "workers",
         list_workers(fleet), "organisations", ledger_list_organisations(fleet),
@@ -180,6 +180,6 @@
     }
     return json_pack("{s:s,s:s,s:s,s:i,s:b,s:o}", "id", job->spec.id, "queue",
                      job->spec.queue, "organisation", job->spec.organisation,
-                     "state", (int)job->state, "recorded", !job->dirty,
-                     "steps", steps);
+                     "state", (int)job->state, "recorded",
+                     progress_is_recorded(job), "steps", steps);
 }
--- a/src/fleet/task.c
+++ b/src/fleet/task.c
@@ -56,6 +56,7 @@
     task->state = TASK_PLANNED;
     task->worker = worker;
     task->run = run;
+    task->recorded = false;
     task->progress_percent = 0;
     task->started_us = 0;
     task->confirmed_us = 0;
@@ -91,7 +92,7 @@
     task->urgent = false;
     task->worker = NULL;
     task->step->job->active_tasks--;
-    job_set_dirty(fleet, task->step->job);
+    progress_set_task_dirty(fleet, task);
     fleet->cycle_requested = true;
 }
 
@@ -252,13 +253,13 @@
         if (task->state == TASK_WAITING) {
             /* Its run was considered lost before. */
             task_mark_done(task);
+            progress_set_task_dirty(fleet, task);
         }
         else if (task->state != TASK_DONE) {
             worker_expect_end(fleet, task->worker);
             finish_task(fleet, task);
         }
     }
-    job_set_dirty(fleet, step->job);
 }
 
 /* Stops and releases a task whose run is no longer needed. */
@@ -283,6 +284,7 @@
         return;
     abandon_run(fleet, task);
     task_mark_done(task);
+    progress_set_task_dirty(fleet, task);
 }
 
 void
@@ -303,7 +305,6 @@
     else {
         complete_late_task(fleet, task);
     }
-    job_set_dirty(fleet, step->job);
     job_update(fleet, step->job);
 }
 
--- a/src/fleet/tenure.c
+++ b/src/fleet/tenure.c
@@ -54,8 +54,16 @@
     int64_t now_ms;     /* store's clock at the read; 0 unknown */
 };
 
+/* How much of the lease row is written. It must fit into a row of the store:
+   without it the holder loses the cell, and so does each successor. */
+typedef enum {
+    LEASE_IN_FULL,
+    LEASE_WITHOUT_FORECAST,
+    LEASE_WITH_HASHES /* and with hashes instead of the queues' names */
+} lease_form;
+
 static void
-encode_waiting(msgpack_packer *packer, GHashTable *waiting)
+encode_waiting(msgpack_packer *packer, GHashTable *waiting, lease_form form)
 {
     GHashTableIter iter;
     gpointer key;
@@ -64,7 +72,10 @@
     msgpack_pack_array(packer, g_hash_table_size(waiting) * 2);
     g_hash_table_iter_init(&iter, waiting);
     while (g_hash_table_iter_next(&iter, &key, &value)) {
-        cs_record_pack_text(packer, key);
+        if (form == LEASE_WITH_HASHES)
+            msgpack_pack_uint32(packer, cs_cell_view_queue_hash(key));
+        else
+            cs_record_pack_text(packer, key);
         msgpack_pack_uint32(packer, GPOINTER_TO_UINT(value));
     }
 }
@@ -91,24 +102,40 @@
 }
 
 static void
-encode_lease(cs_fleet *fleet, GByteArray *out)
+encode_lease_form(const cs_fleet *fleet, GByteArray *out, lease_form form)
 {
-    const GByteArray *forecast = forecast_record(fleet);
+    const GByteArray *forecast =
+        form == LEASE_IN_FULL ? forecast_record(fleet) : NULL;
     msgpack_packer packer;
 
     cs_record_packer_init(&packer, out);
     msgpack_pack_array(&packer, forecast ? 6 : 5);
     msgpack_pack_int64(&packer, RECORD_VERSION);
-    msgpack_pack_uint64(&packer, ++fleet->renewal_serial);
+    msgpack_pack_uint64(&packer, fleet->renewal_serial);
     msgpack_pack_int64(&packer, fleet->release_requested);
     msgpack_pack_int64(&packer, fleet->store_clock_ms);
-    encode_waiting(&packer, fleet->state->cell.waiting_jobs);
+    encode_waiting(&packer, fleet->state->cell.waiting_jobs, form);
     if (forecast) {
         msgpack_pack_bin(&packer, forecast->len);
         msgpack_pack_bin_body(&packer, forecast->data, forecast->len);
     }
 }
 
+static void
+encode_lease(cs_fleet *fleet, GByteArray *out)
+{
+    lease_form form = LEASE_IN_FULL;
+
+    fleet->renewal_serial++;
+    encode_lease_form(fleet, out, form);
+    while (out->len > progress_max_row_bytes(fleet) &&
+           form < LEASE_WITH_HASHES) {
+        g_byte_array_set_size(out, 0);
+        encode_lease_form(fleet, out, ++form);
+        fleet_increment_counter(fleet, "cs_lease_rows_shortened_total");
+    }
+}
+
 void
 tenure_encode_lease(cs_fleet *fleet, GByteArray *out)
 {
@@ -157,7 +184,11 @@
     while (!reader.failed && reader.next < reader.count) {
         int64_t count;
 
-        cs_record_read_text(&reader, name, sizeof(name));
+        if (reader.items[reader.next].type == MSGPACK_OBJECT_STR)
+            cs_record_read_text(&reader, name, sizeof(name));
+        else
+            cs_cell_view_hash_name(name,
+                                   (uint32_t)cs_record_read_int(&reader));
         count = cs_record_read_int(&reader);
         if (!reader.failed)
             g_hash_table_insert(waiting, g_strdup(name),
--- a/src/model/fleet_state.c
+++ b/src/model/fleet_state.c
@@ -40,6 +40,30 @@
     drop_forecast(&state->cell);
 }
 
+uint32_t
+cs_cell_view_queue_hash(const char *queue)
+{
+    return g_str_hash(queue);
+}
+
+void
+cs_cell_view_hash_name(char out[CS_QUEUE_HASH_NAME_BYTES], uint32_t hash)
+{
+    g_snprintf(out, CS_QUEUE_HASH_NAME_BYTES, "#%08" PRIx32, hash);
+}
+
+uint32_t
+cs_cell_view_waiting_jobs(const cs_cell_view *cell, const char *queue)
+{
+    char hash[CS_QUEUE_HASH_NAME_BYTES];
+    gpointer count;
+
+    if (g_hash_table_lookup_extended(cell->waiting_jobs, queue, NULL, &count))
+        return GPOINTER_TO_UINT(count);
+    cs_cell_view_hash_name(hash, cs_cell_view_queue_hash(queue));
+    return GPOINTER_TO_UINT(g_hash_table_lookup(cell->waiting_jobs, hash));
+}
+
 cs_now
 cs_fleet_state_now(const cs_fleet_state *state)
 {
--- a/src/model/job_progress.c
+++ b/src/model/job_progress.c
@@ -36,6 +36,7 @@
 {
     progress->state = CS_PROGRESS_QUEUED;
     progress->ended_ms = 0;
+    progress->row_tasks = 0;
     progress->tasks = g_array_new(FALSE, TRUE, sizeof(cs_task_progress));
     g_array_set_clear_func(progress->tasks, clear_task);
 }
@@ -95,7 +96,7 @@
     guint i;
 
     cs_record_packer_init(&packer, out);
-    msgpack_pack_array(&packer, 4);
+    msgpack_pack_array(&packer, 5);
     msgpack_pack_int64(&packer, RECORD_VERSION);
     msgpack_pack_int64(&packer, progress->state);
     msgpack_pack_int64(&packer, progress->ended_ms);
@@ -103,6 +104,7 @@
     for (i = 0; i < progress->tasks->len; i++)
         encode_task(&packer,
                     &g_array_index(progress->tasks, cs_task_progress, i));
+    msgpack_pack_uint32(&packer, progress->row_tasks);
 }
 
 static void
@@ -143,6 +145,9 @@
         return false;
     for (i = 0; i < list->via.array.size; i++)
         decode_task(out, &list->via.array.ptr[i], &reader->failed);
+    /* Records of older versions end here. */
+    if (!reader->failed && reader->next < reader->count)
+        out->row_tasks = (uint32_t)cs_record_read_int(reader);
     return !reader->failed;
 }
 
--- a/src/model/job_spec.c
+++ b/src/model/job_spec.c
@@ -82,6 +82,7 @@
 int
 cs_job_spec_check(const cs_job_spec *spec)
 {
+    uint64_t tasks = 0;
     uint32_t i;
     int rc;
 
@@ -103,7 +104,12 @@
         rc = check_step(&spec->steps[i], i);
         if (rc)
             return rc;
+        tasks += spec->steps[i].task_count;
     }
+    if (tasks * MAX(spec->repeats, 1) > CS_JOB_TOTAL_TASKS_MAX)
+        return cs_error_set(CS_E_INVALID,
+                            "the job has more than %d tasks in all",
+                            CS_JOB_TOTAL_TASKS_MAX);
     return 0;
 }
 
--- a/standins/fake_fleet.c
+++ b/standins/fake_fleet.c
@@ -13,6 +13,7 @@
 #define VM_TICK_US (20 * CS_MS_US)
 #define WORKER_TICK_US (10 * CS_MS_US)
 /* Interval at which a worker writes its entry to the store. */
+#define DEFAULT_ROW_BYTES 65536
 #define ENTRY_INTERVAL_US (1500 * CS_MS_US)
 #define CALL_TIMEOUT_US (3 * CS_SEC_US)
 /* Time between a stop request and the earliest end of the process. */
@@ -136,6 +137,7 @@
     g_snprintf(settings.zone, sizeof(settings.zone), "z%u",
                vm->number % FAKE_ZONES);
     settings.cpu_share = (double)vm->cpu_milli / 1000.0;
+    settings.row_bytes = vm->deployment->row_bytes;
     settings.worker_heartbeat_ms = ENTRY_INTERVAL_US / CS_MS_US;
     vm->busy_until_us = 0;
     vm->counters = cs_counters_create();
@@ -434,6 +436,8 @@
     deployment->store_kbps = settings->store_kbps;
     deployment->store_reads_per_s = settings->store_reads_per_s;
     deployment->feed_rows_max = settings->feed_rows_max;
+    deployment->row_bytes =
+        settings->row_bytes ? settings->row_bytes : DEFAULT_ROW_BYTES;
     fake_store_init(deployment);
     fake_fleet_configure(deployment, 1);
     for (i = 0; i < deployment->worker_count; i++) {
@@ -895,12 +899,17 @@
     return deployment->violation;
 }
 
+uint32_t
+fake_fleet_rejected_changes(const fake_fleet *deployment)
+{
+    return deployment->store.rejected_changes;
+}
+
 uint32_t
 fake_fleet_waiting_jobs(const fake_fleet *deployment, uint32_t vm,
                         const char *queue)
 {
-    return GPOINTER_TO_UINT(g_hash_table_lookup(
-        deployment->vms[vm].state.cell.waiting_jobs, queue));
+    return cs_cell_view_waiting_jobs(&deployment->vms[vm].state.cell, queue);
 }
 
 uint32_t
--- a/standins/fake_fleet.h
+++ b/standins/fake_fleet.h
@@ -78,6 +78,8 @@
     uint32_t store_reads_per_s;
     /** Maximum rows of an answer to a poll; 0 means unlimited. */
     uint32_t feed_rows_max;
+    /** Maximum bytes of a row's value in a change; 0 means 65,536. */
+    int64_t row_bytes;
 } fake_fleet_settings;
 
 /** What the store has done since the start. */
@@ -240,6 +242,11 @@
 /** @return whether no worker has a run or an unacknowledged ended run */
 bool fake_fleet_is_idle(const fake_fleet *deployment);
 
+/** @return number of rows in a table of the store */
+uint32_t fake_fleet_row_count(const fake_fleet *deployment, const char *table);
+/** @return number of changes rejected since the start because they exceed a
+ *          limit of the store */
+uint32_t fake_fleet_rejected_changes(const fake_fleet *deployment);
 /** @return number of jobs that wait in a queue, as known to a VM */
 uint32_t fake_fleet_waiting_jobs(const fake_fleet *deployment, uint32_t vm,
                                  const char *queue);
--- a/standins/fake_fleet_check.c
+++ b/standins/fake_fleet_check.c
@@ -199,10 +199,13 @@
 fake_check_progress(fake_fleet *deployment, const char *id,
                     const GByteArray *value)
 {
-    const struct fake_job_record *record =
-        fake_job_record_find(deployment, id);
+    const struct fake_job_record *record;
     cs_job_progress progress;
+    char job[CS_JOB_ID_BYTES];
+    bool is_first_row = strlen(id) == CS_JOB_ID_BYTES - 1;
 
+    g_strlcpy(job, id, sizeof(job));
+    record = fake_job_record_find(deployment, job);
     if (!record) {
         fake_record_violation(deployment,
                               "unknown job: progress written for %s", id);
@@ -213,6 +216,10 @@
                               "progress row of %s cannot be decoded", id);
         return;
     }
+    if (!is_first_row) {
+        cs_job_progress_dispose(&progress);
+        return;
+    }
     if (progress.state == CS_PROGRESS_COMPLETED &&
         g_hash_table_size(record->done_tasks) < count_tasks(&record->job.spec))
         fake_record_violation(
--- a/standins/fake_fleet_internal.h
+++ b/standins/fake_fleet_internal.h
@@ -51,6 +51,7 @@
     int64_t read_capacity_us;   /* when the next read can be executed */
     int64_t link_free_us;       /* when the store's link has sent all bytes */
     fake_store_load load;
+    uint32_t rejected_changes; /* beyond a limit of the store */
 };
 
 struct fake_run {
@@ -167,6 +168,7 @@
     int64_t store_kbps;
     uint32_t store_reads_per_s;
     uint32_t feed_rows_max;
+    int64_t row_bytes;
     bool shutting_down;               /* messages are freed, not delivered */
     uint64_t call_count;              /* store changes and worker orders */
     uint32_t pending_advice_requests; /* not yet answered by the adviser */
--- a/standins/fake_fleet_store.c
+++ b/standins/fake_fleet_store.c
@@ -10,6 +10,8 @@
 
 #define STORE_LATENCY_US (4 * CS_MS_US)
 #define MAX_CHANGE_ROWS 100
+#define MAX_CHANGE_BYTES ((size_t)1 << 20)
+#define MAX_NAME_BYTES 200
 /* Delay of a change that a fault makes late. */
 #define MIN_LATE_US (1 * CS_SEC_US)
 #define MAX_LATE_US (6 * CS_SEC_US)
@@ -155,6 +157,22 @@
     g_hash_table_destroy(deployment->store.table_versions);
 }
 
+uint32_t
+fake_fleet_row_count(const fake_fleet *deployment, const char *table)
+{
+    uint32_t count = 0;
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, deployment->store.rows);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct fake_row *row = value;
+
+        count += strcmp(row->table, table) == 0 && !row->deleted;
+    }
+    return count;
+}
+
 const struct fake_row *
 fake_store_get(const fake_fleet *deployment, const char *table,
                const char *part, const char *key)
@@ -556,15 +574,61 @@
     return true;
 }
 
+static size_t
+count_wire_bytes(const GPtrArray *rows)
+{
+    size_t bytes = 0;
+    guint i;
+
+    for (i = 0; i < rows->len; i++) {
+        const struct fake_row *row = g_ptr_array_index(rows, i);
+
+        bytes += ROW_OVERHEAD_BYTES + ((size_t)row->value->len + 2) / 3 * 4;
+    }
+    return bytes;
+}
+
+static bool
+has_valid_rows(const GPtrArray *rows, int64_t row_bytes)
+{
+    guint i;
+
+    for (i = 0; i < rows->len; i++) {
+        const struct fake_row *row = g_ptr_array_index(rows, i);
+
+        if (row->value->len > row_bytes ||
+            strlen(row->table) > MAX_NAME_BYTES ||
+            strlen(row->part) > MAX_NAME_BYTES ||
+            strlen(row->key) > MAX_NAME_BYTES)
+            return false;
+    }
+    return true;
+}
+
+/* Checks the limits of a change: entries, bytes, and those of each row. */
+static bool
+is_within_limits(const fake_fleet *deployment,
+                 const struct owned_change *change)
+{
+    return change->conditions->len + change->puts->len +
+                   change->removals->len <=
+               MAX_CHANGE_ROWS &&
+           count_wire_bytes(change->conditions) +
+                   count_wire_bytes(change->puts) +
+                   count_wire_bytes(change->removals) <=
+               MAX_CHANGE_BYTES &&
+           has_valid_rows(change->puts, deployment->row_bytes) &&
+           has_valid_rows(change->removals, deployment->row_bytes);
+}
+
 static void
 execute_change(void *user_data)
 {
     struct store_call *call = user_data;
 
-    if (call->change.conditions->len + call->change.puts->len +
-                call->change.removals->len >
-            MAX_CHANGE_ROWS ||
+    if (!is_within_limits(call->deployment, &call->change) ||
         !is_single_part(&call->change)) {
+        call->deployment->store.rejected_changes++;
         send_code(call, CS_E_INVALID);
         return;
     }
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -70,6 +70,98 @@
     fake_fleet_destroy(deployment);
 }
 
+/* Submits a job of three steps, each of which waits for the one before. */
+static void
+submit_large_job(fake_fleet *deployment, uint32_t tasks_per_step)
+{
+    int32_t reply;
+    fake_job job;
+    uint32_t i;
+
+    fake_job_init(&job, 1, 2, tasks_per_step, 0, 500);
+    g_free(job.spec.steps);
+    job.spec.step_count = 3;
+    job.spec.steps = g_new0(cs_job_step, 3);
+    for (i = 0; i < 3; i++) {
+        job.spec.steps[i].task_count = tasks_per_step;
+        job.spec.steps[i].demand.cpu_milli = 1000;
+        job.spec.steps[i].estimate_ms = 500;
+        job.spec.steps[i].predecessors = i ? UINT64_C(1) << (i - 1) : 0;
+    }
+    fake_fleet_submit(deployment, 0, &job, &reply);
+    fake_fleet_run(deployment, 100 * CS_MS_US);
+    assert_int_equal(reply, CS_REPLY_ACCEPTED);
+}
+
+/*
+ * Guards against one large job that ends all scheduling: its progress does not
+ * fit into a row of the store, which rejects the write of each holder in turn.
+ */
+static void
+fleet__job_larger_than_a_row_is_completed(void **state)
+{
+    fake_fleet *deployment = create_deployment(31);
+
+    submit_large_job(deployment, 2200);
+    fake_fleet_run(deployment, 20 * CS_SEC_US);
+    submit(deployment, 1, 2, 0, 4, 2, false);
+    fake_fleet_run(deployment, 4 * CS_SEC_US);
+    expect_state(deployment, 2, CS_PROGRESS_COMPLETED);
+    fake_fleet_run(deployment, 20 * CS_SEC_US);
+    expect_state(deployment, 1, CS_PROGRESS_COMPLETED);
+    assert_int_equal(fake_fleet_start_count(deployment, "0000000000000001"),
+                     3 * 2200);
+    assert_int_equal(fake_fleet_rejected_changes(deployment), 0);
+    expect_no_violation(deployment);
+    fake_fleet_destroy(deployment);
+}
+
+/* Guards against tasks that a successor starts again because it has read only
+   some of the rows of a large job, and against rows that are never removed. */
+static void
+fleet__successor_adopts_a_job_of_many_rows(void **state)
+{
+    fake_fleet *deployment = create_deployment(32);
+    uint32_t i;
+
+    submit_large_job(deployment, 1000);
+    for (i = 0; i < 3; i++) {
+        fake_fleet_run(deployment, 1300 * CS_MS_US);
+        fake_fleet_kill(deployment, (uint32_t)fake_fleet_holder(deployment),
+                        2 * CS_SEC_US);
+        fake_fleet_run(deployment, 3 * CS_SEC_US);
+    }
+    fake_fleet_run(deployment, 20 * CS_SEC_US);
+    expect_state(deployment, 1, CS_PROGRESS_COMPLETED);
+    assert_int_equal(fake_fleet_start_count(deployment, "0000000000000001"),
+                     3 * 1000);
+    expect_no_violation(deployment);
+    assert_true(fake_fleet_row_count(deployment, "progress") > 3);
+    fake_fleet_run(deployment, 200 * CS_SEC_US);
+    assert_int_equal(fake_fleet_row_count(deployment, "progress"), 0);
+    fake_fleet_destroy(deployment);
+}
+
+/* Guards against a gang of which some members start before the rows of the
+   others are written. */
+static void
+fleet__gang_of_many_rows_starts_as_a_whole(void **state)
+{
+    fake_fleet *deployment = create_deployment(33);
+    fake_job job;
+    int32_t reply;
+
+    fake_job_init(&job, 1, 1, 600, 0, 2000);
+    job.spec.steps[0].gang = true;
+    fake_fleet_submit(deployment, 0, &job, &reply);
+    fake_fleet_run(deployment, 6 * CS_SEC_US);
+    expect_state(deployment, 1, CS_PROGRESS_COMPLETED);
+    assert_int_equal(fake_fleet_start_count(deployment, "0000000000000001"),
+                     600);
+    expect_no_violation(deployment);
+    fake_fleet_destroy(deployment);
+}
+
 static void
 fleet__successor_adopts_running_tasks(void **state)
 {
@@ -560,6 +652,42 @@
     fake_fleet_destroy(deployment);
 }
 
+/*
+ * Guards against a lease row that is larger than the store allows because jobs
+ * of many queues wait: without it each holder loses the cell.
+ */
+static void
+fleet__waiting_counts_of_many_queues_fit_into_a_row(void **state)
+{
+    fake_fleet_settings settings = {
+        .vms = 4, .workers = 16, .racks = 2, .seed = 34, .row_bytes = 1024};
+    fake_fleet *deployment = fake_fleet_create(&settings);
+    int32_t holder;
+    fake_job job;
+    int32_t reply;
+    uint32_t i;
+
+    fake_fleet_run(deployment, 2 * CS_SEC_US);
+    fake_fleet_configure_queues(deployment, 2, 110);
+    fake_fleet_run(deployment, 2 * CS_SEC_US);
+    holder = fake_fleet_holder(deployment);
+    fake_job_init(&job, 1, 2, 16, 8, 60 * 1000);
+    fake_fleet_submit(deployment, 0, &job, &reply);
+    fake_fleet_run(deployment, 500 * CS_MS_US);
+    for (i = 0; i < 110; i++) {
+        fake_job_init(&job, i + 2, 2, 1, 8, 1000);
+        g_snprintf(job.spec.queue, sizeof(job.spec.queue), "more-%u", i);
+        fake_fleet_submit(deployment, i % 4, &job, &reply);
+        fake_fleet_run(deployment, 30 * CS_MS_US);
+    }
+    fake_fleet_run(deployment, 3 * CS_SEC_US);
+    assert_int_equal(fake_fleet_holder(deployment), holder);
+    assert_int_equal(fake_fleet_rejected_changes(deployment), 0);
+    for (i = 0; i < 4; i++)
+        assert_int_equal(fake_fleet_waiting_jobs(deployment, i, "more-77"), 1);
+    fake_fleet_destroy(deployment);
+}
+
 /* The states of ended jobs are available during the retention; after it their
    rows are removed. */
 static void
@@ -1034,6 +1162,9 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(fleet__job_is_completed),
+        cmocka_unit_test(fleet__job_larger_than_a_row_is_completed),
+        cmocka_unit_test(fleet__successor_adopts_a_job_of_many_rows),
+        cmocka_unit_test(fleet__gang_of_many_rows_starts_as_a_whole),
         cmocka_unit_test(fleet__successor_adopts_running_tasks),
         cmocka_unit_test(fleet__cold_start_adopts_tasks_before_leases_end),
         cmocka_unit_test(fleet__silent_worker_gets_no_tasks),
@@ -1054,6 +1185,7 @@
         cmocka_unit_test(fleet__removed_worker_is_unlisted_by_a_paged_read),
         cmocka_unit_test(fleet__heartbeats_to_idle_workers_are_limited),
         cmocka_unit_test(fleet__waiting_counts_survive_a_takeover),
+        cmocka_unit_test(fleet__waiting_counts_of_many_queues_fit_into_a_row),
         cmocka_unit_test(fleet__expired_jobs_are_removed),
         cmocka_unit_test(fleet__guaranteed_job_preempts_long_work),
         cmocka_unit_test(fleet__idle_capacity_is_used_outside_the_data_rack),
--- a/tests/test_fleet_faults.c
+++ b/tests/test_fleet_faults.c
@@ -28,13 +28,15 @@
 #define SESSION_JOBS 5
 
 static fake_fleet *
-create_deployment(uint64_t seed, fake_disabled_protection disabled)
+create_deployment_with_rows(uint64_t seed, fake_disabled_protection disabled,
+                            int64_t row_bytes)
 {
     fake_fleet_settings settings = {.vms = VMS,
                                     .workers = WORKERS,
                                     .racks = 2,
                                     .seed = seed,
-                                    .disabled_protection = disabled};
+                                    .disabled_protection = disabled,
+                                    .row_bytes = row_bytes};
     fake_fleet *deployment = fake_fleet_create(&settings);
 
     fake_fleet_run(deployment, 2 * CS_SEC_US);
@@ -42,6 +44,12 @@
     return deployment;
 }
 
+static fake_fleet *
+create_deployment(uint64_t seed, fake_disabled_protection disabled)
+{
+    return create_deployment_with_rows(seed, disabled, 0);
+}
+
 static void
 expect_no_violation(const fake_fleet *deployment)
 {
@@ -456,13 +464,16 @@
 }
 
 #define SOAK_JOBS 40
+/* With this limit of the store, the progress of 4 tasks takes a row. */
+#define SMALL_ROW_BYTES 1024
 
 /* Runs random jobs and faults, then lets everything settle without faults. */
 static void
 soak(uint32_t seed)
 {
     GRand *random = g_rand_new_with_seed(seed);
-    fake_fleet *deployment = create_deployment(seed, FAKE_ALL_PROTECTIONS);
+    fake_fleet *deployment = create_deployment_with_rows(
+        seed, FAKE_ALL_PROTECTIONS, seed % 3 == 0 ? SMALL_ROW_BYTES : 0);
     uint32_t number;
     char id[CS_JOB_ID_BYTES];
     char *failure;
@@ -490,6 +501,7 @@
     failure = describe_unsettled(deployment, SOAK_JOBS);
     if (failure)
         fail_msg("seed %u: %s", seed, failure);
+    assert_int_equal(fake_fleet_rejected_changes(deployment), 0);
     fake_fleet_destroy(deployment);
     g_rand_free(random);
 }
