policy: a task is retried on the only worker that may run it

That worker is now left out for 1 s, doubling to 2.5 s with further failures, and then used where no other has capacity. A quarantine, which had the same effect for up to 30 s, lasts 2 s at most without a substitute.

--- a/include/corianderstair/binpack.h
+++ b/include/corianderstair/binpack.h
@@ -56,10 +56,11 @@
     uint32_t first_reserved_rack;  /**< racks from this index on are reserved
                                for others; rack_count if none are */
     const bool *allowed;           /**< by worker; NULL allows all */
-    uint32_t
-        avoided_worker;  /**< a worker that is not used, or CS_BINPACK_ANY */
-    double speed_weight; /**< weight of a worker's speed against its free
-                              fraction; negative prefers slow workers */
+    uint32_t avoided_worker; /**< a worker that is used only if no other one
+                                  has capacity, or CS_BINPACK_ANY */
+    bool avoids_strictly;    /**< avoided_worker is not used at all */
+    double speed_weight;     /**< weight of a worker's speed against its free
+                                  fraction; negative prefers slow workers */
 } cs_binpack_request;
 
 /** @return whether the available resources cover the demand */
--- a/src/fleet/cycle_request.c
+++ b/src/fleet/cycle_request.c
@@ -55,19 +55,26 @@
     }
 }
 
-/* Returns the index of the worker on which a waiting task failed last. */
-static uint32_t
-find_worker_to_avoid(const struct step *step)
+/* Avoids the worker on which a waiting task of the step has failed last, for a
+   while strictly. */
+static void
+avoid_failed_worker(const struct cycle *cycle, const struct step *step,
+                    cs_binpack_request *request)
 {
+    const struct task *failed = NULL;
     uint32_t i;
 
     for (i = 0; i < step->spec->task_count; i++) {
         const struct task *task = &step->tasks[i];
 
-        if (task->state == TASK_WAITING && task->avoid_worker)
-            return task->avoid_worker->index;
+        if (task->state == TASK_WAITING && task->avoid_worker &&
+            (!failed || task->avoid_until_us > failed->avoid_until_us))
+            failed = task;
     }
-    return CS_BINPACK_ANY;
+    request->avoided_worker =
+        failed ? failed->avoid_worker->index : CS_BINPACK_ANY;
+    request->avoids_strictly =
+        failed && cycle->now.boot_us < failed->avoid_until_us;
 }
 
 static double
@@ -179,7 +186,7 @@
     request->tasks_present = count_placed_by_worker(cycle, step);
     if (candidate->queue->needs_ticket)
         request->allowed = advice_ticketed_workers(fleet, step);
-    request->avoided_worker = find_worker_to_avoid(step);
+    avoid_failed_worker(cycle, step, request);
     request->speed_weight = speed_weight(candidate->queue->priority);
     if (request->same_rack &&
         ((cycle->capacity_idle &&
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -57,6 +57,7 @@
 struct worker {
     char id[CS_JOB_NAME_BYTES];
     char address[48];
+    uint32_t kind_number; /* unique to its kind's name in this process */
     char zone[CS_JOB_NAME_BYTES];
     uint32_t zone_number; /* unique to the zone's name in this process */
     char service[CS_JOB_NAME_BYTES];
@@ -132,6 +133,7 @@
     int64_t stop_answered_us;
     uint64_t heartbeat; /* serial of the last heartbeat that listed it */
     struct worker *avoid_worker; /* where its last run failed */
+    int64_t avoid_until_us;      /* not placed there before */
 };
 
 /* A step of one occurrence of a job. */
--- a/src/fleet/task.c
+++ b/src/fleet/task.c
@@ -308,6 +308,18 @@
     job_update(fleet, step->job);
 }
 
+/* How long a task is not placed again on the worker where it has failed. It
+   doubles with each failed run. No other worker may be able to run the task,
+   and a step that has capacity has to run within 3 s. */
+#define RETRY_PAUSE_FIRST_US (1000 * CS_MS_US)
+#define RETRY_PAUSE_MAX_US (2500 * CS_MS_US)
+
+static int64_t
+retry_pause_us(uint32_t failures)
+{
+    return MIN(RETRY_PAUSE_FIRST_US << MIN(failures, 8U), RETRY_PAUSE_MAX_US);
+}
+
 static void
 record_failure(cs_fleet *fleet, struct task *task)
 {
@@ -315,6 +327,8 @@
 
     worker_record_failure(fleet, task->worker, step->job->spec.id);
     task->avoid_worker = task->worker;
+    task->avoid_until_us =
+        fleet_now(fleet).boot_us + retry_pause_us(task->failures);
     if (step->spec->gang) {
         if (step->last_failed_run == task->run)
             return;
--- a/src/fleet/worker.c
+++ b/src/fleet/worker.c
@@ -18,6 +18,7 @@
 #define CONSECUTIVE_FAILURES_MAX 2
 #define QUARANTINE_FIRST_US (3 * CS_SEC_US)
 #define QUARANTINE_MAX_US (30 * CS_SEC_US)
+#define QUARANTINE_WITHOUT_SUBSTITUTE_US (2 * CS_SEC_US)
 /* A worker with tasks that has not answered for this long gets no new ones. */
 #define ANSWER_AGE_MAX_US (4 * CS_SEC_US)
 
@@ -193,6 +194,10 @@
         worker->labels |=
             worker_label_bit(fleet, g_ptr_array_index(entry->labels, i));
     /* The first label is the worker's kind, the second its rack. */
+    worker->kind_number =
+        entry->labels->len > 0
+            ? g_quark_from_string(g_ptr_array_index(entry->labels, 0))
+            : 0;
     if (entry->labels->len > 1)
         worker->rack =
             worker_rack_number(fleet, g_ptr_array_index(entry->labels, 1));
@@ -322,6 +327,24 @@
     worker->lease_end_us = MAX(worker->lease_end_us, end_us);
 }
 
+/* Returns whether another worker of the same service and kind may get tasks,
+   now or after short pauses. */
+static bool
+has_substitute(const cs_fleet *fleet, const struct worker *worker)
+{
+    guint i;
+
+    for (i = 0; i < fleet->worker_list->len; i++) {
+        const struct worker *other = g_ptr_array_index(fleet->worker_list, i);
+
+        if (other != worker && other->kind_number == worker->kind_number &&
+            other->quarantine_us == 0 && worker_is_expected(fleet, other) &&
+            strcmp(other->service, worker->service) == 0)
+            return true;
+    }
+    return false;
+}
+
 void
 worker_record_failure(cs_fleet *fleet, struct worker *worker,
                       const char *job_id)
@@ -336,6 +359,10 @@
         worker->quarantine_us
             ? MIN(worker->quarantine_us * 2, QUARANTINE_MAX_US)
             : QUARANTINE_FIRST_US;
+    /* Work that only this worker can run must not wait long for it. */
+    if (!has_substitute(fleet, worker))
+        worker->quarantine_us =
+            MIN(worker->quarantine_us, QUARANTINE_WITHOUT_SUBSTITUTE_US);
     worker->paused_until_us = fleet_now(fleet).boot_us + worker->quarantine_us;
     cs_log_event("worker-aside",
                  "worker %s is quarantined for %" PRId64
--- a/src/policy/binpack.c
+++ b/src/policy/binpack.c
@@ -14,6 +14,10 @@
    in the cost of idle capacity. */
 #define CORES_PER_ACCELERATOR 8.0
 
+/* Added to the score of what uses the avoided worker; above any difference of
+   scores. */
+#define AVOIDED_SCORE 1e6
+
 /* A worker that can run tasks of a request. */
 struct candidate {
     uint32_t worker;
@@ -74,7 +78,8 @@
     uint32_t slots = request->count;
     uint32_t present;
 
-    if (!worker->usable || index == request->avoided_worker ||
+    if (!worker->usable ||
+        (request->avoids_strictly && index == request->avoided_worker) ||
         worker->rack >= request->first_reserved_rack ||
         (request->allowed && !request->allowed[index]) ||
         (worker->labels & request->labels) != request->labels)
@@ -139,6 +144,8 @@
     if (candidate.slots == 0)
         return;
     candidate.score = worker_score(worker, request);
+    if (index == request->avoided_worker)
+        candidate.score += AVOIDED_SCORE;
     candidate.zone = worker->zone;
     g_array_append_val(list, candidate);
 }
@@ -187,6 +194,20 @@
     return placed;
 }
 
+/* Returns what a placement's score gets for the avoided worker. */
+static double
+avoided_score(const cs_binpack_request *request, const uint32_t *workers,
+              uint32_t count)
+{
+    uint32_t i;
+
+    for (i = 0; i < count; i++) {
+        if (workers[i] == request->avoided_worker)
+            return AVOIDED_SCORE;
+    }
+    return 0;
+}
+
 static double
 slowest_speed(const cs_binpack_cell *cell, const uint32_t *workers,
               uint32_t count)
@@ -272,7 +293,8 @@
         g_array_free(candidates, TRUE);
         if (placed < request->count)
             continue;
-        score = rack_score(cell, request, rack, trial);
+        score = rack_score(cell, request, rack, trial) +
+                avoided_score(request, trial, placed);
         if (score >= best)
             continue;
         best = score;
@@ -327,7 +349,8 @@
 
         if (placed < request->count)
             continue;
-        score = -request->speed_weight * slowest_speed(cell, trial, placed);
+        score = avoided_score(request, trial, placed) -
+                request->speed_weight * slowest_speed(cell, trial, placed);
         if (score >= best)
             continue;
         best = score;
@@ -462,6 +485,7 @@
                        const cs_binpack_request *request)
 {
     cs_binpack_cell empty = *cell;
+    cs_binpack_request unrestricted = *request;
     uint32_t *out = g_new0(uint32_t, request->count);
     uint32_t placed;
     uint32_t i;
@@ -471,7 +495,8 @@
            cell->worker_count * sizeof(*empty.workers));
     for (i = 0; i < cell->worker_count; i++)
         empty.workers[i].free = empty.workers[i].capacity;
-    placed = cs_binpack_place(out, &empty, request);
+    unrestricted.avoids_strictly = false;
+    placed = cs_binpack_place(out, &empty, &unrestricted);
     g_free(empty.workers);
     g_free(out);
     return request->all_or_nothing ? placed == request->count : placed > 0;
--- a/tests/test_binpack.c
+++ b/tests/test_binpack.c
@@ -160,6 +160,7 @@
     request.tasks_present = present;
     request.max_per_worker = 2;
     request.avoided_worker = 1;
+    request.avoids_strictly = true;
     assert_int_equal(cs_binpack_place(out, &cell, &request), 21);
     request = make_request(30, 1);
     request.data_rack = 2;
@@ -172,6 +173,30 @@
     assert_int_equal(cs_binpack_place(out, &cell, &request), 0);
 }
 
+/* Guards against work that waits although a worker has capacity, because it
+   has failed there before. */
+static void
+binpack__avoided_worker_is_used_last(void **state)
+{
+    cs_binpack_cell cell = make_cell();
+    cs_binpack_request request = make_request(1, 8);
+    uint32_t out[WORKERS];
+    uint32_t i;
+
+    request.avoided_worker = 0;
+    for (i = 0; i + 1 < WORKERS; i++) {
+        assert_int_equal(cs_binpack_place(out, &cell, &request), 1);
+        assert_int_not_equal(out[0], 0);
+    }
+    assert_int_equal(cs_binpack_place(out, &cell, &request), 1);
+    assert_int_equal(out[0], 0);
+    cell = make_cell();
+    request = make_request(WORKERS, 8);
+    request.all_or_nothing = true;
+    request.avoided_worker = 0;
+    assert_int_equal(cs_binpack_place(out, &cell, &request), WORKERS);
+}
+
 static void
 binpack__unusable_workers_are_not_used(void **state)
 {
@@ -293,6 +318,7 @@
         cmocka_unit_test(binpack__fullest_rack_goes_first),
         cmocka_unit_test(binpack__speed_weight_prefers_fast_workers),
         cmocka_unit_test(binpack__limits_of_a_request_are_respected),
+        cmocka_unit_test(binpack__avoided_worker_is_used_last),
         cmocka_unit_test(binpack__unusable_workers_are_not_used),
         cmocka_unit_test(
             binpack__gang_larger_than_a_rack_is_possible_only_across_racks),
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -275,6 +275,61 @@
     fake_fleet_destroy(deployment);
 }
 
+/*
+ * Guards against a task that is never started again after it has failed once
+ * on the only worker that may run it, and against the same for a gang that
+ * needs all workers.
+ */
+static void
+fleet__task_is_retried_on_its_only_worker(void **state)
+{
+    const uint32_t workers[] = {1, 2};
+    size_t i;
+
+    for (i = 0; i < G_N_ELEMENTS(workers); i++) {
+        fake_fleet_settings settings = {
+            .vms = 4, .workers = workers[i], .racks = 1, .seed = 35};
+        fake_fleet *deployment = fake_fleet_create(&settings);
+
+        fake_fleet_run(deployment, 2 * CS_SEC_US);
+        fake_fleet_set_worker_failing(deployment, 0, true);
+        submit(deployment, 0, 1, 1, workers[i], 8, workers[i] > 1);
+        fake_fleet_run(deployment, 400 * CS_MS_US);
+        fake_fleet_set_worker_failing(deployment, 0, false);
+        fake_fleet_run(deployment, 6 * CS_SEC_US);
+        expect_state(deployment, 1, CS_PROGRESS_COMPLETED);
+        expect_no_violation(deployment);
+        fake_fleet_destroy(deployment);
+    }
+}
+
+/*
+ * Guards against work that waits half a minute for the only worker that may
+ * run it, which has failed runs for some time and is sound again.
+ */
+static void
+fleet__only_worker_is_not_quarantined_for_long(void **state)
+{
+    fake_fleet_settings settings = {
+        .vms = 4, .workers = 1, .racks = 1, .seed = 36};
+    fake_fleet *deployment = fake_fleet_create(&settings);
+    uint32_t number;
+
+    fake_fleet_run(deployment, 2 * CS_SEC_US);
+    fake_fleet_set_worker_failing(deployment, 0, true);
+    for (number = 1; number <= 15; number++) {
+        submit(deployment, 0, number, 1, 1, 8, false);
+        fake_fleet_run(deployment, 900 * CS_MS_US);
+    }
+    fake_fleet_set_worker_failing(deployment, 0, false);
+    submit(deployment, 0, 16, 0, 1, 8, false);
+    fake_fleet_run(deployment, 3 * CS_SEC_US);
+    assert_int_equal(fake_fleet_start_count(deployment, "0000000000000010"),
+                     1);
+    expect_no_violation(deployment);
+    fake_fleet_destroy(deployment);
+}
+
 /* Starts a gang on workers 0 to 14 of 16, the first of which then drains. */
 static void
 start_gang_and_drain_member(fake_fleet *deployment)
@@ -1169,6 +1224,8 @@
         cmocka_unit_test(fleet__cold_start_adopts_tasks_before_leases_end),
         cmocka_unit_test(fleet__silent_worker_gets_no_tasks),
         cmocka_unit_test(fleet__success_seen_late_completes_the_task),
+        cmocka_unit_test(fleet__task_is_retried_on_its_only_worker),
+        cmocka_unit_test(fleet__only_worker_is_not_quarantined_for_long),
         cmocka_unit_test(fleet__gang_restarts_when_a_draining_worker_has_left),
         cmocka_unit_test(
             fleet__gang_waits_for_the_leases_of_a_silent_draining_worker),
