heartbeat: an answer full of ends does not show which runs have lapsed

An answer with 500 ends no longer lets runs that it does not list end. The stand-in's workers list 500 at most, as the platform's do.

Before the fix fleet__ends_beyond_an_answer_are_not_taken_for_lost counts 2,060 starts of 1,280 tasks; now 1,280.

--- a/include/corianderstair/worker_port.h
+++ b/include/corianderstair/worker_port.h
@@ -49,6 +49,10 @@
     int64_t percent;      /**< progress, 0 to 100 */
 } cs_worker_run;
 
+/** An answer lists at most this many ended runs, those with the lowest
+   numbers; one with as many may have left out others. */
+#define CS_WORKER_ENDS_MAX 500
+
 /** An ended run; listed until a heartbeat acknowledges its number. */
 typedef struct {
     uint64_t sequence; /**< increases within an incarnation */
--- a/src/fleet/heartbeat.c
+++ b/src/fleet/heartbeat.c
@@ -210,7 +210,10 @@
     process_ends(fleet, worker, answer);
     for (i = 0; i < answer->run_count; i++)
         process_run(fleet, worker, &answer->runs[i], heartbeat, now_us);
-    process_absent_tasks(fleet, worker, heartbeat, sent_us);
+    /* A run that is neither listed as present nor among the first ends may
+       have ended as well; a later answer lists it. */
+    if (answer->ended_run_count < CS_WORKER_ENDS_MAX)
+        process_absent_tasks(fleet, worker, heartbeat, sent_us);
     worker->next_heartbeat_us = now_us;
     /* A worker with unacknowledged ends answers without delay, so pause. */
     if (worker->ends_processed > worker->ends_recorded &&
--- a/standins/fake_fleet_worker.c
+++ b/standins/fake_fleet_worker.c
@@ -216,13 +216,14 @@
 static void
 send_lists(struct order *order, const struct fake_fleet_worker *worker)
 {
-    cs_worker_answer answer = {.clock_ms = clock_ms(worker),
-                               .incarnation_ms = worker->incarnation_ms,
-                               .run_count = worker->runs->len,
-                               .ended_run_count = worker->ended_runs->len};
+    cs_worker_answer answer = {
+        .clock_ms = clock_ms(worker),
+        .incarnation_ms = worker->incarnation_ms,
+        .run_count = worker->runs->len,
+        .ended_run_count = MIN(worker->ended_runs->len, CS_WORKER_ENDS_MAX)};
     cs_worker_run *runs = g_new0(cs_worker_run, worker->runs->len + 1);
     cs_worker_ended_run *ends =
-        g_new0(cs_worker_ended_run, worker->ended_runs->len + 1);
+        g_new0(cs_worker_ended_run, answer.ended_run_count + 1);
     guint i;
 
     for (i = 0; i < worker->runs->len; i++) {
@@ -232,7 +233,7 @@
         runs[i].run = run->run;
         runs[i].checkpoint_data = "";
     }
-    for (i = 0; i < worker->ended_runs->len; i++) {
+    for (i = 0; i < answer.ended_run_count; i++) {
         const struct fake_ended_run *end =
             &g_array_index(worker->ended_runs, struct fake_ended_run, i);
 
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -142,6 +142,37 @@
     fake_fleet_destroy(deployment);
 }
 
+/*
+ * Guards against starting tasks again that are done: a worker lists only the
+ * first 500 ends, and more end while no VM holds the cell.
+ */
+static void
+fleet__ends_beyond_an_answer_are_not_taken_for_lost(void **state)
+{
+    fake_fleet_settings settings = {
+        .vms = 4, .workers = 1, .racks = 1, .seed = 37};
+    fake_fleet *deployment = fake_fleet_create(&settings);
+    fake_job job;
+    int32_t reply;
+
+    fake_fleet_run(deployment, 2 * CS_SEC_US);
+    fake_job_init(&job, 1, 2, 1280, 0, 3000);
+    job.spec.steps[0].demand.cpu_milli = 10;
+    job.spec.steps[0].demand.memory_mb = 10;
+    fake_fleet_submit(deployment, 0, &job, &reply);
+    fake_fleet_run(deployment, 2500 * CS_MS_US);
+    assert_int_equal(fake_fleet_start_count(deployment, "0000000000000001"),
+                     1280);
+    fake_fleet_kill(deployment, (uint32_t)fake_fleet_holder(deployment),
+                    30 * CS_SEC_US);
+    fake_fleet_run(deployment, 10 * CS_SEC_US);
+    expect_state(deployment, 1, CS_PROGRESS_COMPLETED);
+    assert_int_equal(fake_fleet_start_count(deployment, "0000000000000001"),
+                     1280);
+    expect_no_violation(deployment);
+    fake_fleet_destroy(deployment);
+}
+
 /* Guards against a gang of which some members start before the rows of the
    others are written. */
 static void
@@ -1219,6 +1250,7 @@
         cmocka_unit_test(fleet__job_is_completed),
         cmocka_unit_test(fleet__job_larger_than_a_row_is_completed),
         cmocka_unit_test(fleet__successor_adopts_a_job_of_many_rows),
+        cmocka_unit_test(fleet__ends_beyond_an_answer_are_not_taken_for_lost),
         cmocka_unit_test(fleet__gang_of_many_rows_starts_as_a_whole),
         cmocka_unit_test(fleet__successor_adopts_running_tasks),
         cmocka_unit_test(fleet__cold_start_adopts_tasks_before_leases_end),
