fleet: runs of workers without an entry wait for the former holder's leases

Cause: a holder without the store extends leases for up to 15 s. Its successor counted on that, but not for workers without an entry in the store, which it took for gone; the entries of workers in a cut zone expire after 4.5 s.

The wait now ends when the former holder can extend no longer: at once if it has released the cell or its VM's row names another process, else 15 s after its last renewal. The epoch row carries the time over several takeovers. A holder counts from when it sent the renewal and starts nothing after that. The log line of lost tasks names what decided.

fleet__tasks_of_a_cut_zone_run_once fails before (run 2 started after the task was done) and passes now.

--- a/include/corianderstair/members.h
+++ b/include/corianderstair/members.h
@@ -50,4 +50,11 @@
  */
 const GPtrArray *cs_members_list(const cs_members *members);
 
+/**
+ * Reads from a VM's row which incarnation of the process has written it.
+ * @param size size of out
+ * @return false if the row does not tell
+ */
+bool cs_members_read_incarnation(char *out, size_t size, const cs_row *row);
+
 #endif
--- a/src/fleet/commit.c
+++ b/src/fleet/commit.c
@@ -241,6 +241,9 @@
     tenure_encode_lease(fleet, value);
     add_put(&fleet->commit, CS_TABLE_CELL, LEASE_KEY, value);
     fleet->commit.has_lease = true;
+    /* A successor does not wait for a holder that has released the cell. */
+    if (fleet->release_requested)
+        fleet->extend_until_us = 0;
 }
 
 /* Returns whether the row of the shares was due. */
@@ -428,6 +431,9 @@
         mark_ends_recorded(fleet);
     if (commit->has_lease) {
         fleet->last_renewal_us = now_us;
+        if (!fleet->release_requested)
+            fleet->extend_until_us =
+                commit->first_attempt_us + EXTEND_WITHOUT_STORE_US;
         fleet->next_renewal_us = now_us + RENEWAL_INTERVAL_US;
     }
     reset_change(commit);
--- a/src/fleet/feeds.c
+++ b/src/fleet/feeds.c
@@ -319,19 +319,6 @@
     fleet->speed_feed = speeds;
 }
 
-static void
-limit_adoption_of_unlisted(cs_fleet *fleet)
-{
-    guint i;
-
-    for (i = 0; i < fleet->worker_list->len; i++) {
-        struct worker *worker = g_ptr_array_index(fleet->worker_list, i);
-
-        if (!worker->listed)
-            worker_limit_adoption(fleet, worker);
-    }
-}
-
 void
 feeds_tick(cs_fleet *fleet)
 {
@@ -349,7 +336,6 @@
     fleet->cycle_requested = true;
     job_finish_cancelled(fleet);
     job_update_restored(fleet);
-    limit_adoption_of_unlisted(fleet);
     /* A new holder has no past use to average; it begins with what it has
        adopted. */
     fleet->headroom.mean_used = MAX(fleet->headroom.mean_used,
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -97,6 +97,7 @@
     fleet->cycle_requested = false;
     fleet->advice_pending = false;
     fleet->idle_heartbeats = 0;
+    fleet->former.read_pending = false;
     fleet->headroom.used_accelerators = 0;
     fleet->starts_held = false;
 }
@@ -163,6 +164,7 @@
         return;
     case TENURE_HOLDING:
         feeds_tick(fleet);
+        former_holder_tick(fleet);
         heartbeat_tick(fleet);
         run_timed_work(fleet);
         if (fleet->cycle_requested)
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -29,6 +29,10 @@
 #define STORE_TIMEOUT_US (900 * CS_MS_US)
 /* Maximum duration of an order to a worker. */
 #define ORDER_TIMEOUT_US (900 * CS_MS_US)
+/* A holder extends leases, and starts tasks, for this long at most after it
+   has sent the last renewal of its own lease that the store has confirmed. Its
+   successor relies on that. */
+#define EXTEND_WITHOUT_STORE_US (15 * CS_SEC_US)
 
 typedef enum {
     TENURE_FOLLOWING, /* stand-by: another process or none holds the cell */
@@ -76,16 +80,17 @@
     uint64_t incarnation_ms; /* start of the newest known incarnation, on the
                                 worker's clock; 0 unknown */
     bool answered;           /* has answered a heartbeat of this tenure */
+    bool fenced;             /* so has this incarnation: it refuses the orders
+                                of former holders */
     bool heartbeat_pending;
     bool idle_heartbeat; /* the pending one counts in fleet->idle_heartbeats */
     int64_t next_heartbeat_us;
-    int64_t last_answer_us;       /* of a successful heartbeat */
-    int64_t clock_ms;             /* the worker's clock at clock_read_us; -1
-                                     unknown */
-    int64_t clock_read_us;        /* on the boot clock of this VM */
-    int64_t lease_end_us;         /* all leases have ended by then */
-    int64_t leases_extended_us;   /* when leases were last extended */
-    int64_t adoption_deadline_us; /* adopted tasks are not given up before */
+    int64_t last_answer_us;     /* of a successful heartbeat */
+    int64_t clock_ms;           /* the worker's clock at clock_read_us; -1
+                                   unknown */
+    int64_t clock_read_us;      /* on the boot clock of this VM */
+    int64_t lease_end_us;       /* all leases have ended by then */
+    int64_t leases_extended_us; /* when leases were last extended */
     /*
      * A worker numbers the ends of its runs. Each end is processed, then
      * covered by a change to the store, recorded when the store confirms the
@@ -227,6 +232,16 @@
                                   applied; 0 unknown */
 };
 
+/* The processes that have held the cell before. They may not know that they
+   have lost it. */
+struct former_holder {
+    char incarnation[96];     /* of the last one; empty for none */
+    int64_t extends_until_us; /* it extends no leases after */
+    int64_t older_until_us;   /* nor do the others after */
+    bool read_pending;
+    int64_t next_read_us;
+};
+
 struct cs_fleet {
     cs_fleet_state *state; /* of the process; borrowed */
     tenure_state tenure;
@@ -248,6 +263,9 @@
                                  does not */
     int64_t next_renewal_us;
     int64_t last_renewal_us; /* of the lease, as confirmed by the store */
+    int64_t extend_until_us; /* extends leases and starts tasks before */
+    int64_t acquire_sent_us; /* when the cell was last to be acquired */
+    struct former_holder former;
     uint64_t renewal_serial;
     int64_t store_clock_ms;    /* the store's clock in its last answer */
     GHashTable *jobs;          /* id to struct job; owns them */
@@ -327,6 +345,22 @@
 void tenure_end(cs_fleet *fleet, const char *reason);
 void tenure_encode_lease(cs_fleet *fleet, GByteArray *out);
 
+/* former_holder.c */
+/*
+ * Notes who held the cell before this process acquires it.
+ * incarnation: of the holder; empty for none
+ * silent_since_us: its last renewal was sent before
+ * released: it has released the cell
+ * older_until_us: until when holders before it may extend leases
+ */
+void former_holder_note(cs_fleet *fleet, const char *incarnation,
+                        int64_t silent_since_us, bool released,
+                        int64_t older_until_us);
+/* Returns the time after which no former holder extends leases. */
+int64_t former_holder_extends_until_us(const cs_fleet *fleet);
+/* Finds out whether the former holder's process has ended. */
+void former_holder_tick(cs_fleet *fleet);
+
 /* feeds.c */
 void feeds_init(cs_fleet *fleet);
 void feeds_tick(cs_fleet *fleet);
@@ -350,11 +384,9 @@
 /* Applies a worker's entry in the store. */
 void worker_apply(cs_fleet *fleet, const char *id,
                   const cs_worker_entry *entry);
-/*
- * Shortens the wait for the adopted tasks of a worker without an entry: it is
- * gone, so that only its leases have to end.
- */
-void worker_limit_adoption(const cs_fleet *fleet, struct worker *worker);
+/* Returns the time by which leases that are extended at another time have
+   ended. */
+int64_t worker_lease_end_us(const cs_fleet *fleet, int64_t extended_us);
 void worker_unlist(cs_fleet *fleet, struct worker *worker);
 /* Returns whether the worker will get new tasks again, if not now. */
 bool worker_is_expected(const cs_fleet *fleet, const struct worker *worker);
--- /dev/null
+++ b/src/fleet/former_holder.c
@@ -0,0 +1,122 @@
+/*
+ * The processes that held the cell before this one. One that is cut off from
+ * the store, or was frozen, may not know that it has lost the cell and extend
+ * leases of workers that have not answered its successor. How long it does is
+ * bounded; the wait ends sooner once its VM is known to run another process.
+ */
+#include "fleet_internal.h"
+#include "corianderstair/members.h"
+
+#define READ_INTERVAL_US CS_SEC_US
+
+/* Returns the length of the VM's name in an incarnation, see
+   cs_fleet_state_init(). */
+static size_t
+name_length(const char *incarnation)
+{
+    const char *dash = strrchr(incarnation, '-');
+
+    return dash ? (size_t)(dash - incarnation) : 0;
+}
+
+static bool
+is_of_vm(const char *incarnation, const char *vm)
+{
+    size_t length = name_length(incarnation);
+
+    return length > 0 && strlen(vm) == length &&
+           strncmp(incarnation, vm, length) == 0;
+}
+
+static void
+note_end(cs_fleet *fleet)
+{
+    int64_t now_us = fleet_now(fleet).boot_us;
+
+    fleet->former.extends_until_us =
+        MIN(fleet->former.extends_until_us, now_us);
+    fleet->former.incarnation[0] = '\0';
+}
+
+void
+former_holder_note(cs_fleet *fleet, const char *incarnation,
+                   int64_t silent_since_us, bool released,
+                   int64_t older_until_us)
+{
+    struct former_holder *former = &fleet->former;
+
+    memset(former, 0, sizeof(*former));
+    former->older_until_us = older_until_us;
+    if (!*incarnation)
+        return;
+    g_strlcpy(former->incarnation, incarnation, sizeof(former->incarnation));
+    former->extends_until_us = silent_since_us + EXTEND_WITHOUT_STORE_US;
+    /* An earlier process of this VM has ended. */
+    if (released || is_of_vm(incarnation, fleet->state->settings.name))
+        note_end(fleet);
+}
+
+int64_t
+former_holder_extends_until_us(const cs_fleet *fleet)
+{
+    return MAX(fleet->former.extends_until_us, fleet->former.older_until_us);
+}
+
+static void
+on_row(void *user_data, const cs_store_answer *answer)
+{
+    struct call *call = user_data;
+    cs_fleet *fleet = call->fleet;
+    struct former_holder *former = &fleet->former;
+    char incarnation[sizeof(former->incarnation)];
+    bool stale = call_is_stale(call);
+
+    g_free(call);
+    if (stale)
+        return;
+    former->read_pending = false;
+    if (answer->code || answer->row_count == 0 ||
+        !is_of_vm(former->incarnation, answer->rows[0].key) ||
+        !cs_members_read_incarnation(incarnation, sizeof(incarnation),
+                                     &answer->rows[0]) ||
+        strcmp(incarnation, former->incarnation) == 0)
+        return;
+    cs_log_event("former-holder-ended", "%s runs now", incarnation);
+    note_end(fleet);
+}
+
+/* Returns whether tasks are on a worker that a former holder may order. */
+static bool
+has_unfenced_tasks(const cs_fleet *fleet)
+{
+    guint i;
+
+    for (i = 0; i < fleet->worker_list->len; i++) {
+        const struct worker *worker = g_ptr_array_index(fleet->worker_list, i);
+
+        if (!worker->fenced && worker->tasks->len > 0)
+            return true;
+    }
+    return false;
+}
+
+void
+former_holder_tick(cs_fleet *fleet)
+{
+    const cs_store_port *store = fleet->state->ports.store;
+    struct former_holder *former = &fleet->former;
+    int64_t now_us = fleet_now(fleet).boot_us;
+    char name[sizeof(former->incarnation)];
+    cs_row_range range = {
+        .table = CS_TABLE_MEMBERS, .part = "", .from = name, .limit = 1};
+
+    if (!former->incarnation[0] || former->read_pending ||
+        now_us < former->next_read_us || now_us >= former->extends_until_us ||
+        !has_unfenced_tasks(fleet))
+        return;
+    former->read_pending = true;
+    former->next_read_us = now_us + READ_INTERVAL_US;
+    g_strlcpy(name, former->incarnation, name_length(former->incarnation) + 1);
+    store->read(store->self, &range, now_us + STORE_TIMEOUT_US, on_row,
+                call_create(fleet, NULL));
+}
--- a/src/fleet/heartbeat.c
+++ b/src/fleet/heartbeat.c
@@ -27,9 +27,6 @@
    WORKER_CONNECTIONS each, take at most this share of the descriptors. */
 #define OPEN_CONNECTIONS_SHARE_MAX 0.5
 #define WORKER_CONNECTIONS 4
-/* A holder without the store extends leases for this long at most. A successor
-   relies on it, see FORMER_HOLDER_EXTENDS_US in worker.c. */
-#define EXTEND_WITHOUT_STORE_US (15 * CS_SEC_US)
 
 static bool
 needs_heartbeat(const struct worker *worker)
@@ -201,7 +198,7 @@
     update_clock(worker, answer, now_us);
     worker->last_answer_us = now_us;
     worker->failed_heartbeats = 0;
-    worker->adoption_deadline_us = 0;
+    worker->fenced = true;
     if (!worker->answered) {
         worker->answered = true;
         worker_assume_former_lease(fleet, worker);
@@ -268,8 +265,7 @@
 may_extend(const cs_fleet *fleet, const struct worker *worker, int64_t now_us)
 {
     return worker->tasks->len > 0 && worker->clock_ms >= 0 &&
-           worker->failed_heartbeats == 0 &&
-           now_us - fleet->last_renewal_us < EXTEND_WITHOUT_STORE_US;
+           worker->failed_heartbeats == 0 && now_us < fleet->extend_until_us;
 }
 
 /* Returns whether the worker has no tasks and is not known to answer. */
@@ -341,13 +337,25 @@
                     call->sent_us + ANSWER_TIMEOUT_US, on_heartbeat, call);
 }
 
+/* Returns the time by which the leases of a silent worker have surely ended. A
+   former holder may extend those of a worker that has not answered yet. It may
+   be cut off together with the worker, so that the worker's entry is missing
+   in the store although the worker is not gone. */
+static int64_t
+leases_end_us(const cs_fleet *fleet, const struct worker *worker)
+{
+    int64_t until_us = former_holder_extends_until_us(fleet);
+
+    if (worker->fenced || until_us == 0)
+        return worker->lease_end_us;
+    return MAX(worker->lease_end_us, worker_lease_end_us(fleet, until_us));
+}
+
 /* Gives up the runs of a silent worker once their leases have surely ended. */
 static void
 check_leases_ended(cs_fleet *fleet, struct worker *worker, int64_t now_us)
 {
-    int64_t end_us = worker->lease_end_us;
-
-    if (now_us < end_us || now_us < worker->adoption_deadline_us ||
+    if (now_us < leases_end_us(fleet, worker) ||
         now_us - worker->last_answer_us < ANSWER_TIMEOUT_US)
         return;
     if (worker_count_started(worker) == 0)
--- a/src/fleet/start_gate.c
+++ b/src/fleet/start_gate.c
@@ -47,14 +47,31 @@
     return !held;
 }
 
+/* Returns whether the record was confirmed too late: the process was frozen,
+   and a successor may have given up the run. */
+static bool
+is_overdue(const cs_fleet *fleet)
+{
+    return fleet_now(fleet).boot_us >= fleet->extend_until_us;
+}
+
 static bool
 must_withhold(cs_fleet *fleet, const struct task *task)
 {
     return task->state == TASK_RECORDING && task->recorded &&
-           (!start_gate_is_open(fleet) ||
+           (is_overdue(fleet) || !start_gate_is_open(fleet) ||
             start_gate_is_closed_at(fleet, task->worker));
 }
 
+static const char *
+withhold_reason(const cs_fleet *fleet, const struct task *task)
+{
+    if (is_overdue(fleet))
+        return "the lease was not renewed in time";
+    return fleet->starts_held ? "the evacuations were not confirmed in time"
+                              : task->worker->zone;
+}
+
 /* Lets a recorded task wait again. Its run was never sent to a worker. */
 static void
 withhold_start(cs_fleet *fleet, struct task *task)
@@ -63,10 +80,7 @@
 
     task_name(name, task);
     cs_log_event("start-withheld", "task %s run %u worker %s, %s", name,
-                 task->run, task->worker->id,
-                 fleet->starts_held
-                     ? "the evacuations were not confirmed in time"
-                     : task->worker->zone);
+                 task->run, task->worker->id, withhold_reason(fleet, task));
     fleet_increment_counter(fleet, "cs_starts_withheld_total");
     task_release(fleet, task);
 }
--- a/src/fleet/tenure.c
+++ b/src/fleet/tenure.c
@@ -48,6 +48,8 @@
     uint64_t epoch_version; /* 0 no such row */
     uint64_t epoch;
     char holder[96];
+    int64_t older_until_ms; /* store's clock; until when holders before this
+                               one may extend leases; -1 unknown */
     uint64_t lease_version;
     bool released;
     int64_t renewed_ms; /* store's clock at the last renewal; 0 unknown */
@@ -146,15 +148,17 @@
 }
 
 static void
-encode_epoch(GByteArray *out, uint64_t epoch, const char *holder)
+encode_epoch(GByteArray *out, uint64_t epoch, const char *holder,
+             int64_t older_until_ms)
 {
     msgpack_packer packer;
 
     cs_record_packer_init(&packer, out);
-    msgpack_pack_array(&packer, 3);
+    msgpack_pack_array(&packer, 4);
     msgpack_pack_int64(&packer, RECORD_VERSION);
     msgpack_pack_uint64(&packer, epoch);
     cs_record_pack_text(&packer, holder);
+    msgpack_pack_int64(&packer, older_until_ms);
 }
 
 static bool
@@ -167,6 +171,10 @@
     valid = cs_record_read_int(&record.reader) == RECORD_VERSION;
     out->epoch = (uint64_t)cs_record_read_int(&record.reader);
     cs_record_read_text(&record.reader, out->holder, sizeof(out->holder));
+    out->older_until_ms = -1;
+    /* Records of older versions end here. */
+    if (!record.reader.failed && record.reader.next < record.reader.count)
+        out->older_until_ms = cs_record_read_int(&record.reader);
     valid = valid && !record.reader.failed;
     cs_record_close(&record);
     out->epoch_version = row->version;
@@ -264,6 +272,7 @@
     fleet->epoch_version = version;
     fleet->next_renewal_us = 0;
     fleet->last_renewal_us = fleet_now(fleet).boot_us;
+    fleet->extend_until_us = fleet->acquire_sent_us + EXTEND_WITHOUT_STORE_US;
     cell->epoch = epoch;
     g_strlcpy(cell->holder, fleet->state->incarnation, sizeof(cell->holder));
     cs_log_event("cell-taken", "epoch %" PRIu64, epoch);
@@ -287,6 +296,30 @@
     fleet->tenure = TENURE_FOLLOWING;
 }
 
+/* Notes who may still extend leases. Returns until when, in ms of the store's
+   clock; 0 if nobody does. */
+static int64_t
+note_former_holder(cs_fleet *fleet, const struct cell_rows *rows)
+{
+    int64_t now_us = fleet_now(fleet).boot_us;
+    int64_t older_until_us = 0;
+    int64_t until_us;
+
+    if (rows->older_until_ms > rows->now_ms)
+        older_until_us =
+            now_us + (rows->older_until_ms - rows->now_ms) * CS_MS_US;
+    else if (rows->epoch_version && rows->older_until_ms < 0)
+        older_until_us = now_us + EXTEND_WITHOUT_STORE_US;
+    former_holder_note(fleet, rows->holder,
+                       fleet->lease_change_us ? fleet->lease_change_us
+                                              : now_us,
+                       rows->released, older_until_us);
+    until_us = former_holder_extends_until_us(fleet);
+    return until_us > now_us
+               ? rows->now_ms + (until_us - now_us) / CS_MS_US + 1
+               : 0;
+}
+
 static void
 acquire_cell(cs_fleet *fleet, const struct cell_rows *rows)
 {
@@ -309,8 +342,10 @@
 
     fleet->tenure = TENURE_ACQUIRING;
     fleet->epoch = rows->epoch + 1;
+    fleet->acquire_sent_us = fleet_now(fleet).boot_us;
     fleet->store_clock_ms = rows->now_ms;
-    encode_epoch(epoch, fleet->epoch, fleet->state->incarnation);
+    encode_epoch(epoch, fleet->epoch, fleet->state->incarnation,
+                 note_former_holder(fleet, rows));
     puts[0].value = epoch->data;
     puts[0].size_bytes = epoch->len;
     /* Also renews the lease, so that no other stand-by finds it expired. */
--- a/src/fleet/worker.c
+++ b/src/fleet/worker.c
@@ -9,10 +9,6 @@
    the worker's clock, so it lasts longer where that clock runs slow. */
 #define CLOCK_RATE_MIN 0.98
 #define LEASE_MARGIN_US (150 * CS_MS_US)
-/* A former holder without the store may go on extending leases for this long.
-   Workers that have answered a heartbeat of the new epoch refuse its orders.
- */
-#define FORMER_HOLDER_EXTENDS_US (15 * CS_SEC_US)
 /* Failed runs of different jobs in a row that quarantine a worker, for a time
    that doubles with each quarantine until a run succeeds. */
 #define CONSECUTIVE_FAILURES_MAX 2
@@ -22,12 +18,13 @@
 /* A worker with tasks that has not answered for this long gets no new ones. */
 #define ANSWER_AGE_MAX_US (4 * CS_SEC_US)
 
-static int64_t
-max_lease_us(const cs_fleet *fleet)
+int64_t
+worker_lease_end_us(const cs_fleet *fleet, int64_t extended_us)
 {
     int64_t lease_ms = fleet->state->settings.bounds.worker_lease_ms;
 
-    return (int64_t)((double)(lease_ms * CS_MS_US) / CLOCK_RATE_MIN) +
+    return extended_us +
+           (int64_t)((double)(lease_ms * CS_MS_US) / CLOCK_RATE_MIN) +
            LEASE_MARGIN_US;
 }
 
@@ -35,7 +32,6 @@
 worker_get(cs_fleet *fleet, const char *id)
 {
     struct worker *worker = g_hash_table_lookup(fleet->workers, id);
-    int64_t now_us = fleet_now(fleet).boot_us;
 
     if (worker)
         return worker;
@@ -46,8 +42,6 @@
     worker->remaining_ms = -1;
     worker->rack = worker_rack_number(fleet, "");
     worker->tasks = g_ptr_array_new();
-    worker->adoption_deadline_us =
-        now_us + FORMER_HOLDER_EXTENDS_US + max_lease_us(fleet);
     g_hash_table_insert(fleet->workers, worker->id, worker);
     g_ptr_array_add(fleet->worker_list, worker);
     return worker;
@@ -133,6 +127,26 @@
     worker->expect_ends_until_us = fleet_now(fleet).boot_us + stop_us;
 }
 
+static void
+log_lost_tasks(const cs_fleet *fleet, const struct worker *worker,
+               const char *reason)
+{
+    int64_t now_us = fleet_now(fleet).boot_us;
+    char *answered =
+        worker->last_answer_us
+            ? g_strdup_printf("answered %" PRId64 " ms ago",
+                              (now_us - worker->last_answer_us) / CS_MS_US)
+            : g_strdup("never answered");
+
+    cs_log_event("tasks-lost",
+                 "worker %s: %u tasks, %s; %s, %slisted, epoch %" PRIu64
+                 ", former holders silent for %" PRId64 " ms",
+                 worker->id, worker_count_started(worker), reason, answered,
+                 worker->listed ? "" : "not ", fleet->epoch,
+                 (now_us - former_holder_extends_until_us(fleet)) / CS_MS_US);
+    g_free(answered);
+}
+
 void
 worker_end_started_tasks(cs_fleet *fleet, struct worker *worker,
                          const char *reason)
@@ -141,8 +155,7 @@
 
     worker_expect_end(fleet, worker);
     if (worker_count_started(worker) > 0)
-        cs_log_event("tasks-lost", "worker %s: %u tasks, %s", worker->id,
-                     worker_count_started(worker), reason);
+        log_lost_tasks(fleet, worker, reason);
     while (i < worker->tasks->len) {
         struct task *task = g_ptr_array_index(worker->tasks, i);
 
@@ -170,6 +183,7 @@
                      worker->tasks->len);
     worker->incarnation_ms = incarnation_ms;
     worker->answered = false;
+    worker->fenced = false;
     worker->ends_processed = 0;
     worker->ends_recorded = 0;
     worker->ends_committing = 0;
@@ -236,14 +250,6 @@
     apply_labels(fleet, worker, entry);
 }
 
-void
-worker_limit_adoption(const cs_fleet *fleet, struct worker *worker)
-{
-    int64_t end_us = fleet_now(fleet).boot_us + max_lease_us(fleet);
-
-    worker->adoption_deadline_us = MIN(worker->adoption_deadline_us, end_us);
-}
-
 /* Returns whether the removal of the worker's entry shows that nothing runs on
    it any more. While the tenure loads, jobs are not complete. */
 static bool
@@ -267,7 +273,6 @@
     if (!worker->listed)
         return;
     worker->listed = false;
-    worker_limit_adoption(fleet, worker);
     left = has_left(fleet, worker);
     cs_log_event("worker-unlisted", "worker %s, %u tasks%s", worker->id,
                  worker->tasks->len, left ? ", it has left" : "");
@@ -322,7 +327,7 @@
 void
 worker_assume_former_lease(const cs_fleet *fleet, struct worker *worker)
 {
-    int64_t end_us = fleet_now(fleet).boot_us + max_lease_us(fleet);
+    int64_t end_us = worker_lease_end_us(fleet, fleet_now(fleet).boot_us);
 
     worker->lease_end_us = MAX(worker->lease_end_us, end_us);
 }
--- a/src/members/members.c
+++ b/src/members/members.c
@@ -36,6 +36,8 @@
 /* A row is stale once two writes were missed. */
 #define MAX_ROW_AGE_MS 100000
 #define RECORD_VERSION 1
+/* Index of the incarnation in the record, which older versions lack. */
+#define INCARNATION_FIELD 6
 
 struct cs_members {
     cs_fleet_state *state;
@@ -69,7 +71,7 @@
     msgpack_packer packer;
 
     cs_record_packer_init(&packer, out);
-    msgpack_pack_array(&packer, 6);
+    msgpack_pack_array(&packer, 7);
     msgpack_pack_int64(&packer, RECORD_VERSION);
     cs_record_pack_text(&packer, settings->peer_address);
     cs_record_pack_text(&packer, settings->link_address);
@@ -77,6 +79,7 @@
     msgpack_pack_int64(&packer, own_cpu_milli(members));
     msgpack_pack_int64(&packer,
                        members->store_clock_ms + elapsed_us / CS_MS_US);
+    cs_record_pack_text(&packer, members->state->incarnation);
 }
 
 static bool
@@ -101,6 +104,23 @@
     return ok;
 }
 
+bool
+cs_members_read_incarnation(char *out, size_t size, const cs_row *row)
+{
+    cs_packed_record record;
+    uint32_t i;
+    bool ok;
+
+    cs_record_open(&record, row->value, row->size_bytes);
+    ok = cs_record_read_int(&record.reader) == RECORD_VERSION;
+    for (i = 1; i < INCARNATION_FIELD; i++)
+        cs_record_read_item(&record.reader);
+    cs_record_read_text(&record.reader, out, size);
+    ok = ok && !record.reader.failed;
+    cs_record_close(&record);
+    return ok;
+}
+
 static gint
 compare_strength(gconstpointer first_item, gconstpointer second_item)
 {
--- a/standins/fake_fleet.c
+++ b/standins/fake_fleet.c
@@ -12,9 +12,11 @@
 
 #define VM_TICK_US (20 * CS_MS_US)
 #define WORKER_TICK_US (10 * CS_MS_US)
-/* Interval at which a worker writes its entry to the store. */
-#define DEFAULT_ROW_BYTES 65536
+/* Interval at which a worker writes its entry to the store, and after how many
+   of them without a write the store deletes it. */
 #define ENTRY_INTERVAL_US (1500 * CS_MS_US)
+#define ENTRY_EXPIRY_INTERVALS 3
+#define DEFAULT_ROW_BYTES 65536
 #define CALL_TIMEOUT_US (3 * CS_SEC_US)
 /* Time between a stop request and the earliest end of the process. */
 #define MIN_DRAIN_TIME_US (3 * CS_SEC_US)
@@ -267,8 +269,14 @@
 {
     struct fake_fleet_worker *worker = user_data;
 
-    if (worker->up && !worker->disconnected)
+    if (worker->up && !worker->disconnected &&
+        !worker->deployment->zone_cut[worker->number % FAKE_ZONES]) {
+        worker->silent_intervals = 0;
         fake_fleet_worker_publish(worker);
+    }
+    else if (++worker->silent_intervals == ENTRY_EXPIRY_INTERVALS) {
+        fake_fleet_expire_entry(worker->deployment, worker->number);
+    }
     fake_schedule(worker->deployment,
                   worker->deployment->now_us + ENTRY_INTERVAL_US,
                   publish_worker, worker);
@@ -702,6 +710,20 @@
                       deployment->workers[number].id);
 }
 
+void
+fake_fleet_cut_zone(fake_fleet *deployment, uint32_t zone, bool cut)
+{
+    deployment->zone_cut[zone] = cut;
+}
+
+bool
+fake_zones_are_connected(const fake_fleet *deployment, uint32_t first,
+                         uint32_t second)
+{
+    return first == second ||
+           (!deployment->zone_cut[first] && !deployment->zone_cut[second]);
+}
+
 void
 fake_fleet_set_worker_disconnected(fake_fleet *deployment, uint32_t worker,
                                    bool disconnected)
--- a/standins/fake_fleet.h
+++ b/standins/fake_fleet.h
@@ -184,6 +184,9 @@
 /** Deletes the entry of a worker that runs on, as the store does after
     silence. Until the worker is disconnected it writes the entry again. */
 void fake_fleet_expire_entry(fake_fleet *deployment, uint32_t worker);
+/** Cuts a zone off from the other zones and from the store, or restores it.
+   Its VMs reach its workers, and its runs continue. */
+void fake_fleet_cut_zone(fake_fleet *deployment, uint32_t zone, bool cut);
 /** Cuts or restores the network of a worker; its runs continue. */
 void fake_fleet_set_worker_disconnected(fake_fleet *deployment,
                                         uint32_t worker, bool cut);
--- a/standins/fake_fleet_internal.h
+++ b/standins/fake_fleet_internal.h
@@ -89,6 +89,7 @@
     bool failing; /* every run fails */
     double speed;
     uint64_t entry_sequence;       /* "seq" of its entry in the store */
+    uint32_t silent_intervals;     /* since it last wrote its entry */
     GPtrArray *runs;               /* of struct fake_run */
     GArray *ended_runs;            /* not acknowledged, fake_ended_run */
     GHashTable *finished_runs;     /* task to its last ended or stopped run */
@@ -162,6 +163,7 @@
     uint32_t max_direct_workers;
     int64_t call_us;
     int64_t message_us;
+    bool zone_cut[FAKE_ZONES];        /* see fake_fleet_cut_zone() */
     int64_t evacuated_us[FAKE_ZONES]; /* when its row was written, or -1 */
     uint32_t zone_starts[FAKE_ZONES];
     int64_t config_apply_ms;
@@ -193,6 +195,9 @@
 /* Records a violated rule; later calls have no effect. */
 void fake_record_violation(fake_fleet *deployment, const char *fmt, ...)
     __attribute__((format(printf, 2, 3)));
+/* Returns whether zones reach each other. */
+bool fake_zones_are_connected(const fake_fleet *deployment, uint32_t first,
+                              uint32_t second);
 /* Returns true with the given probability. */
 bool fake_random_bool(fake_fleet *deployment, double probability);
 
--- a/standins/fake_fleet_link.c
+++ b/standins/fake_fleet_link.c
@@ -54,7 +54,10 @@
     return !receiver->up ||
            receiver->incarnation != message->receiver_incarnation ||
            receiver->faults.peers_unreachable ||
-           from->faults.peers_unreachable;
+           from->faults.peers_unreachable ||
+           !fake_zones_are_connected(message->deployment,
+                                     message->receiver % FAKE_ZONES,
+                                     message->from % FAKE_ZONES);
 }
 
 static void
--- a/standins/fake_fleet_store.c
+++ b/standins/fake_fleet_store.c
@@ -772,6 +772,10 @@
         fake_schedule(deployment, at_us, refuse_call, call);
     }
     else if (!faults->store_unreachable &&
+             !deployment->zone_cut[call->relay->number % FAKE_ZONES] &&
+             fake_zones_are_connected(deployment,
+                                      call->vm->number % FAKE_ZONES,
+                                      call->relay->number % FAKE_ZONES) &&
              !(faults->config_unanswered && call->table &&
                strcmp(call->table, PLATFORM_CONFIG_TABLE) == 0)) {
         if (writes &&
--- a/standins/fake_fleet_worker.c
+++ b/standins/fake_fleet_worker.c
@@ -250,6 +250,15 @@
     g_free(ends);
 }
 
+static bool
+is_connected(const struct order *order, const struct fake_fleet_worker *worker)
+{
+    return !worker->disconnected &&
+           fake_zones_are_connected(order->deployment,
+                                    order->vm->number % FAKE_ZONES,
+                                    worker->number % FAKE_ZONES);
+}
+
 static void
 answer_waiting_heartbeats(struct fake_fleet_worker *worker)
 {
@@ -258,7 +267,7 @@
 
         g_ptr_array_remove_index(worker->waiting_heartbeats, 0);
         order->is_waiting = false;
-        if (!worker->disconnected)
+        if (is_connected(order, worker))
             send_lists(order, worker);
     }
 }
@@ -634,7 +643,7 @@
     struct order *order = user_data;
     struct fake_fleet_worker *worker = find_order_worker(order);
 
-    if (!worker || worker->disconnected)
+    if (!worker || !is_connected(order, worker))
         return;
     /* An order is lost if its worker has restarted since it was sent. */
     if (worker->up && order->incarnation_ms &&
@@ -673,7 +682,7 @@
         return;
     order->is_waiting = false;
     g_ptr_array_remove(worker->waiting_heartbeats, order);
-    if (!worker->disconnected && worker->up)
+    if (is_connected(order, worker) && worker->up)
         send_lists(order, worker);
 }
 
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -420,6 +420,49 @@
     fake_fleet_destroy(deployment);
 }
 
+/* Lets a job of 16 tasks run on all workers, and cuts off the zone of the
+   holder, which goes on extending the leases there. */
+static void
+cut_holder_zone(fake_fleet *deployment, int64_t run_ms)
+{
+    fake_job job;
+    int32_t reply;
+
+    fake_job_init(&job, 1, 2, 16, 8, run_ms);
+    fake_fleet_submit(deployment, 0, &job, &reply);
+    fake_fleet_run(deployment, 2 * CS_SEC_US);
+    assert_int_equal(fake_fleet_start_count(deployment, "0000000000000001"),
+                     16);
+    fake_fleet_cut_zone(deployment,
+                        (uint32_t)fake_fleet_holder(deployment) % FAKE_ZONES,
+                        true);
+}
+
+/*
+ * Guards against a successor that starts tasks of a zone that is cut off while
+ * the former holder in the zone still extends their leases: their workers have
+ * no entries in the store, but are not gone.
+ */
+static void
+fleet__tasks_of_a_cut_zone_run_once(void **state)
+{
+    int64_t cut_s;
+
+    for (cut_s = 4; cut_s <= 34; cut_s += 3) {
+        fake_fleet *deployment = create_deployment(40 + (uint64_t)cut_s);
+        uint32_t zone;
+
+        cut_holder_zone(deployment, 12 * 1000);
+        zone = (uint32_t)fake_fleet_holder(deployment) % FAKE_ZONES;
+        fake_fleet_run(deployment, cut_s * CS_SEC_US);
+        fake_fleet_cut_zone(deployment, zone, false);
+        fake_fleet_run(deployment, 40 * CS_SEC_US);
+        expect_no_violation(deployment);
+        expect_state(deployment, 1, CS_PROGRESS_COMPLETED);
+        fake_fleet_destroy(deployment);
+    }
+}
+
 /*
  * Guards against a VM that waits for the answer of a peer that was cut off,
  * and misses a configuration, although it reaches the store itself again.
@@ -1256,6 +1299,7 @@
         cmocka_unit_test(fleet__cold_start_adopts_tasks_before_leases_end),
         cmocka_unit_test(fleet__silent_worker_gets_no_tasks),
         cmocka_unit_test(fleet__success_seen_late_completes_the_task),
+        cmocka_unit_test(fleet__tasks_of_a_cut_zone_run_once),
         cmocka_unit_test(fleet__task_is_retried_on_its_only_worker),
         cmocka_unit_test(fleet__only_worker_is_not_quarantined_for_long),
         cmocka_unit_test(fleet__gang_restarts_when_a_draining_worker_has_left),
--- a/tests/test_fleet_faults.c
+++ b/tests/test_fleet_faults.c
@@ -71,6 +71,7 @@
     FAULT_STORE_REFUSES,
     FAULT_COMPACT_HISTORY,
     FAULT_EVACUATE_ZONE,
+    FAULT_CUT_ZONE,
     FAULT_KINDS
 } fault_kind;
 
@@ -132,6 +133,9 @@
     case FAULT_EVACUATE_ZONE:
         fake_fleet_evacuate(deployment, worker % FAKE_ZONES, true);
         return;
+    case FAULT_CUT_ZONE:
+        fake_fleet_cut_zone(deployment, (uint32_t)holder % FAKE_ZONES, true);
+        return;
     case FAULT_KINDS:
         return;
     }
@@ -146,8 +150,10 @@
     fake_fleet_set_faults(deployment, -1, &none);
     for (i = 0; i < WORKERS; i++)
         fake_fleet_set_worker_disconnected(deployment, i, false);
-    for (i = 0; i < FAKE_ZONES; i++)
+    for (i = 0; i < FAKE_ZONES; i++) {
         fake_fleet_evacuate(deployment, i, false);
+        fake_fleet_cut_zone(deployment, i, false);
+    }
 }
 
 /* Submits gangs and single tasks, an urgent job and one of an advised queue.
@@ -390,7 +396,7 @@
     uint32_t vm = (uint32_t)g_rand_int_range(random, 0, 4);
     uint32_t worker = (uint32_t)g_rand_int_range(random, 0, 16);
 
-    switch (g_rand_int_range(random, 0, 14)) {
+    switch (g_rand_int_range(random, 0, 17)) {
     case 0:
         fake_fleet_kill(deployment, vm, 2 * CS_SEC_US);
         break;
@@ -438,6 +444,19 @@
         faults.store_refuses = true;
         fake_fleet_set_faults(deployment, -1, &faults);
         break;
+    case 12:
+        fake_fleet_cut_zone(deployment, worker % FAKE_ZONES, true);
+        break;
+    case 13:
+        if (fake_fleet_holder(deployment) >= 0)
+            fake_fleet_cut_zone(
+                deployment,
+                (uint32_t)fake_fleet_holder(deployment) % FAKE_ZONES, true);
+        break;
+    case 14:
+        /* Longer than a holder extends leases without the store. */
+        fake_fleet_freeze(deployment, vm, 18 * CS_SEC_US);
+        break;
     default:
         /* More often than others, as it takes 5 s until nothing may start. */
         fake_fleet_evacuate(deployment, worker % FAKE_ZONES, true);
@@ -537,5 +556,7 @@
     };
 
     cs_log_silence();
+    if (g_getenv("CS_SOAK_SEED"))
+        cmocka_set_test_filter("fleet_faults__random_faults_violate_no_rule");
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
