standins: a suspended process takes in nothing until it runs again

A frozen VM of the stand-in received answers at once and acted on them; real ones find them in their sockets when they wake. Answers that come meanwhile are now delivered first thing after it.

fleet__frozen_holder_starts_nothing_late plays a holder that reads the confirmation of a change 25 s late. The cut of a zone is now played with executors as well.

--- a/standins/fake_fleet.c
+++ b/standins/fake_fleet.c
@@ -125,7 +125,7 @@
                    .config_apply_ms = vm->deployment->config_apply_ms,
                    .restore_ms = 600,
                    .evacuate_ms = FAKE_EVACUATE_MS,
-                   .evacuate_given = true,
+                   .evacuate_given = !vm->deployment->evacuate_not_given,
                    .retention_ms = 120000}};
 
     g_snprintf(vm->name, sizeof(vm->name), "vm-%u", vm->number);
@@ -444,6 +444,7 @@
     deployment->store_kbps = settings->store_kbps;
     deployment->store_reads_per_s = settings->store_reads_per_s;
     deployment->feed_rows_max = settings->feed_rows_max;
+    deployment->evacuate_not_given = settings->evacuate_not_given;
     deployment->row_bytes =
         settings->row_bytes ? settings->row_bytes : DEFAULT_ROW_BYTES;
     fake_store_init(deployment);
@@ -710,6 +711,12 @@
                       deployment->workers[number].id);
 }
 
+bool
+fake_vm_is_frozen(const struct fake_vm *vm)
+{
+    return vm->deployment->now_us < vm->frozen_until_us;
+}
+
 void
 fake_fleet_cut_zone(fake_fleet *deployment, uint32_t zone, bool cut)
 {
--- a/standins/fake_fleet.h
+++ b/standins/fake_fleet.h
@@ -80,6 +80,8 @@
     uint32_t feed_rows_max;
     /** Maximum bytes of a row's value in a change; 0 means 65,536. */
     int64_t row_bytes;
+    /** The VMs' settings do not contain the bound of evacuations. */
+    bool evacuate_not_given;
 } fake_fleet_settings;
 
 /** What the store has done since the start. */
--- a/standins/fake_fleet_adviser.c
+++ b/standins/fake_fleet_adviser.c
@@ -87,11 +87,19 @@
 {
     struct advice_request *request = user_data;
     fake_fleet *deployment = request->vm->deployment;
-    GArray *allowed = g_array_new(FALSE, FALSE, sizeof(cs_advised_worker));
-    GPtrArray *tickets = g_ptr_array_new_with_free_func(g_free);
+    GArray *allowed;
+    GPtrArray *tickets;
     cs_advice advice = {.valid_ms = FAKE_TICKET_VALIDITY_MS};
     guint i;
 
+    if (request->done && fake_vm_is_frozen(request->vm)) {
+        fake_schedule(deployment, request->vm->frozen_until_us, answer_request,
+                      request);
+        return;
+    }
+    allowed = g_array_new(FALSE, FALSE, sizeof(cs_advised_worker));
+    tickets = g_ptr_array_new_with_free_func(g_free);
+
     deployment->pending_advice_requests--;
     for (i = 0; request->workers[i]; i++) {
         struct fake_fleet_worker *worker =
--- a/standins/fake_fleet_internal.h
+++ b/standins/fake_fleet_internal.h
@@ -171,6 +171,7 @@
     uint32_t store_reads_per_s;
     uint32_t feed_rows_max;
     int64_t row_bytes;
+    bool evacuate_not_given;
     bool shutting_down;               /* messages are freed, not delivered */
     uint64_t call_count;              /* store changes and worker orders */
     uint32_t pending_advice_requests; /* not yet answered by the adviser */
@@ -195,6 +196,9 @@
 /* Records a violated rule; later calls have no effect. */
 void fake_record_violation(fake_fleet *deployment, const char *fmt, ...)
     __attribute__((format(printf, 2, 3)));
+/* Returns whether the process of a VM is suspended. What arrives meanwhile is
+   delivered once it runs again, before its timeouts. */
+bool fake_vm_is_frozen(const struct fake_vm *vm);
 /* Returns whether zones reach each other. */
 bool fake_zones_are_connected(const fake_fleet *deployment, uint32_t first,
                               uint32_t second);
--- a/standins/fake_fleet_store.c
+++ b/standins/fake_fleet_store.c
@@ -58,6 +58,7 @@
     int64_t wait_until_us;
     int64_t deadline_us;
     bool answered;
+    bool deferred;   /* the answer waits until the VM's process runs again */
     bool is_waiting; /* is in the store's waiting_feeds */
     bool extensible; /* the deadline moves while bytes arrive */
     int64_t transfer_deadline_us;
@@ -186,15 +187,80 @@
 }
 
 static void
-send_answer(struct store_call *call, const cs_store_answer *answer)
+deliver_answer(struct store_call *call, const cs_store_answer *answer)
 {
-    if (call->answered)
-        return;
     call->answered = true;
     g_hash_table_remove(call->vm->pending_calls, call);
     call->done(call->user_data, answer);
 }
 
+/* An answer to a VM whose process is suspended. */
+struct deferred_answer {
+    struct store_call *call;
+    cs_store_answer answer;
+    GPtrArray *rows; /* of struct fake_row, copies */
+    cs_row *list;
+};
+
+static void
+deliver_deferred(void *user_data)
+{
+    struct deferred_answer *deferred = user_data;
+    struct store_call *call = deferred->call;
+
+    if (!call->answered && fake_vm_is_frozen(call->vm)) {
+        fake_schedule(call->deployment, call->vm->frozen_until_us,
+                      deliver_deferred, deferred);
+        return;
+    }
+    call->deferred = false;
+    if (!call->answered)
+        deliver_answer(call, &deferred->answer);
+    g_ptr_array_free(deferred->rows, TRUE);
+    g_free(deferred->list);
+    g_free(deferred);
+}
+
+static void
+defer_answer(struct store_call *call, const cs_store_answer *answer)
+{
+    struct deferred_answer *deferred = g_new0(struct deferred_answer, 1);
+    size_t i;
+
+    call->deferred = true;
+    deferred->call = call;
+    deferred->answer = *answer;
+    deferred->rows = g_ptr_array_new_with_free_func(row_free);
+    deferred->list = g_new0(cs_row, answer->row_count + 1);
+    for (i = 0; i < answer->row_count; i++) {
+        const cs_row *row = &answer->rows[i];
+        struct fake_row *copy =
+            row_new(row->table, row->part, row->key, row->value,
+                    row->size_bytes, row->version, row->deleted);
+
+        g_ptr_array_add(deferred->rows, copy);
+        deferred->list[i] = *row;
+        deferred->list[i].table = copy->table;
+        deferred->list[i].part = copy->part;
+        deferred->list[i].key = copy->key;
+        deferred->list[i].value = copy->value->data;
+    }
+    deferred->answer.rows = deferred->list;
+    fake_schedule(call->deployment, call->vm->frozen_until_us,
+                  deliver_deferred, deferred);
+}
+
+static void
+send_answer(struct store_call *call, const cs_store_answer *answer)
+{
+    if (call->answered || call->deferred)
+        return;
+    if (fake_vm_is_frozen(call->vm))
+        defer_answer(call, answer);
+    else
+        deliver_answer(call, answer);
+}
+
 static void
 send_code(struct store_call *call, int code)
 {
@@ -740,7 +806,14 @@
 static void
 free_call_event(void *user_data)
 {
-    call_free(user_data);
+    struct store_call *call = user_data;
+
+    if (call->deferred)
+        fake_schedule(call->deployment,
+                      call->deployment->now_us + CS_STORE_TRANSFER_MAX_US,
+                      free_call_event, call);
+    else
+        call_free(call);
 }
 
 /* Returns when the store executes a read that arrives at a time. */
@@ -802,7 +875,9 @@
 static void
 abort_call(void *user_data)
 {
-    send_code(user_data, CS_E_OUTCOME_UNKNOWN);
+    cs_store_answer answer = {.code = CS_E_OUTCOME_UNKNOWN};
+
+    deliver_answer(user_data, &answer);
 }
 
 static struct store_call *
--- a/standins/fake_fleet_worker.c
+++ b/standins/fake_fleet_worker.c
@@ -154,7 +154,13 @@
 deliver_delayed(void *user_data)
 {
     struct delayed_answer *delayed = user_data;
+    struct order *order = delayed->order;
 
+    if (!order->answered && fake_vm_is_frozen(order->vm)) {
+        fake_schedule(order->deployment, order->vm->frozen_until_us,
+                      deliver_delayed, delayed);
+        return;
+    }
     deliver_answer(delayed->order, &delayed->answer);
     g_string_chunk_free(delayed->texts);
     g_free(delayed->runs);
@@ -197,7 +203,10 @@
         (order->answer_is_lost && answer->code != CS_E_OUTCOME_UNKNOWN))
         return;
     idle_us = fake_charge_cpu(order->vm, order->deployment->call_us / 2);
-    if (answer->code != CS_E_OUTCOME_UNKNOWN &&
+    if (fake_vm_is_frozen(order->vm))
+        idle_us = MAX(idle_us, order->vm->frozen_until_us);
+    if ((answer->code != CS_E_OUTCOME_UNKNOWN ||
+         fake_vm_is_frozen(order->vm)) &&
         idle_us > order->deployment->now_us)
         delay_answer(order, answer, idle_us);
     else
@@ -700,6 +709,12 @@
     struct order *order = user_data;
     struct fake_fleet_worker *worker = find_order_worker(order);
 
+    if (!order->answered) {
+        fake_schedule(order->deployment,
+                      order->deployment->now_us + MAX_LATE_US, free_order,
+                      order);
+        return;
+    }
     if (order->is_waiting)
         g_ptr_array_remove(worker->waiting_heartbeats, order);
     g_free(order);
@@ -736,7 +751,9 @@
 static void
 abort_order(void *user_data)
 {
-    send_code(user_data, CS_E_OUTCOME_UNKNOWN, CS_REFUSED_OTHER);
+    cs_worker_answer answer = {.code = CS_E_OUTCOME_UNKNOWN, .clock_ms = -1};
+
+    deliver_answer(user_data, &answer);
 }
 
 static struct order *
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -448,10 +448,18 @@
 {
     int64_t cut_s;
 
-    for (cut_s = 4; cut_s <= 34; cut_s += 3) {
-        fake_fleet *deployment = create_deployment(40 + (uint64_t)cut_s);
+    for (cut_s = 4; cut_s <= 34; cut_s += 2) {
+        /* Every other deployment calls its workers through executors. */
+        fake_fleet_settings settings = {.vms = 9,
+                                        .workers = 16,
+                                        .racks = 2,
+                                        .seed = 40 + (uint64_t)cut_s,
+                                        .max_direct_workers =
+                                            cut_s % 4 ? 4 : 0};
+        fake_fleet *deployment = fake_fleet_create(&settings);
         uint32_t zone;
 
+        fake_fleet_run(deployment, 3 * CS_SEC_US);
         cut_holder_zone(deployment, 12 * 1000);
         zone = (uint32_t)fake_fleet_holder(deployment) % FAKE_ZONES;
         fake_fleet_run(deployment, cut_s * CS_SEC_US);
@@ -463,6 +471,42 @@
     }
 }
 
+/*
+ * Guards against a holder that is frozen while a change is on its way, reads
+ * the confirmation half a minute later and starts the recorded runs, on
+ * workers that its successor could not reach and has given up.
+ */
+static void
+fleet__frozen_holder_starts_nothing_late(void **state)
+{
+    uint32_t ms;
+
+    for (ms = 0; ms < 60; ms += 2) {
+        fake_fleet_settings settings = {.vms = 4,
+                                        .workers = 16,
+                                        .racks = 2,
+                                        .seed = 41,
+                                        .evacuate_not_given = true};
+        fake_fleet *deployment = fake_fleet_create(&settings);
+        uint32_t holder;
+        fake_job job;
+        int32_t reply;
+
+        fake_fleet_run(deployment, 2 * CS_SEC_US);
+        holder = (uint32_t)fake_fleet_holder(deployment);
+        fake_job_init(&job, 1, 2, 8, 8, 40 * 1000);
+        fake_fleet_submit(deployment, (holder + 1) % 4, &job, &reply);
+        fake_fleet_run(deployment, ms * CS_MS_US);
+        fake_fleet_cut_zone(deployment, holder % FAKE_ZONES, true);
+        fake_fleet_freeze(deployment, holder, 25 * CS_SEC_US);
+        fake_fleet_run(deployment, 30 * CS_SEC_US);
+        fake_fleet_cut_zone(deployment, holder % FAKE_ZONES, false);
+        fake_fleet_run(deployment, 60 * CS_SEC_US);
+        expect_no_violation(deployment);
+        fake_fleet_destroy(deployment);
+    }
+}
+
 /*
  * Guards against a VM that waits for the answer of a peer that was cut off,
  * and misses a configuration, although it reaches the store itself again.
@@ -1300,6 +1344,7 @@
         cmocka_unit_test(fleet__silent_worker_gets_no_tasks),
         cmocka_unit_test(fleet__success_seen_late_completes_the_task),
         cmocka_unit_test(fleet__tasks_of_a_cut_zone_run_once),
+        cmocka_unit_test(fleet__frozen_holder_starts_nothing_late),
         cmocka_unit_test(fleet__task_is_retried_on_its_only_worker),
         cmocka_unit_test(fleet__only_worker_is_not_quarantined_for_long),
         cmocka_unit_test(fleet__gang_restarts_when_a_draining_worker_has_left),
