cycle: only workers with a label or service match what requires it

Bits now stand for the pairs of service and label that steps require in one scheduling cycle, and are given out anew when all are taken; workers keep the names of their labels.

--- a/src/fleet/cycle_request.c
+++ b/src/fleet/cycle_request.c
@@ -153,13 +153,61 @@
     return step->exceeds_racks;
 }
 
+/* Number of bits of a worker's labels in a cell. */
+#define LABEL_BITS 64
+
+static void
+clear_label_bits(struct cycle *cycle)
+{
+    uint32_t i;
+
+    g_array_set_size(cycle->label_pairs, 0);
+    /* These refer to the bits. */
+    g_array_set_size(cycle->failed_requests, 0);
+    for (i = 0; i < cycle->cell.worker_count; i++) {
+        cycle->cell.workers[i].labels = 0;
+        cycle->expected_cell.workers[i].labels = 0;
+    }
+}
+
+/* Returns the bit of the workers that are of the service and have the label,
+   if that is not empty. Bits are given out in the order of use within a cycle,
+   and anew once all are taken. */
+static uint64_t
+find_label_bit(struct cycle *cycle, const char *service, const char *label)
+{
+    const struct label_pair pair = {service, label};
+    uint64_t bit;
+    guint i;
+
+    for (i = 0; i < cycle->label_pairs->len; i++) {
+        const struct label_pair *known =
+            &g_array_index(cycle->label_pairs, struct label_pair, i);
+
+        if (strcmp(known->service, service) == 0 &&
+            strcmp(known->label, label) == 0)
+            return UINT64_C(1) << i;
+    }
+    if (cycle->label_pairs->len == LABEL_BITS)
+        clear_label_bits(cycle);
+    bit = UINT64_C(1) << cycle->label_pairs->len;
+    g_array_append_val(cycle->label_pairs, pair);
+    for (i = 0; i < cycle->cell.worker_count; i++) {
+        if (!worker_matches(g_ptr_array_index(cycle->fleet->worker_list, i),
+                            service, label))
+            continue;
+        cycle->cell.workers[i].labels |= bit;
+        cycle->expected_cell.workers[i].labels |= bit;
+    }
+    return bit;
+}
+
 void
 cycle_make_request(struct cycle *cycle, const struct candidate *candidate,
                    cs_binpack_request *request)
 {
     const struct step *step = candidate->step;
     cs_fleet *fleet = cycle->fleet;
-    char service[CS_JOB_NAME_BYTES + 8];
 
     memset(request, 0, sizeof(*request));
     request->demand = step->spec->demand;
@@ -173,15 +221,13 @@
         if (waits_for_data(cycle, step, rack))
             request->data_rack = rack;
     }
-    g_snprintf(service, sizeof(service), "service:%s",
-               candidate->queue->service);
     request->first_reserved_rack = cycle->cell.rack_count;
     if (candidate->queue->priority > 0 && !cycle->capacity_idle &&
         request->data_rack == CS_BINPACK_ANY &&
         cycle->accelerator_use >= URGENT_RACKS_MIN_USE)
         request->first_reserved_rack -= cycle->urgent_only_racks;
-    request->labels = worker_label_bit(fleet, service) |
-                      worker_label_bit(fleet, step->spec->required_label);
+    request->labels = find_label_bit(cycle, candidate->queue->service,
+                                     step->spec->required_label);
     request->max_per_worker = step->spec->max_per_worker;
     request->tasks_present = count_placed_by_worker(cycle, step);
     if (candidate->queue->needs_ticket)
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -61,13 +61,12 @@
 struct worker {
     char id[CS_JOB_NAME_BYTES];
     char address[48];
-    uint32_t kind_number; /* unique to its kind's name in this process */
     char zone[CS_JOB_NAME_BYTES];
     uint32_t zone_number; /* unique to the zone's name in this process */
     char service[CS_JOB_NAME_BYTES];
     uint32_t index; /* in fleet->worker_list and the bin packing's cell */
     uint32_t rack;
-    uint64_t labels; /* a bit for each label, see worker_label_bit() */
+    char **labels; /* names, ended by NULL; the first one is its kind */
     cs_demand capacity;
     cs_demand used;       /* by the tasks placed on the worker */
     bool listed;          /* has an entry in the store */
@@ -223,9 +222,9 @@
     void (*read_completed)(cs_fleet *fleet);
     bool pending; /* a call is in flight */
     bool loaded;
-    int64_t next_call_us;               /* no call before */
-    char page_start[CS_JOB_NAME_BYTES]; /* first key of the next page; empty
-                                           for the first page */
+    int64_t next_call_us;                   /* no call before */
+    char page_start[CS_JOB_NAME_BYTES + 1]; /* first key of the next page;
+                                               empty for the first page */
     uint64_t read_version;     /* of the store when the first page was read */
     uint64_t followed_version; /* changes up to it were applied */
     int64_t followed_until_us; /* changes that were made before this time were
@@ -267,14 +266,13 @@
     int64_t acquire_sent_us; /* when the cell was last to be acquired */
     struct former_holder former;
     uint64_t renewal_serial;
-    int64_t store_clock_ms;    /* the store's clock in its last answer */
-    GHashTable *jobs;          /* id to struct job; owns them */
-    GPtrArray *active_jobs;    /* of struct job that are not final */
-    GPtrArray *final_jobs;     /* of struct job, in the order of their ends */
-    GHashTable *workers;       /* id to struct worker; owns them */
-    GPtrArray *worker_list;    /* of struct worker, by index */
-    GHashTable *rack_numbers;  /* name to number + 1 */
-    GHashTable *label_numbers; /* name to bit number + 1 */
+    int64_t store_clock_ms;   /* the store's clock in its last answer */
+    GHashTable *jobs;         /* id to struct job; owns them */
+    GPtrArray *active_jobs;   /* of struct job that are not final */
+    GPtrArray *final_jobs;    /* of struct job, in the order of their ends */
+    GHashTable *workers;      /* id to struct worker; owns them */
+    GPtrArray *worker_list;   /* of struct worker, by index */
+    GHashTable *rack_numbers; /* name to number + 1 */
     GHashTable *queue_run_times; /* queue name to struct queue_run_time */
     GQueue dirty_rows;           /* of struct progress_row, to be written */
     GQueue expired_jobs; /* of struct job, whose job row is to be removed */
@@ -404,9 +402,10 @@
 void worker_record_success(struct worker *worker);
 /* Returns the number of a rack, which is assigned at its first use. */
 uint32_t worker_rack_number(cs_fleet *fleet, const char *name);
-/* Returns the bit of a label, assigned at its first use; 0 for an empty one.
- */
-uint64_t worker_label_bit(cs_fleet *fleet, const char *name);
+/* Returns whether the worker is one of the service and has the label, if that
+   is not empty. */
+bool worker_matches(const struct worker *worker, const char *service,
+                    const char *label);
 /* Resets what was known of the worker's former incarnation. */
 void worker_set_incarnation(cs_fleet *fleet, struct worker *worker,
                             uint64_t incarnation_ms);
--- a/src/fleet/forecast.c
+++ b/src/fleet/forecast.c
@@ -126,38 +126,47 @@
     g_array_append_vals(peak->labels, present, 1);
 }
 
+/* Returns the label with a name, which is borrowed; creates it if there is
+   none. */
+static cs_forecast_label *
+get_label(GHashTable *labels, const char *name, uint32_t service)
+{
+    cs_forecast_label *label = g_hash_table_lookup(labels, name);
+
+    if (label)
+        return label;
+    label = g_new0(cs_forecast_label, 1);
+    g_strlcpy(label->name, name, sizeof(label->name));
+    label->service = service;
+    g_hash_table_insert(labels, (gpointer)name, label);
+    return label;
+}
+
 /* Updates the labels of a service from all workers that have them. */
 static void
 update_labels(const cs_fleet *fleet, cs_forecast *peak, uint32_t service)
 {
     const char *service_name =
         g_array_index(peak->services, cs_forecast_service, service).name;
-    cs_forecast_label labels[64];
+    GHashTable *labels =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
     GHashTableIter iter;
-    gpointer name;
-    gpointer number;
-    uint64_t bits;
+    gpointer value;
     guint i;
-    uint32_t bit;
 
-    memset(labels, 0, sizeof(labels));
     for (i = 0; i < fleet->worker_list->len; i++) {
         const struct worker *worker = g_ptr_array_index(fleet->worker_list, i);
+        char **name;
 
         if (strcmp(worker->service, service_name) != 0)
             continue;
-        for (bits = worker->labels; bits; bits &= bits - 1)
-            add_label(&labels[__builtin_ctzll(bits)], worker);
-    }
-    g_hash_table_iter_init(&iter, fleet->label_numbers);
-    while (g_hash_table_iter_next(&iter, &name, &number)) {
-        bit = GPOINTER_TO_UINT(number) - 1;
-        if (bit >= 64 || labels[bit].worker_count == 0)
-            continue;
-        g_strlcpy(labels[bit].name, name, sizeof(labels[bit].name));
-        labels[bit].service = service;
-        merge_label(peak, &labels[bit]);
+        for (name = worker->labels; name && *name; name++)
+            add_label(get_label(labels, *name, service), worker);
     }
+    g_hash_table_iter_init(&iter, labels);
+    while (g_hash_table_iter_next(&iter, NULL, &value))
+        merge_label(peak, value);
+    g_hash_table_destroy(labels);
 }
 
 static void
--- a/src/fleet/worker.c
+++ b/src/fleet/worker.c
@@ -14,6 +14,8 @@
 #define CONSECUTIVE_FAILURES_MAX 2
 #define QUARANTINE_FIRST_US (3 * CS_SEC_US)
 #define QUARANTINE_MAX_US (30 * CS_SEC_US)
+/* Labels of a worker that count; the platform's workers have two. */
+#define LABELS_MAX 16
 #define QUARANTINE_WITHOUT_SUBSTITUTE_US (2 * CS_SEC_US)
 /* A worker with tasks that has not answered for this long gets no new ones. */
 #define ANSWER_AGE_MAX_US (4 * CS_SEC_US)
@@ -53,6 +55,7 @@
     struct worker *worker = data;
 
     g_ptr_array_free(worker->tasks, TRUE);
+    g_strfreev(worker->labels);
     g_free(worker);
 }
 
@@ -70,25 +73,14 @@
     return number - 1;
 }
 
-uint64_t
-worker_label_bit(cs_fleet *fleet, const char *name)
+bool
+worker_matches(const struct worker *worker, const char *service,
+               const char *label)
 {
-    guint number;
-
-    if (!*name)
-        return 0;
-    number = GPOINTER_TO_UINT(g_hash_table_lookup(fleet->label_numbers, name));
-    if (number == 0) {
-        number = g_hash_table_size(fleet->label_numbers) + 1;
-        g_hash_table_insert(fleet->label_numbers, g_strdup(name),
-                            GUINT_TO_POINTER(number));
-        if (number > 64)
-            cs_log_event("labels-exhausted",
-                         "label %s is number %u of at most 64", name, number);
-    }
-    /* Labels without a bit of their own map to all bits, so that workers
-       without such a label don't match a step that requires one. */
-    return number > 64 ? UINT64_MAX : UINT64_C(1) << (number - 1);
+    return strcmp(worker->service, service) == 0 &&
+           (!*label ||
+            (worker->labels &&
+             g_strv_contains((const char *const *)worker->labels, label)));
 }
 
 bool
@@ -199,22 +191,16 @@
 apply_labels(cs_fleet *fleet, struct worker *worker,
              const cs_worker_entry *entry)
 {
-    char service[CS_JOB_NAME_BYTES + 8];
-    guint i;
+    uint32_t count = MIN(entry->labels->len, LABELS_MAX);
+    uint32_t i;
 
-    g_snprintf(service, sizeof(service), "service:%s", entry->service);
-    worker->labels = worker_label_bit(fleet, service);
-    for (i = 0; i < entry->labels->len; i++)
-        worker->labels |=
-            worker_label_bit(fleet, g_ptr_array_index(entry->labels, i));
+    g_strfreev(worker->labels);
+    worker->labels = g_new0(char *, count + 1);
+    for (i = 0; i < count; i++)
+        worker->labels[i] = g_strdup(g_ptr_array_index(entry->labels, i));
     /* The first label is the worker's kind, the second its rack. */
-    worker->kind_number =
-        entry->labels->len > 0
-            ? g_quark_from_string(g_ptr_array_index(entry->labels, 0))
-            : 0;
-    if (entry->labels->len > 1)
-        worker->rack =
-            worker_rack_number(fleet, g_ptr_array_index(entry->labels, 1));
+    if (count > 1)
+        worker->rack = worker_rack_number(fleet, worker->labels[1]);
 }
 
 void
@@ -332,6 +318,12 @@
     worker->lease_end_us = MAX(worker->lease_end_us, end_us);
 }
 
+static const char *
+kind(const struct worker *worker)
+{
+    return worker->labels && worker->labels[0] ? worker->labels[0] : "";
+}
+
 /* Returns whether another worker of the same service and kind may get tasks,
    now or after short pauses. */
 static bool
@@ -342,9 +334,9 @@
     for (i = 0; i < fleet->worker_list->len; i++) {
         const struct worker *other = g_ptr_array_index(fleet->worker_list, i);
 
-        if (other != worker && other->kind_number == worker->kind_number &&
-            other->quarantine_us == 0 && worker_is_expected(fleet, other) &&
-            strcmp(other->service, worker->service) == 0)
+        if (other != worker && other->quarantine_us == 0 &&
+            worker_is_expected(fleet, other) &&
+            worker_matches(other, worker->service, kind(worker)))
             return true;
     }
     return false;
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -361,6 +361,44 @@
     fake_fleet_destroy(deployment);
 }
 
+/*
+ * Guards against work that goes to workers of another service or without the
+ * required label in a fleet with many labels: beyond the 64th, a worker's
+ * label stood for all labels.
+ */
+static void
+fleet__labels_beyond_64_do_not_match(void **state)
+{
+    fake_fleet_settings settings = {
+        .vms = 4, .workers = 160, .racks = 80, .seed = 39};
+    fake_fleet *deployment = fake_fleet_create(&settings);
+    fake_job job;
+    int32_t reply;
+    uint32_t i;
+
+    fake_fleet_run(deployment, 3 * CS_SEC_US);
+    fake_job_init(&job, 1, 2, 4, 1, 1000);
+    g_strlcpy(job.spec.steps[0].required_label, "none",
+              sizeof(job.spec.steps[0].required_label));
+    fake_fleet_submit(deployment, 0, &job, &reply);
+    fake_fleet_run(deployment, 3 * CS_SEC_US);
+    assert_int_equal(fake_fleet_start_count(deployment, "0000000000000001"),
+                     0);
+    /* Each rack is required by a job of its own, and holds two of its tasks.
+     */
+    for (i = 0; i < 80; i++) {
+        fake_job_init(&job, i + 2, 2, 2, 8, 1000);
+        g_snprintf(job.spec.steps[0].required_label,
+                   sizeof(job.spec.steps[0].required_label), "r1-%u", i);
+        fake_fleet_submit(deployment, 0, &job, &reply);
+    }
+    fake_fleet_run(deployment, 5 * CS_SEC_US);
+    for (i = 0; i < 80; i++)
+        expect_state(deployment, i + 2, CS_PROGRESS_COMPLETED);
+    expect_no_violation(deployment);
+    fake_fleet_destroy(deployment);
+}
+
 /* Starts a gang on workers 0 to 14 of 16, the first of which then drains. */
 static void
 start_gang_and_drain_member(fake_fleet *deployment)
@@ -1345,6 +1383,7 @@
         cmocka_unit_test(fleet__success_seen_late_completes_the_task),
         cmocka_unit_test(fleet__tasks_of_a_cut_zone_run_once),
         cmocka_unit_test(fleet__frozen_holder_starts_nothing_late),
+        cmocka_unit_test(fleet__labels_beyond_64_do_not_match),
         cmocka_unit_test(fleet__task_is_retried_on_its_only_worker),
         cmocka_unit_test(fleet__only_worker_is_not_quarantined_for_long),
         cmocka_unit_test(fleet__gang_restarts_when_a_draining_worker_has_left),
