workers: odd entries of other writers end no process and name no worker

Every process that held the cell ended with a segmentation fault on one entry whose key is longer than 63 bytes; the store allows 200. The id was cut when it was stored and looked up whole.

Names and ids have up to 200 bytes now. Pages of rows continue behind the last key whatever follows it, and a configuration with a longer name is no longer rejected as a whole.

fleet__odd_entries_of_workers_harm_nothing (keys of 1 to 200 bytes, 17 odd variants of an entry, deep nesting, 500 labels) ended with signal 11 before and passes now.

--- a/include/corianderstair/job_spec.h
+++ b/include/corianderstair/job_spec.h
@@ -13,7 +13,7 @@
 
 /** Sizes of strings, with the terminating zero byte. */
 #define CS_JOB_ID_BYTES 17
-#define CS_JOB_NAME_BYTES 64
+#define CS_JOB_NAME_BYTES 201 /* a key of the store has up to 200 */
 /** Maximum length of a job's payload. */
 #define CS_JOB_PAYLOAD_MAX_BYTES 4000
 #define CS_JOB_STEPS_MAX 64
--- a/src/fleet/feeds.c
+++ b/src/fleet/feeds.c
@@ -26,7 +26,7 @@
     if (row->deleted)
         return;
     if (cs_job_spec_decode(&spec, row->value, row->size_bytes)) {
-        cs_log_event("job-unreadable", "job %s: %s", row->key,
+        cs_log_event("job-unreadable", "job %.60s: %s", row->key,
                      cs_error_last());
         fleet_increment_counter(fleet, "cs_rows_unreadable_total");
         return;
@@ -117,9 +117,9 @@
     if (!feed->page_start[0] && feed->part_number == 0)
         feed->read_version = answer->version;
     if (answer->has_more && answer->row_count > 0) {
-        /* '!' sorts before the characters of keys, so that the next page
-           begins after the last key of this one. */
-        g_snprintf(feed->page_start, sizeof(feed->page_start), "%s!",
+        /* Any other key after the last one of this page sorts behind this
+           character. */
+        g_snprintf(feed->page_start, sizeof(feed->page_start), "%s\001",
                    answer->rows[answer->row_count - 1].key);
         return;
     }
@@ -241,6 +241,9 @@
     struct worker *worker = g_hash_table_lookup(fleet->workers, row->key);
     cs_worker_entry entry;
 
+    /* Longer than the store allows. */
+    if (strlen(row->key) >= CS_JOB_NAME_BYTES)
+        return;
     if (row->deleted) {
         if (worker)
             worker_unlist(fleet, worker);
--- a/src/fleet/ledger.c
+++ b/src/fleet/ledger.c
@@ -18,13 +18,15 @@
 /* Maximum sizes of packed items, with their headers. */
 #define NAME_BYTES (2 + CS_JOB_NAME_BYTES)
 #define NUMBER_BYTES 9
+/* The row is read by a new holder before it places. */
+#define ROW_BYTES_MAX (32 * 1024)
+#define ROW_ZONES_BYTES                                                       \
+    (CS_ZONE_LAG_ZONES_MAX *                                                  \
+         (NAME_BYTES + (ZONE_FIELDS - 1) * NUMBER_BYTES) +                    \
+     FIELDS * NUMBER_BYTES)
+#define ROW_ORGANISATIONS_BYTES (ROW_BYTES_MAX - ROW_ZONES_BYTES)
 
-/* The row is read by a new holder before it places: at most 32 KB. */
-G_STATIC_ASSERT(ROW_ORGANISATIONS_MAX *(NAME_BYTES + 5) +
-                    CS_ZONE_LAG_ZONES_MAX *
-                        (NAME_BYTES + (ZONE_FIELDS - 1) * NUMBER_BYTES) +
-                    FIELDS * NUMBER_BYTES <
-                32 * 1024);
+G_STATIC_ASSERT(ROW_ORGANISATIONS_BYTES >= ROW_BYTES_MAX / 2);
 
 struct ledger *
 ledger_create(void)
@@ -188,6 +190,24 @@
     return (int64_t)(value * RECORD_SCALE);
 }
 
+/* Returns how many shares, the largest first, fit into the row. */
+static uint32_t
+count_fitting(const GPtrArray *list)
+{
+    size_t bytes = 0;
+    uint32_t i;
+
+    for (i = 0; i < MIN(list->len, ROW_ORGANISATIONS_MAX); i++) {
+        const cs_share *share = g_ptr_array_index(list, i);
+
+        bytes += NAME_BYTES - CS_JOB_NAME_BYTES + strlen(share->name) +
+                 NUMBER_BYTES;
+        if (bytes > ROW_ORGANISATIONS_BYTES)
+            break;
+    }
+    return i;
+}
+
 static void
 pack_organisations(msgpack_packer *packer, const cs_shares *shares)
 {
@@ -202,7 +222,7 @@
             g_ptr_array_add(list, share);
     }
     g_ptr_array_sort(list, compare_by_mean);
-    count = MIN(list->len, ROW_ORGANISATIONS_MAX);
+    count = count_fitting(list);
     msgpack_pack_array(packer, count * ORGANISATION_FIELDS);
     for (i = 0; i < count; i++) {
         const cs_share *share = g_ptr_array_index(list, i);
--- a/src/fleet/speeds.c
+++ b/src/fleet/speeds.c
@@ -132,7 +132,7 @@
         decode_entries(fleet, &record.reader);
     cs_record_close(&record);
     if (record.reader.failed) {
-        cs_log_event("speeds-unreadable", "group %s", row->key);
+        cs_log_event("speeds-unreadable", "group %.60s", row->key);
         fleet_increment_counter(fleet, "cs_rows_unreadable_total");
     }
     restore_all_speeds(fleet);
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -12,6 +12,8 @@
 /* A fallback only: each call has an earlier deadline of its own. */
 #define IO_TIMEOUT_S 3600
 #define MAX_QUEUED_CALLS 20000
+/* A value is the id of a worker at the longest, which has up to 200 bytes. */
+#define HEADER_VALUE_BYTES 208
 
 /*
  * libwebsockets queues the calls of one virtual host to one address on a
@@ -59,7 +61,7 @@
     char host[96]; /* empty for the target's address */
     char content_type[48];
     char header_names[CS_HTTP_MAX_CALL_HEADERS][32];
-    char header_values[CS_HTTP_MAX_CALL_HEADERS][96];
+    char header_values[CS_HTTP_MAX_CALL_HEADERS][HEADER_VALUE_BYTES];
     GString *body;
     GString *response;
     int status;
--- a/standins/fake_fleet.c
+++ b/standins/fake_fleet.c
@@ -288,6 +288,13 @@
     deployment->organisations = count;
 }
 
+void
+fake_fleet_put_entry(fake_fleet *deployment, const char *key, const char *text)
+{
+    fake_store_put(deployment, PLATFORM_WORKERS_TABLE, "", key, text,
+                   strlen(text));
+}
+
 void
 fake_fleet_put_cell_row(fake_fleet *deployment, const char *key,
                         const char *text)
--- a/standins/fake_fleet.h
+++ b/standins/fake_fleet.h
@@ -144,6 +144,9 @@
 /** Sets the number of organisations of configurations that are written from
  * now on; the first has a guarantee. It is 1 before. */
 void fake_fleet_set_organisations(fake_fleet *deployment, uint32_t count);
+/** Writes an entry among those of the workers, as another writer may. */
+void fake_fleet_put_entry(fake_fleet *deployment, const char *key,
+                          const char *text);
 /** Overwrites a row of the cell's part in the store. */
 void fake_fleet_put_cell_row(fake_fleet *deployment, const char *key,
                              const char *text);
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -361,6 +361,124 @@
     fake_fleet_destroy(deployment);
 }
 
+/* Returns a text that repeats a character. */
+static char *
+repeat(char character, size_t count)
+{
+    return g_strnfill(count, character);
+}
+
+/* Writes entries as another writer may: keys of any length, and members that
+   are missing, of another type, nested or out of range. */
+static void
+put_odd_entries(fake_fleet *deployment)
+{
+    static const char valid[] =
+        "{\"service\":\"lab\",\"addr\":\"127.0.0.1:9\",\"zone\":\"z0\","
+        "\"state\":\"ready\",\"capacity\":{\"cpu\":64000,\"memMb\":131072,"
+        "\"gpu\":8},\"labels\":[\"a\",\"r1-0\"],\"seq\":1,\"born\":5}";
+    static const size_t lengths[] = {1, 31, 62, 63, 64, 65, 127, 199, 200};
+    static const struct {
+        const char *from;
+        const char *to;
+    } changes[] = {
+        {"\"lab\"", "7"},
+        {"127.0.0.1:9", "127.0.0.1:99999"},
+        {"127.0.0.1:9", "127.0.0.1:0"},
+        {"127.0.0.1:9", "[::1]:9"},
+        {"127.0.0.1:9", ""},
+        {"64000", "9223372036854775807"},
+        {"131072", "9223372036854775807"},
+        {":8}", ":-9223372036854775808}"},
+        {":8}", ":1e300}"},
+        {"\"born\":5", "\"born\":-1"},
+        {"\"born\":5", "\"born\":9223372036854775807"},
+        {"\"born\":5", "\"born\":18446744073709551616"},
+        {"\"seq\":1", "\"remainingMs\":9223372036854775807"},
+        {"[\"a\",\"r1-0\"]", "[[\"a\"]]"},
+        {"[\"a\",\"r1-0\"]", "[]"},
+        {"ready", "gone"},
+        {"}", ""},
+    };
+    char *nested = repeat('[', 30000);
+    char *name = repeat('n', 300);
+    GString *many_labels = g_string_new("");
+    size_t i;
+
+    for (i = 0; i < G_N_ELEMENTS(lengths); i++) {
+        char *key = repeat('k', lengths[i]);
+
+        fake_fleet_put_entry(deployment, key, valid);
+        fake_fleet_put_entry(deployment, key, "\xff\xfe");
+        key[0] = ' ';
+        fake_fleet_put_entry(deployment, key, valid);
+        g_free(key);
+    }
+    for (i = 0; i < G_N_ELEMENTS(changes); i++) {
+        GString *text = g_string_new(valid);
+        char key[16];
+
+        g_string_replace(text, changes[i].from, changes[i].to, 0);
+        g_snprintf(key, sizeof(key), "odd-%zu", i);
+        fake_fleet_put_entry(deployment, key, text->str);
+        /* Under the id of a worker as well, which writes its entry again. */
+        g_snprintf(key, sizeof(key), "w-%02zu", i % 16);
+        fake_fleet_put_entry(deployment, key, text->str);
+        g_string_free(text, TRUE);
+    }
+    for (i = 0; i < 500; i++)
+        g_string_append_printf(many_labels, "\"%s-%zu\",", "label", i);
+    for (i = 0; i < 3; i++) {
+        const char *const to[] = {nested, name, many_labels->str};
+        const char *const from[] = {"\"seq\":1", "\"z0\"", "[\"a\""};
+        GString *text = g_string_new(valid);
+        GString *value = g_string_new("");
+
+        g_string_printf(value,
+                        i == 0   ? "\"seq\":%s"
+                        : i == 1 ? "\"%s\""
+                                 : "[%s\"a\"",
+                        to[i]);
+        g_string_replace(text, from[i], value->str, 0);
+        fake_fleet_put_entry(deployment, "odd-long", text->str);
+        g_string_free(text, TRUE);
+        g_string_free(value, TRUE);
+    }
+    g_string_free(many_labels, TRUE);
+    g_free(nested);
+    g_free(name);
+}
+
+/*
+ * Guards against a process that ends by itself, or a holder that stops
+ * following the workers, because of one odd entry among them: a key of more
+ * than 63 bytes ended every process that read it.
+ */
+static void
+fleet__odd_entries_of_workers_harm_nothing(void **state)
+{
+    fake_fleet *deployment = create_deployment(38);
+    int32_t holder = fake_fleet_holder(deployment);
+
+    put_odd_entries(deployment);
+    fake_fleet_run(deployment, 3 * CS_SEC_US);
+    assert_int_equal(fake_fleet_holder(deployment), holder);
+    submit(deployment, 0, 1, 1, 16, 8, true);
+    fake_fleet_run(deployment, 5 * CS_SEC_US);
+    expect_state(deployment, 1, CS_PROGRESS_COMPLETED);
+    /* A successor reads all entries, and the speeds that were learned. */
+    fake_fleet_run(deployment, 6 * CS_SEC_US);
+    fake_fleet_kill(deployment, (uint32_t)holder, 60 * CS_SEC_US);
+    fake_fleet_run(deployment, 5 * CS_SEC_US);
+    assert_int_not_equal(fake_fleet_holder(deployment), -1);
+    submit(deployment, (uint32_t)(holder + 1) % 4, 2, 2, 16, 8, false);
+    fake_fleet_run(deployment, 5 * CS_SEC_US);
+    expect_state(deployment, 2, CS_PROGRESS_COMPLETED);
+    assert_int_equal(fake_fleet_rejected_changes(deployment), 0);
+    expect_no_violation(deployment);
+    fake_fleet_destroy(deployment);
+}
+
 /*
  * Guards against work that goes to workers of another service or without the
  * required label in a fleet with many labels: beyond the 64th, a worker's
@@ -1383,6 +1501,7 @@
         cmocka_unit_test(fleet__success_seen_late_completes_the_task),
         cmocka_unit_test(fleet__tasks_of_a_cut_zone_run_once),
         cmocka_unit_test(fleet__frozen_holder_starts_nothing_late),
+        cmocka_unit_test(fleet__odd_entries_of_workers_harm_nothing),
         cmocka_unit_test(fleet__labels_beyond_64_do_not_match),
         cmocka_unit_test(fleet__task_is_retried_on_its_only_worker),
         cmocka_unit_test(fleet__only_worker_is_not_quarantined_for_long),
