--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -571,9 +571,15 @@
 /* Sends an extra heartbeat at once, even while another one is pending. */
 void heartbeat_probe(cs_fleet *fleet, struct worker *worker);
 
-/* commit.c */
+/* change.c */
 void commit_init(struct commit *commit);
 void commit_dispose(struct commit *commit);
+/* Empties the change. */
+void commit_reset(struct commit *commit);
+/* Fills the change with what is out of date in the store, up to its limits. */
+void commit_build(cs_fleet *fleet);
+
+/* commit.c */
 /* Drops the change that is being written. */
 void commit_clear(cs_fleet *fleet);
 void commit_tick(cs_fleet *fleet);
