--- a/src/fleet/progress.c
+++ b/src/fleet/progress.c
@@ -27,7 +27,8 @@
 
     for (i = 0; i < job->spec.step_count; i++)
         count += job->spec.steps[i].task_count;
-    return count;
+    /* Each job has a step, and each step a task. */
+    return MAX(count, 1);
 }
 
 size_t
