fleet: the bits of labels outlast a cycle

Workers keep the bits of the pairs of service and label that steps have required; they are given out anew when all 64 are taken. Names follow the other fields of a worker, which each cycle reads.

--- a/src/fleet/cycle.c
+++ b/src/fleet/cycle.c
@@ -86,6 +86,7 @@
         cs_demand_subtract(&binpack_worker->free, &worker->used);
         binpack_worker->rack = worker->rack;
         binpack_worker->zone = worker->zone_number;
+        binpack_worker->labels = worker->label_bits;
         binpack_worker->speed = exp(worker->speed.log_speed);
         binpack_worker->usable = worker_is_usable(fleet, worker);
         if (worker->listed)
@@ -386,7 +387,6 @@
     cycle.candidates = g_array_new(FALSE, FALSE, sizeof(struct candidate));
     cycle.failed_requests =
         g_array_new(FALSE, FALSE, sizeof(struct failed_request));
-    cycle.label_pairs = g_array_new(FALSE, FALSE, sizeof(struct label_pair));
     cycle.guarantee_used =
         g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
     build_cell(&cycle);
@@ -401,7 +401,6 @@
     g_free(cycle.expected_cell.workers);
     g_free(cycle.cell.workers);
     g_array_free(cycle.failed_requests, TRUE);
-    g_array_free(cycle.label_pairs, TRUE);
     g_array_free(cycle.candidates, TRUE);
     g_hash_table_destroy(cycle.guarantee_used);
 }
--- a/src/fleet/cycle_internal.h
+++ b/src/fleet/cycle_internal.h
@@ -27,13 +27,6 @@
     double duration_s; /* of which reservations have limited it; 0 for none */
 };
 
-/* What a step requires of its workers; its index is the number of the bit that
-   the workers of the cells have for it. */
-struct label_pair {
-    const char *service; /* borrowed from the configuration */
-    const char *label;   /* borrowed from the step; empty for none */
-};
-
 /* The state of one scheduling cycle. */
 struct cycle {
     cs_fleet *fleet;
@@ -45,7 +38,6 @@
     GHashTable *guarantee_used; /* organisation's config to the accelerators
                                    of its guarantee that are used */
     GArray *failed_requests;    /* of struct failed_request */
-    GArray *label_pairs;        /* of struct label_pair */
     struct running_work *running; /* of cycle_preempt.c; NULL until needed */
     double accelerator_use;       /* share of the usable accelerators in use */
     uint32_t urgent_only_racks;   /* reserved for urgent tasks */
--- a/src/fleet/cycle_request.c
+++ b/src/fleet/cycle_request.c
@@ -153,51 +153,25 @@
     return step->exceeds_racks;
 }
 
-/* Number of bits of a worker's labels in a cell. */
-#define LABEL_BITS 64
-
-static void
-clear_label_bits(struct cycle *cycle)
-{
-    uint32_t i;
-
-    g_array_set_size(cycle->label_pairs, 0);
-    /* These refer to the bits. */
-    g_array_set_size(cycle->failed_requests, 0);
-    for (i = 0; i < cycle->cell.worker_count; i++) {
-        cycle->cell.workers[i].labels = 0;
-        cycle->expected_cell.workers[i].labels = 0;
-    }
-}
-
-/* Returns the bit of the workers that are of the service and have the label,
-   if that is not empty. Bits are given out in the order of use within a cycle,
-   and anew once all are taken. */
+/* Returns the bit that the workers of the cells have if they are of the
+   service and have the label, if that is not empty. */
 static uint64_t
 find_label_bit(struct cycle *cycle, const char *service, const char *label)
 {
-    const struct label_pair pair = {service, label};
-    uint64_t bit;
+    bool renumbered;
+    uint64_t bit = worker_label_bit(cycle->fleet, service, label, &renumbered);
     guint i;
 
-    for (i = 0; i < cycle->label_pairs->len; i++) {
-        const struct label_pair *known =
-            &g_array_index(cycle->label_pairs, struct label_pair, i);
-
-        if (strcmp(known->service, service) == 0 &&
-            strcmp(known->label, label) == 0)
-            return UINT64_C(1) << i;
-    }
-    if (cycle->label_pairs->len == LABEL_BITS)
-        clear_label_bits(cycle);
-    bit = UINT64_C(1) << cycle->label_pairs->len;
-    g_array_append_val(cycle->label_pairs, pair);
+    if (!renumbered)
+        return bit;
+    /* These refer to the former bits. */
+    g_array_set_size(cycle->failed_requests, 0);
     for (i = 0; i < cycle->cell.worker_count; i++) {
-        if (!worker_matches(g_ptr_array_index(cycle->fleet->worker_list, i),
-                            service, label))
-            continue;
-        cycle->cell.workers[i].labels |= bit;
-        cycle->expected_cell.workers[i].labels |= bit;
+        const struct worker *worker =
+            g_ptr_array_index(cycle->fleet->worker_list, i);
+
+        cycle->cell.workers[i].labels = worker->label_bits;
+        cycle->expected_cell.workers[i].labels = worker->label_bits;
     }
     return bit;
 }
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -53,6 +53,7 @@
     fleet->worker_list = g_ptr_array_new();
     fleet->rack_numbers =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    fleet->label_pairs = worker_label_pairs_create();
     fleet->queue_run_times =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     fleet->stored_speeds =
@@ -76,6 +77,7 @@
     g_hash_table_destroy(fleet->jobs);
     g_hash_table_destroy(fleet->workers);
     g_hash_table_destroy(fleet->rack_numbers);
+    g_array_free(fleet->label_pairs, TRUE);
     g_hash_table_destroy(fleet->queue_run_times);
     g_hash_table_destroy(fleet->stored_speeds);
     reserve_free(fleet->reserve);
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -59,14 +59,11 @@
 
 /* A worker as the holder of the cell knows it, across its incarnations. */
 struct worker {
-    char id[CS_JOB_NAME_BYTES];
-    char address[48];
-    char zone[CS_JOB_NAME_BYTES];
     uint32_t zone_number; /* unique to the zone's name in this process */
-    char service[CS_JOB_NAME_BYTES];
     uint32_t index; /* in fleet->worker_list and the bin packing's cell */
     uint32_t rack;
-    char **labels; /* names, ended by NULL; the first one is its kind */
+    char **labels;       /* names, ended by NULL; the first one is its kind */
+    uint64_t label_bits; /* see worker_label_bit() */
     cs_demand capacity;
     cs_demand used;       /* by the tasks placed on the worker */
     bool listed;          /* has an entry in the store */
@@ -110,6 +107,17 @@
     int64_t quarantine_us;   /* length of the last quarantine; 0 none */
     cs_speed speed;          /* learned */
     GPtrArray *tasks;        /* of struct task, placed on the worker */
+    /* The names are last: a cycle reads all of the others of each worker. */
+    char address[48];
+    char id[CS_JOB_NAME_BYTES];
+    char zone[CS_JOB_NAME_BYTES];
+    char service[CS_JOB_NAME_BYTES];
+};
+
+/* What steps require of their workers. */
+struct label_pair {
+    char *service;
+    char *label; /* empty for none */
 };
 
 struct task {
@@ -273,6 +281,7 @@
     GHashTable *workers;      /* id to struct worker; owns them */
     GPtrArray *worker_list;   /* of struct worker, by index */
     GHashTable *rack_numbers; /* name to number + 1 */
+    GArray *label_pairs;      /* of struct label_pair, by number of the bit */
     GHashTable *queue_run_times; /* queue name to struct queue_run_time */
     GQueue dirty_rows;           /* of struct progress_row, to be written */
     GQueue expired_jobs; /* of struct job, whose job row is to be removed */
@@ -402,10 +411,19 @@
 void worker_record_success(struct worker *worker);
 /* Returns the number of a rack, which is assigned at its first use. */
 uint32_t worker_rack_number(cs_fleet *fleet, const char *name);
+/* Returns an empty list for fleet->label_pairs. */
+GArray *worker_label_pairs_create(void);
 /* Returns whether the worker is one of the service and has the label, if that
    is not empty. */
 bool worker_matches(const struct worker *worker, const char *service,
                     const char *label);
+/*
+ * Returns the bit of the workers that match a service and a label. Bits are
+ * given out as they are needed, and anew once all are taken.
+ * changed: whether bits of workers have changed
+ */
+uint64_t worker_label_bit(cs_fleet *fleet, const char *service,
+                          const char *label, bool *changed);
 /* Resets what was known of the worker's former incarnation. */
 void worker_set_incarnation(cs_fleet *fleet, struct worker *worker,
                             uint64_t incarnation_ms);
--- a/src/fleet/worker.c
+++ b/src/fleet/worker.c
@@ -83,6 +83,81 @@
              g_strv_contains((const char *const *)worker->labels, label)));
 }
 
+/* Number of bits of a worker's labels. */
+#define LABEL_BITS 64
+
+static void
+clear_label_pair(gpointer data)
+{
+    struct label_pair *pair = data;
+
+    g_free(pair->service);
+    g_free(pair->label);
+}
+
+GArray *
+worker_label_pairs_create(void)
+{
+    GArray *pairs = g_array_new(FALSE, FALSE, sizeof(struct label_pair));
+
+    g_array_set_clear_func(pairs, clear_label_pair);
+    return pairs;
+}
+
+/* Sets the bits of a worker for the pairs from the first one on. */
+static void
+set_label_bits(const cs_fleet *fleet, struct worker *worker, guint first)
+{
+    guint i;
+
+    for (i = first; i < fleet->label_pairs->len; i++) {
+        const struct label_pair *pair =
+            &g_array_index(fleet->label_pairs, struct label_pair, i);
+
+        if (worker_matches(worker, pair->service, pair->label))
+            worker->label_bits |= UINT64_C(1) << i;
+    }
+}
+
+static void
+add_label_pair(cs_fleet *fleet, const char *service, const char *label)
+{
+    struct label_pair pair = {g_strdup(service), g_strdup(label)};
+    bool is_full = fleet->label_pairs->len == LABEL_BITS;
+    guint i;
+
+    if (is_full)
+        g_array_set_size(fleet->label_pairs, 0);
+    g_array_append_val(fleet->label_pairs, pair);
+    for (i = 0; i < fleet->worker_list->len; i++) {
+        struct worker *worker = g_ptr_array_index(fleet->worker_list, i);
+
+        if (is_full)
+            worker->label_bits = 0;
+        set_label_bits(fleet, worker, fleet->label_pairs->len - 1);
+    }
+}
+
+uint64_t
+worker_label_bit(cs_fleet *fleet, const char *service, const char *label,
+                 bool *changed)
+{
+    guint i;
+
+    *changed = false;
+    for (i = 0; i < fleet->label_pairs->len; i++) {
+        const struct label_pair *pair =
+            &g_array_index(fleet->label_pairs, struct label_pair, i);
+
+        if (strcmp(pair->service, service) == 0 &&
+            strcmp(pair->label, label) == 0)
+            return UINT64_C(1) << i;
+    }
+    *changed = true;
+    add_label_pair(fleet, service, label);
+    return UINT64_C(1) << (fleet->label_pairs->len - 1);
+}
+
 bool
 worker_task_is_started(const struct task *task)
 {
@@ -187,6 +262,23 @@
     memset(&worker->speed, 0, sizeof(worker->speed));
 }
 
+static bool
+has_same_labels(const struct worker *worker, const cs_worker_entry *entry)
+{
+    uint32_t count = MIN(entry->labels->len, LABELS_MAX);
+    uint32_t i;
+
+    if (!worker->labels || strcmp(worker->service, entry->service) != 0 ||
+        g_strv_length(worker->labels) != count)
+        return false;
+    for (i = 0; i < count; i++) {
+        if (strcmp(worker->labels[i], g_ptr_array_index(entry->labels, i)) !=
+            0)
+            return false;
+    }
+    return true;
+}
+
 static void
 apply_labels(cs_fleet *fleet, struct worker *worker,
              const cs_worker_entry *entry)
@@ -194,10 +286,15 @@
     uint32_t count = MIN(entry->labels->len, LABELS_MAX);
     uint32_t i;
 
+    if (has_same_labels(worker, entry))
+        return;
+    g_strlcpy(worker->service, entry->service, sizeof(worker->service));
     g_strfreev(worker->labels);
     worker->labels = g_new0(char *, count + 1);
     for (i = 0; i < count; i++)
         worker->labels[i] = g_strdup(g_ptr_array_index(entry->labels, i));
+    worker->label_bits = 0;
+    set_label_bits(fleet, worker, 0);
     /* The first label is the worker's kind, the second its rack. */
     if (count > 1)
         worker->rack = worker_rack_number(fleet, worker->labels[1]);
@@ -232,7 +329,6 @@
     g_strlcpy(worker->address, entry->address, sizeof(worker->address));
     g_strlcpy(worker->zone, entry->zone, sizeof(worker->zone));
     worker->zone_number = g_quark_from_string(worker->zone);
-    g_strlcpy(worker->service, entry->service, sizeof(worker->service));
     apply_labels(fleet, worker, entry);
 }
 
