--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -627,6 +627,43 @@
     }
 }
 
+/* Kills the holder while a worker with a task is cut off. Returns after how
+   many seconds the task is started elsewhere. */
+static uint32_t
+measure_restart_s(int64_t holder_down_us)
+{
+    fake_fleet *deployment = create_deployment(42);
+    uint32_t seconds = 0;
+    fake_job job;
+    int32_t reply;
+
+    fake_job_init(&job, 1, 2, 8, 8, 60 * 1000);
+    fake_fleet_submit(deployment, 0, &job, &reply);
+    fake_fleet_run(deployment, 2 * CS_SEC_US);
+    fake_fleet_set_worker_disconnected(deployment, 0, true);
+    fake_fleet_kill(deployment, (uint32_t)fake_fleet_holder(deployment),
+                    holder_down_us);
+    while (fake_fleet_start_count(deployment, "0000000000000001") == 8) {
+        fake_fleet_run(deployment, CS_SEC_US);
+        assert_in_range(++seconds, 0, 60);
+    }
+    expect_no_violation(deployment);
+    fake_fleet_destroy(deployment);
+    return seconds;
+}
+
+/*
+ * Guards against a successor that waits for the leases that a former holder
+ * may extend although its VM runs another process, and against one that does
+ * not wait as long as the former holder may be alive.
+ */
+static void
+fleet__former_holder_is_waited_for_until_its_vm_restarts(void **state)
+{
+    assert_in_range(measure_restart_s(CS_SEC_US), 6, 11);
+    assert_in_range(measure_restart_s(300 * CS_SEC_US), 20, 24);
+}
+
 /*
  * Guards against a holder that is frozen while a change is on its way, reads
  * the confirmation half a minute later and starts the recorded runs, on
@@ -1500,6 +1537,8 @@
         cmocka_unit_test(fleet__silent_worker_gets_no_tasks),
         cmocka_unit_test(fleet__success_seen_late_completes_the_task),
         cmocka_unit_test(fleet__tasks_of_a_cut_zone_run_once),
+        cmocka_unit_test(
+            fleet__former_holder_is_waited_for_until_its_vm_restarts),
         cmocka_unit_test(fleet__frozen_holder_starts_nothing_late),
         cmocka_unit_test(fleet__odd_entries_of_workers_harm_nothing),
         cmocka_unit_test(fleet__labels_beyond_64_do_not_match),
