--- a/include/corianderstair/job_spec.h
+++ b/include/corianderstair/job_spec.h
@@ -19,8 +19,8 @@
 #define CS_JOB_STEPS_MAX 64
 #define CS_JOB_TASKS_MAX 4096
 #define CS_JOB_REPEATS_MAX 4096
-/** Tasks of all steps in all occurrences. A holder keeps some 200 bytes for
-    each task that is due, and a third of that in the store. */
+/** Tasks of all steps in all occurrences. A holder keeps 112 bytes and the
+    checkpoint of each task that is due: 7 MB for the largest job. */
 #define CS_JOB_TOTAL_TASKS_MAX 65536
 
 /** Resources of a worker that one task takes, or that a worker has. */
