progress: splitting a former build's row never exceeds a change

A job that a former build had begun kept all tasks in one row, and this build replaced it by all rows of the job in one change.

Only rows that hold a run, or that the store has already, are written now; if these are too many, the single row stays. A second record of a task is passed over, and the number of tasks in a row is bounded when it is read.

fleet__single_row_of_a_former_build_is_split plays the split of 48 rows. It passes before this change as well: 48 rows just fit.

--- a/src/fleet/change.c
+++ b/src/fleet/change.c
@@ -118,30 +118,65 @@
     return value->len;
 }
 
-/* Adds all rows of a job at once. They replace the single one of a former
-   build, whose size bounds their number. */
+/* Returns whether the row has to be written when a job's single row is split:
+   it is the first one, holds a task with a run, or is in the store already. */
+static bool
+belongs_to_split(const struct progress_row *row)
+{
+    GPtrArray *tasks;
+    bool has_run = false;
+    guint i;
+
+    if (row->number == 0 || row->version > 0)
+        return true;
+    tasks = progress_list_tasks(row);
+    for (i = 0; i < tasks->len; i++)
+        has_run |= ((const struct task *)g_ptr_array_index(tasks, i))->run > 0;
+    g_ptr_array_free(tasks, TRUE);
+    return has_run;
+}
+
+static uint32_t
+count_split_rows(const struct job *job)
+{
+    uint32_t count = 0;
+    uint32_t i;
+
+    for (i = 0; i < job->row_count; i++)
+        count += belongs_to_split(&job->rows[i]);
+    return count;
+}
+
+/* Replaces the single row of a former build by several, in one change. */
 static size_t
-add_all_rows(cs_fleet *fleet, struct job *job)
+add_split_rows(cs_fleet *fleet, struct job *job)
 {
     size_t bytes = 0;
     uint32_t i;
 
     for (i = 0; i < job->row_count; i++) {
         g_queue_remove(&fleet->dirty_rows, &job->rows[i]);
-        bytes += add_row(fleet, &job->rows[i]);
+        if (belongs_to_split(&job->rows[i]))
+            bytes += add_row(fleet, &job->rows[i]);
     }
     job->single_row = false;
     return bytes;
 }
 
-/* Returns whether the next row, or all rows that go with it, fit. */
-static bool
-has_space(const struct commit *commit, const struct progress_row *row)
+/* Keeps the single row of a former build whose tasks are spread over more rows
+   than a change holds. */
+static void
+keep_single_row(cs_fleet *fleet, struct job *job)
 {
-    uint32_t count = row->job->single_row ? row->job->row_count : 1;
+    uint64_t version = job->rows[0].version;
+    uint32_t i;
 
-    return commit->rows->len == 0 ||
-           commit->rows->len + count <= CHANGE_ROWS_MAX;
+    for (i = 0; i < job->row_count; i++)
+        g_queue_remove(&fleet->dirty_rows, &job->rows[i]);
+    progress_init(job, CS_JOB_TOTAL_TASKS_MAX);
+    job->rows[0].version = version;
+    job->single_row = false;
+    progress_set_dirty(fleet, job);
 }
 
 static void
@@ -151,11 +186,16 @@
 
     while (bytes < CHANGE_BYTES_MAX && !g_queue_is_empty(&fleet->dirty_rows)) {
         struct progress_row *row = g_queue_peek_head(&fleet->dirty_rows);
+        uint32_t count = row->job->single_row ? count_split_rows(row->job) : 1;
 
-        if (!has_space(&fleet->commit, row))
+        if (count > CHANGE_ROWS_MAX) {
+            keep_single_row(fleet, row->job);
+            continue;
+        }
+        if (fleet->commit.rows->len + count > CHANGE_ROWS_MAX)
             return;
         if (row->job->single_row) {
-            bytes += add_all_rows(fleet, row->job);
+            bytes += add_split_rows(fleet, row->job);
             continue;
         }
         g_queue_pop_head(&fleet->dirty_rows);
--- a/src/fleet/feeds.c
+++ b/src/fleet/feeds.c
@@ -50,11 +50,13 @@
 {
     struct progress_row *progress_row = progress_find_row(fleet, row->key);
     cs_job_progress progress;
+    uint32_t progress_row_number;
     struct job *job;
 
     if (!progress_row)
         return;
     job = progress_row->job;
+    progress_row_number = progress_row->number;
     progress_row->version = row->version;
     if (cs_job_progress_decode(&progress, row->value, row->size_bytes)) {
         cs_log_event("progress-unreadable", "job %.60s: %s", row->key,
@@ -62,11 +64,14 @@
         fleet_increment_counter(fleet, "cs_rows_unreadable_total");
         return;
     }
-    if (progress_row->number == 0) {
+    if (progress_row_number == 0) {
         job_restore_state(fleet, job, &progress);
         job->rows[0].version = row->version;
     }
-    job_restore_tasks(fleet, job, &progress);
+    /* The single row of a former build replaces further rows, which it does
+       not know. */
+    if (progress_row_number == 0 || !job->single_row)
+        job_restore_tasks(fleet, job, &progress);
     cs_job_progress_dispose(&progress);
 }
 
--- a/src/fleet/job.c
+++ b/src/fleet/job.c
@@ -160,6 +160,9 @@
     }
     step = ensure_step(job, record->occurrence, record->step);
     task = &step->tasks[record->index];
+    /* A second record of a task would place it twice. */
+    if (task->run > 0)
+        return;
     task->failures = record->failures;
     task_set_checkpoint(task, record->checkpoint_data);
     job->has_started = true;
--- a/src/fleet/progress.c
+++ b/src/fleet/progress.c
@@ -46,7 +46,7 @@
     uint32_t i;
 
     g_free(job->rows);
-    job->row_tasks = MAX(row_tasks, 1);
+    job->row_tasks = CLAMP(row_tasks, 1, CS_JOB_TOTAL_TASKS_MAX);
     job->row_count = (total + job->row_tasks - 1) / job->row_tasks;
     job->rows = g_new0(struct progress_row, job->row_count);
     for (i = 0; i < job->row_count; i++) {
--- a/standins/fake_fleet_store.c
+++ b/standins/fake_fleet_store.c
@@ -158,6 +158,43 @@
     g_hash_table_destroy(deployment->store.table_versions);
 }
 
+void
+fake_fleet_merge_progress(fake_fleet *deployment, const char *id)
+{
+    GByteArray *value = g_byte_array_new();
+    cs_job_progress merged;
+    uint32_t number;
+
+    cs_job_progress_init(&merged);
+    for (number = 0; number < CS_JOB_TOTAL_TASKS_MAX; number++) {
+        char *key =
+            number ? g_strdup_printf("%s.%u", id, number) : g_strdup(id);
+        const struct fake_row *row =
+            fake_store_get(deployment, CS_TABLE_PROGRESS, CS_CELL_PART, key);
+        cs_job_progress part;
+        guint i;
+
+        if (row && !row->deleted &&
+            cs_job_progress_decode(&part, row->value->data, row->value->len) ==
+                0) {
+            if (number == 0)
+                merged.state = part.state;
+            for (i = 0; i < part.tasks->len; i++)
+                cs_job_progress_add(
+                    &merged, &g_array_index(part.tasks, cs_task_progress, i));
+            cs_job_progress_dispose(&part);
+            fake_store_remove(deployment, CS_TABLE_PROGRESS, CS_CELL_PART,
+                              key);
+        }
+        g_free(key);
+    }
+    cs_job_progress_encode(value, &merged);
+    cs_job_progress_dispose(&merged);
+    fake_store_put(deployment, CS_TABLE_PROGRESS, CS_CELL_PART, id,
+                   value->data, value->len);
+    g_byte_array_unref(value);
+}
+
 uint32_t
 fake_fleet_row_count(const fake_fleet *deployment, const char *table)
 {
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -142,6 +142,31 @@
     fake_fleet_destroy(deployment);
 }
 
+/*
+ * Guards against a job that was begun by a former build, with one progress row
+ * for all of its tasks, and whose rows do not all fit into one change.
+ */
+static void
+fleet__single_row_of_a_former_build_is_split(void **state)
+{
+    fake_fleet *deployment = create_deployment(43);
+    uint32_t i;
+
+    submit_large_job(deployment, 4096);
+    fake_fleet_run(deployment, 1500 * CS_MS_US);
+    for (i = 0; i < 4; i++)
+        fake_fleet_kill(deployment, i, CS_SEC_US);
+    fake_fleet_merge_progress(deployment, "0000000000000001");
+    assert_int_equal(fake_fleet_row_count(deployment, "progress"), 1);
+    fake_fleet_run(deployment, 60 * CS_SEC_US);
+    expect_state(deployment, 1, CS_PROGRESS_COMPLETED);
+    assert_int_equal(fake_fleet_rejected_changes(deployment), 0);
+    assert_int_equal(fake_fleet_start_count(deployment, "0000000000000001"),
+                     3 * 4096);
+    expect_no_violation(deployment);
+    fake_fleet_destroy(deployment);
+}
+
 /*
  * Guards against starting tasks again that are done: a worker lists only the
  * first 500 ends, and more end while no VM holds the cell.
@@ -1531,6 +1556,7 @@
         cmocka_unit_test(fleet__job_larger_than_a_row_is_completed),
         cmocka_unit_test(fleet__successor_adopts_a_job_of_many_rows),
         cmocka_unit_test(fleet__ends_beyond_an_answer_are_not_taken_for_lost),
+        cmocka_unit_test(fleet__single_row_of_a_former_build_is_split),
         cmocka_unit_test(fleet__gang_of_many_rows_starts_as_a_whole),
         cmocka_unit_test(fleet__successor_adopts_running_tasks),
         cmocka_unit_test(fleet__cold_start_adopts_tasks_before_leases_end),
