--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -70,9 +70,9 @@
     fake_fleet_destroy(deployment);
 }
 
-/* Submits a job of three steps, each of which waits for the one before. */
+/* Submits a job of steps, each of which waits for the one before. */
 static void
-submit_large_job(fake_fleet *deployment, uint32_t tasks_per_step)
+submit_steps(fake_fleet *deployment, uint32_t steps, uint32_t tasks_per_step)
 {
     int32_t reply;
     fake_job job;
@@ -80,9 +80,9 @@
 
     fake_job_init(&job, 1, 2, tasks_per_step, 0, 500);
     g_free(job.spec.steps);
-    job.spec.step_count = 3;
-    job.spec.steps = g_new0(cs_job_step, 3);
-    for (i = 0; i < 3; i++) {
+    job.spec.step_count = steps;
+    job.spec.steps = g_new0(cs_job_step, steps);
+    for (i = 0; i < steps; i++) {
         job.spec.steps[i].task_count = tasks_per_step;
         job.spec.steps[i].demand.cpu_milli = 1000;
         job.spec.steps[i].estimate_ms = 500;
@@ -93,6 +93,12 @@
     assert_int_equal(reply, CS_REPLY_ACCEPTED);
 }
 
+static void
+submit_large_job(fake_fleet *deployment, uint32_t tasks_per_step)
+{
+    submit_steps(deployment, 3, tasks_per_step);
+}
+
 /*
  * Guards against one large job that ends all scheduling: its progress does not
  * fit into a row of the store, which rejects the write of each holder in turn.
@@ -152,7 +158,7 @@
     fake_fleet *deployment = create_deployment(43);
     uint32_t i;
 
-    submit_large_job(deployment, 4096);
+    submit_steps(deployment, 5, 4096);
     fake_fleet_run(deployment, 1500 * CS_MS_US);
     for (i = 0; i < 4; i++)
         fake_fleet_kill(deployment, i, CS_SEC_US);
@@ -162,7 +168,7 @@
     expect_state(deployment, 1, CS_PROGRESS_COMPLETED);
     assert_int_equal(fake_fleet_rejected_changes(deployment), 0);
     assert_int_equal(fake_fleet_start_count(deployment, "0000000000000001"),
-                     3 * 4096);
+                     5 * 4096);
     expect_no_violation(deployment);
     fake_fleet_destroy(deployment);
 }
