progress: rows whose job is gone are removed by the next holder

A job's row is removed first, its progress rows after it. A holder that died in between left them in the store for good, and every later holder read them; with up to 256 rows a job this weighs more than the one row of before.

--- a/src/fleet/change.c
+++ b/src/fleet/change.c
@@ -8,7 +8,7 @@
 #define CHANGE_ENTRIES_MAX 100
 #define CHANGE_ROWS_MAX ((CHANGE_ENTRIES_MAX - 3) / 2 - CHANGE_EXPIRED_MAX)
 #define CHANGE_BYTES_MAX (128 * 1024)
-/* Maximum progress rows of expired jobs that a change removes. */
+/* Maximum progress rows that a change removes. */
 #define CHANGE_EXPIRED_MAX 10
 
 void
@@ -250,6 +250,20 @@
     }
 }
 
+static void
+add_orphans(cs_fleet *fleet)
+{
+    struct commit *commit = &fleet->commit;
+
+    while (commit->removals->len < CHANGE_EXPIRED_MAX &&
+           !g_queue_is_empty(&fleet->orphan_rows)) {
+        char *key = g_queue_pop_head(&fleet->orphan_rows);
+
+        g_ptr_array_add(commit->keys, key);
+        add_removal(commit, CS_TABLE_PROGRESS, key);
+    }
+}
+
 static void
 add_lease(cs_fleet *fleet)
 {
@@ -317,6 +331,7 @@
     if (now_us >= fleet->next_renewal_us || fleet->release_requested)
         add_lease(fleet);
     add_expired(fleet);
+    add_orphans(fleet);
     /* Speeds wait for the next change, so that the change stays small. */
     if (!add_shares(fleet))
         add_speeds(fleet);
--- a/src/fleet/commit.c
+++ b/src/fleet/commit.c
@@ -320,6 +320,7 @@
         return;
     }
     if (g_queue_is_empty(&fleet->expired_progress) &&
+        g_queue_is_empty(&fleet->orphan_rows) &&
         g_queue_is_empty(&fleet->dirty_rows) &&
         now_us < fleet->next_renewal_us && !fleet->release_requested &&
         !has_unrecorded_ends(fleet))
--- a/src/fleet/feeds.c
+++ b/src/fleet/feeds.c
@@ -28,6 +28,7 @@
     if (cs_job_spec_decode(&spec, row->value, row->size_bytes)) {
         cs_log_event("job-unreadable", "job %.60s: %s", row->key,
                      cs_error_last());
+        fleet->job_rows_unreadable = true;
         fleet_increment_counter(fleet, "cs_rows_unreadable_total");
         return;
     }
@@ -43,6 +44,22 @@
     fleet->cycle_requested = true;
 }
 
+/*
+ * Queues the removal of a progress row whose job is not known: a former holder
+ * had removed the job row, and not yet this one. Jobs are read before, and a
+ * job that was inserted meanwhile has no progress.
+ */
+static void
+note_orphan(cs_fleet *fleet, const char *key)
+{
+    char id[CS_JOB_ID_BYTES];
+
+    g_strlcpy(id, key, sizeof(id));
+    if (!fleet->job_rows_unreadable && progress_is_key(key) &&
+        !g_hash_table_contains(fleet->jobs, id))
+        g_queue_push_tail(&fleet->orphan_rows, g_strdup(key));
+}
+
 /* The rows are read in the order of their keys, so that the first row of a
    job, which says how many tasks the others hold, precedes them. */
 static void
@@ -53,8 +70,10 @@
     uint32_t progress_row_number;
     struct job *job;
 
-    if (!progress_row)
+    if (!progress_row) {
+        note_orphan(fleet, row->key);
         return;
+    }
     job = progress_row->job;
     progress_row_number = progress_row->number;
     progress_row->version = row->version;
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -62,6 +62,8 @@
     g_queue_init(&fleet->dirty_rows);
     g_queue_init(&fleet->expired_jobs);
     g_queue_init(&fleet->expired_progress);
+    g_queue_init(&fleet->orphan_rows);
+    fleet->job_rows_unreadable = false;
     fleet->job_removal_pending = false;
 }
 
@@ -71,6 +73,7 @@
     g_queue_clear(&fleet->dirty_rows);
     g_queue_clear(&fleet->expired_jobs);
     g_queue_clear(&fleet->expired_progress);
+    g_queue_clear_full(&fleet->orphan_rows, g_free);
     g_ptr_array_free(fleet->active_jobs, TRUE);
     g_ptr_array_free(fleet->final_jobs, TRUE);
     g_ptr_array_free(fleet->worker_list, TRUE);
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -285,8 +285,11 @@
     GHashTable *queue_run_times; /* queue name to struct queue_run_time */
     GQueue dirty_rows;           /* of struct progress_row, to be written */
     GQueue expired_jobs; /* of struct job, whose job row is to be removed */
-    GQueue expired_progress;  /* of struct job, whose job row was removed and
-                                 whose progress rows are to be */
+    GQueue expired_progress; /* of struct job, whose job row was removed and
+                                whose progress rows are to be */
+    GQueue orphan_rows; /* of char, owned: keys of progress rows without a job,
+                           to be removed */
+    bool job_rows_unreadable; /* at least one, whose job is not known */
     bool job_removal_pending; /* the removal of a job row is in flight */
     struct commit commit;
     struct feed job_feed;
@@ -490,6 +493,8 @@
                              uint32_t step_number);
 void progress_key(char out[CS_PROGRESS_KEY_BYTES],
                   const struct progress_row *row);
+/* Returns whether a key is that of a progress row of any job. */
+bool progress_is_key(const char *key);
 /* Returns the row with a key, or NULL if no job has such a row. */
 struct progress_row *progress_find_row(cs_fleet *fleet, const char *key);
 /* Returns the tasks in a row, of struct task, to be freed by the caller. */
--- a/src/fleet/progress.c
+++ b/src/fleet/progress.c
@@ -125,25 +125,44 @@
                    row->number);
 }
 
+/* Reads the number of a row from the part of its key behind the job's id. */
+static bool
+parse_row_number(unsigned long *out, const char *text)
+{
+    char *end;
+
+    *out = 0;
+    if (!*text)
+        return true;
+    if (text[0] != '.' || !g_ascii_isdigit(text[1]))
+        return false;
+    *out = strtoul(text + 1, &end, 10);
+    return !*end && *out > 0;
+}
+
+bool
+progress_is_key(const char *key)
+{
+    char id[CS_JOB_ID_BYTES];
+    unsigned long number;
+
+    g_strlcpy(id, key, sizeof(id));
+    return cs_job_id_is_valid(id) &&
+           parse_row_number(&number, key + CS_JOB_ID_BYTES - 1);
+}
+
 struct progress_row *
 progress_find_row(cs_fleet *fleet, const char *key)
 {
     char id[CS_JOB_ID_BYTES];
     struct job *job;
-    char *end;
     unsigned long number;
 
     g_strlcpy(id, key, sizeof(id));
     job = g_hash_table_lookup(fleet->jobs, id);
-    if (!job)
-        return NULL;
-    if (strlen(key) == CS_JOB_ID_BYTES - 1)
-        return &job->rows[0];
-    if (key[CS_JOB_ID_BYTES - 1] != '.' ||
-        !g_ascii_isdigit(key[CS_JOB_ID_BYTES]))
+    if (!job || !parse_row_number(&number, key + strlen(id)))
         return NULL;
-    number = strtoul(key + CS_JOB_ID_BYTES, &end, 10);
-    return !*end && number < job->row_count ? &job->rows[number] : NULL;
+    return number < job->row_count ? &job->rows[number] : NULL;
 }
 
 GPtrArray *
--- a/src/fleet/worker.c
+++ b/src/fleet/worker.c
@@ -14,9 +14,11 @@
 #define CONSECUTIVE_FAILURES_MAX 2
 #define QUARANTINE_FIRST_US (3 * CS_SEC_US)
 #define QUARANTINE_MAX_US (30 * CS_SEC_US)
+/* The longest quarantine of a worker that no other one can stand in for: a
+   step that has capacity has to run within 3 s. */
+#define QUARANTINE_WITHOUT_SUBSTITUTE_US (2 * CS_SEC_US)
 /* Labels of a worker that count; the platform's workers have two. */
 #define LABELS_MAX 16
-#define QUARANTINE_WITHOUT_SUBSTITUTE_US (2 * CS_SEC_US)
 /* A worker with tasks that has not answered for this long gets no new ones. */
 #define ANSWER_AGE_MAX_US (4 * CS_SEC_US)
 
--- a/standins/fake_fleet.h
+++ b/standins/fake_fleet.h
@@ -147,6 +147,8 @@
 /** Writes an entry among those of the workers, as another writer may. */
 void fake_fleet_put_entry(fake_fleet *deployment, const char *key,
                           const char *text);
+/** Removes the row of a job, as the holder does first when it has expired. */
+void fake_fleet_remove_job_row(fake_fleet *deployment, const char *id);
 /** Rewrites the progress rows of a job as the single row that former builds
     wrote. */
 void fake_fleet_merge_progress(fake_fleet *deployment, const char *id);
--- a/standins/fake_fleet_store.c
+++ b/standins/fake_fleet_store.c
@@ -158,6 +158,15 @@
     g_hash_table_destroy(deployment->store.table_versions);
 }
 
+void
+fake_fleet_remove_job_row(fake_fleet *deployment, const char *id)
+{
+    char part[CS_JOB_PART_BYTES];
+
+    cs_job_part(part, id);
+    fake_store_remove(deployment, CS_TABLE_JOBS, part, id);
+}
+
 void
 fake_fleet_merge_progress(fake_fleet *deployment, const char *id)
 {
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -204,6 +204,26 @@
     fake_fleet_destroy(deployment);
 }
 
+/* Guards against progress rows that stay in the store for good because the
+   holder died between the removal of a job's row and of the last of these. */
+static void
+fleet__progress_rows_without_a_job_are_removed(void **state)
+{
+    fake_fleet *deployment = create_deployment(44);
+    uint32_t holder = (uint32_t)fake_fleet_holder(deployment);
+
+    submit_large_job(deployment, 1000);
+    fake_fleet_run(deployment, 20 * CS_SEC_US);
+    expect_state(deployment, 1, CS_PROGRESS_COMPLETED);
+    fake_fleet_remove_job_row(deployment, "0000000000000001");
+    fake_fleet_kill(deployment, holder, CS_SEC_US);
+    assert_in_range(fake_fleet_row_count(deployment, "progress"), 10, 20);
+    fake_fleet_run(deployment, 10 * CS_SEC_US);
+    assert_int_equal(fake_fleet_row_count(deployment, "progress"), 0);
+    assert_int_equal(fake_fleet_rejected_changes(deployment), 0);
+    fake_fleet_destroy(deployment);
+}
+
 /* Guards against a gang of which some members start before the rows of the
    others are written. */
 static void
@@ -1563,6 +1583,7 @@
         cmocka_unit_test(fleet__successor_adopts_a_job_of_many_rows),
         cmocka_unit_test(fleet__ends_beyond_an_answer_are_not_taken_for_lost),
         cmocka_unit_test(fleet__single_row_of_a_former_build_is_split),
+        cmocka_unit_test(fleet__progress_rows_without_a_job_are_removed),
         cmocka_unit_test(fleet__gang_of_many_rows_starts_as_a_whole),
         cmocka_unit_test(fleet__successor_adopts_running_tasks),
         cmocka_unit_test(fleet__cold_start_adopts_tasks_before_leases_end),
