entry, config: refused calls and answers with configurations are logged

A call that the configuration does not allow left no line, and nothing told how current the configuration was or what an answer of the store contained. The line call-refused names the version, the age of its last confirmation and what the calls since came to; config-received names the versions in an answer and how long it took; the gauge cs_config_age_ms shows the age. Refusals log at most 50 lines a second. No logic is changed.

--- a/include/corianderstair/fleet_state.h
+++ b/include/corianderstair/fleet_state.h
@@ -11,6 +11,7 @@
 #include <stdint.h>
 #include "corianderstair/adviser_port.h"
 #include "corianderstair/clock.h"
+#include "corianderstair/config_status.h"
 #include "corianderstair/counters.h"
 #include "corianderstair/evacuations.h"
 #include "corianderstair/fleet_config.h"
@@ -85,9 +86,10 @@
     cs_fleet_ports ports;
     cs_vm_settings settings;
     cs_vm_rank rank;
-    char incarnation[96];        /**< unique to this run of the process */
-    cs_counters *counters;       /**< borrowed */
-    cs_fleet_config *config;     /**< NULL until a version has been read */
+    char incarnation[96];    /**< unique to this run of the process */
+    cs_counters *counters;   /**< borrowed */
+    cs_fleet_config *config; /**< NULL until a version has been read */
+    cs_config_status config_status;
     cs_evacuations *evacuations; /**< zones in which nothing is started */
     double mean_write_us;        /**< duration of store writes; 0 if unknown */
     int64_t
--- a/src/entry/config_follower.c
+++ b/src/entry/config_follower.c
@@ -50,20 +50,19 @@
 
 struct cs_config_follower {
     cs_fleet_state *fleet_state;
-    bool call_in_flight;
-    uint64_t call_serial;    /* of the newest call; answers of others are
-                                dropped */
-    uint64_t route_changes;  /* of the process when that call was sent */
-    bool evacuations_loaded; /* false: read the range of evacuated zones */
-    bool row_loaded;         /* false: read the row before following changes */
+    cs_config_status *status; /* in the state of the process */
+    uint64_t call_serial;     /* of the newest call; answers of others are
+                                 dropped */
+    uint64_t route_changes;   /* of the process when that call was sent */
+    bool evacuations_loaded;  /* false: read the range of evacuated zones */
+    bool row_loaded; /* false: read the row before following changes */
     uint64_t followed_version; /* store version up to which it is current */
-    int64_t sent_us;           /* boot clock; when the open call was sent */
-    int64_t next_call_us;      /* boot clock; earliest time of the next call */
-    uint32_t failed_calls;     /* consecutive */
-    uint32_t delayed_calls;    /* consecutive, among these: not refused */
-    uint32_t unanswered_calls; /* consecutive, among these */
+    uint32_t delayed_calls;    /* consecutive failed calls: not refused */
+    uint32_t unanswered_calls; /* consecutive failed calls: no answer */
     size_t row_bytes;          /* size of the last row; 0 unknown */
     int64_t store_clock_us;    /* the store's clock minus the boot clock */
+    int64_t *versions_received;
+    int64_t *age_ms; /* gauge: since the last confirmation; -1: none */
     int64_t *retries;
     int64_t *superseded;
     int64_t *applied;
@@ -108,22 +107,31 @@
     return follower->row_bytes > 0 && follower->row_bytes <= LARGE_ROW_BYTES;
 }
 
+static bool
+is_config_row(const cs_config_follower *follower, const cs_row *row)
+{
+    return strcmp(row->key, follower->fleet_state->ports.config_key) == 0 &&
+           !row->deleted;
+}
+
 static void
 apply_row(cs_config_follower *follower, const cs_row *row)
 {
     cs_fleet_state *fleet_state = follower->fleet_state;
     cs_fleet_config *config;
 
-    if (strcmp(row->key, fleet_state->ports.config_key) != 0 || row->deleted)
+    if (!is_config_row(follower, row))
         return;
     follower->row_bytes = row->size_bytes;
     if (fleet_state->ports.decode_config(&config, row->value,
                                          row->size_bytes)) {
         (*follower->rejected)++;
+        follower->status->unreadable = true;
         cs_log_event("config-rejected", "row version %" PRIu64 ": %s",
                      row->version, cs_error_last());
         return;
     }
+    follower->status->unreadable = false;
     if (fleet_state->config &&
         config->version <= fleet_state->config->version) {
         cs_fleet_config_unref(config);
@@ -153,7 +161,7 @@
     if (doublings == 0)
         return delay_us;
     g_snprintf(seed, sizeof(seed), "%s %u", follower->fleet_state->incarnation,
-               follower->failed_calls);
+               follower->status->failed_calls);
     return delay_us / 2 + g_str_hash(seed) % (delay_us / 2);
 }
 
@@ -174,37 +182,78 @@
         follower->evacuations_loaded = false;
         follower->row_loaded = false;
         /* The row may have changed, so it is read before the next slot. */
-        follower->next_call_us = 0;
+        follower->status->next_call_us = 0;
         return;
     }
     /* A poll is repeated with the same version. If the store has dropped its
        changes meanwhile, it answers CS_E_TOO_OLD. */
-    follower->failed_calls++;
+    follower->status->failed_calls++;
+    follower->status->failure = answer->code;
+    follower->status->failed_midway = answer->partial;
     follower->delayed_calls =
         is_refused(answer) ? 0 : follower->delayed_calls + 1;
     if (answer->code == CS_E_OUTCOME_UNKNOWN && !answer->partial)
         follower->unanswered_calls++;
     delay_us = retry_delay_us(follower);
-    follower->next_call_us =
+    follower->status->next_call_us =
         cs_fleet_state_now(follower->fleet_state).boot_us + delay_us;
     (*follower->retries)++;
     cs_log_event("config-retry", "%s%s, attempt %u, next in %" PRId64 " ms",
                  cs_error_name(answer->code),
                  answer->partial ? " in the transfer" : "",
-                 follower->failed_calls, delay_us / CS_MS_US);
+                 follower->status->failed_calls, delay_us / CS_MS_US);
+}
+
+/* Logs an answer with versions of the configuration: those that it contains,
+   and the time from the call to the end of the transfer. */
+static void
+log_received(const cs_config_follower *follower, const cs_store_answer *answer)
+{
+    int64_t now_us = cs_fleet_state_now(follower->fleet_state).boot_us;
+    size_t versions = 0;
+    size_t bytes = 0;
+    size_t i;
+
+    for (i = 0; i < answer->row_count; i++) {
+        if (!is_config_row(follower, &answer->rows[i]))
+            continue;
+        versions++;
+        bytes += answer->rows[i].size_bytes;
+    }
+    if (versions == 0)
+        return;
+    *follower->versions_received += (int64_t)versions;
+    cs_log_event(
+        "config-received",
+        "%zu versions, %zu bytes, %" PRId64
+        " ms after the call%s; the former confirmation is %" PRId64 " ms old",
+        versions, bytes, (now_us - follower->status->sent_us) / CS_MS_US,
+        follower->fleet_state->relayed ? ", through a peer" : "",
+        cs_config_status_age_ms(follower->status, now_us));
+}
+
+/* Records that the configuration is the newest one of when the call was sent.
+ */
+static void
+confirm(cs_config_follower *follower)
+{
+    cs_config_status *status = follower->status;
+
+    if (!status->unreadable && follower->fleet_state->config)
+        status->confirmed_us = MAX(status->confirmed_us, status->sent_us);
 }
 
 /* Ends a call. Returns whether its answer has rows to apply. */
 static bool
 end_call(cs_config_follower *follower, const cs_store_answer *answer)
 {
-    follower->call_in_flight = false;
+    follower->status->call = CS_CONFIG_CALL_NONE;
     cs_fleet_state_record_store_answer(follower->fleet_state, answer->code);
     if (answer->code) {
         handle_failed_call(follower, answer);
         return false;
     }
-    follower->failed_calls = 0;
+    follower->status->failed_calls = 0;
     follower->delayed_calls = 0;
     follower->unanswered_calls = 0;
     if (answer->now_ms > 0)
@@ -223,10 +272,10 @@
     if (!end_call(follower, answer))
         return;
     if (!cs_evacuations_replace(evacuations, answer, now_us)) {
-        follower->next_call_us = now_us + RETRY_DELAY_US;
+        follower->status->next_call_us = now_us + RETRY_DELAY_US;
         return;
     }
-    cs_evacuations_confirm(evacuations, follower->sent_us);
+    cs_evacuations_confirm(evacuations, follower->status->sent_us);
     follower->followed_version = answer->version;
     follower->evacuations_loaded = true;
     /* Reads the configuration row at once, as a process that has started
@@ -241,8 +290,10 @@
 
     if (!end_call(follower, answer))
         return;
+    log_received(follower, answer);
     for (i = 0; i < answer->row_count; i++)
         apply_row(follower, &answer->rows[i]);
+    confirm(follower);
     follower->row_loaded = true;
 }
 
@@ -255,11 +306,14 @@
 
     if (!end_call(follower, answer))
         return;
+    log_received(follower, answer);
     for (i = 0; i < answer->row_count; i++) {
         apply_row(follower, &answer->rows[i]);
         cs_evacuations_apply(evacuations, &answer->rows[i], now_us);
     }
-    cs_evacuations_confirm(evacuations, follower->sent_us);
+    cs_evacuations_confirm(evacuations, follower->status->sent_us);
+    if (!answer->has_more)
+        confirm(follower);
     follower->followed_version = answer->version;
     follower->evacuations_loaded = cs_evacuations_is_known(evacuations);
 }
@@ -341,7 +395,8 @@
 
     if (polls_in_slot(follower)) {
         wait_ms = 0;
-        follower->next_call_us = now_us + time_to_slot_us(follower, now_us);
+        follower->status->next_call_us =
+            now_us + time_to_slot_us(follower, now_us);
     }
     ports->store->follow(
         ports->store->self, ports->config_table, follower->followed_version,
@@ -355,6 +410,10 @@
     cs_config_follower *follower = g_new0(cs_config_follower, 1);
 
     follower->fleet_state = fleet_state;
+    follower->status = &fleet_state->config_status;
+    follower->versions_received =
+        cs_fleet_state_counter(fleet_state, "cs_config_versions_received");
+    follower->age_ms = cs_fleet_state_counter(fleet_state, "cs_config_age_ms");
     follower->applied =
         cs_fleet_state_counter(fleet_state, "cs_config_applied");
     follower->rejected =
@@ -386,16 +445,22 @@
 {
     int64_t now_us = cs_fleet_state_now(follower->fleet_state).boot_us;
 
-    if (follower->call_in_flight && is_superseded(follower)) {
+    *follower->age_ms = cs_config_status_age_ms(follower->status, now_us);
+    if (follower->status->call != CS_CONFIG_CALL_NONE &&
+        is_superseded(follower)) {
         (*follower->superseded)++;
-        follower->call_in_flight = false;
-        follower->next_call_us = now_us;
+        follower->status->call = CS_CONFIG_CALL_NONE;
+        follower->status->next_call_us = now_us;
     }
-    if (follower->call_in_flight || now_us < follower->next_call_us)
+    if (follower->status->call != CS_CONFIG_CALL_NONE ||
+        now_us < follower->status->next_call_us)
         return;
-    follower->call_in_flight = true;
+    follower->status->call =
+        follower->evacuations_loaded && follower->row_loaded
+            ? CS_CONFIG_CALL_POLL
+            : CS_CONFIG_CALL_READ;
     follower->route_changes = follower->fleet_state->route_changes;
-    follower->sent_us = now_us;
+    follower->status->sent_us = now_us;
     /* Changes are followed from the version of the first read, so that some
        are applied after the second one has shown them. An old version of the
        configuration is skipped then, but an old change of an evacuation would
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -27,6 +27,8 @@
  */
 #define RETRY_TIME_DIVISOR 3
 #define RETRY_AFTER_S 1
+/* Callers decide how many calls are refused, so that the lines are limited. */
+#define REFUSAL_LINES_PER_S 50
 
 struct cs_entry {
     cs_fleet_state *fleet_state;
@@ -42,6 +44,12 @@
     int64_t *invalid;
     int64_t *status_calls;
     int64_t *cancel_calls;
+    int64_t *unknown_queues;
+    int64_t *unknown_keys;
+    /* Lines on refused calls in the present second. */
+    int64_t refusals_from_us; /* boot clock; begin of that second */
+    uint32_t refusal_lines;
+    uint32_t refusals_not_logged; /* since the last line */
 };
 
 typedef enum {
@@ -640,6 +648,37 @@
               "no such job");
 }
 
+/* Logs that the configuration does not allow a call, with how current that
+   configuration is. */
+static void
+log_refusal(cs_entry *entry, const cs_entry_call *call, const char *reason)
+{
+    const cs_fleet_state *state = entry->fleet_state;
+    int64_t now_us = cs_fleet_state_now(state).boot_us;
+    char status[CS_CONFIG_STATUS_TEXT_BYTES];
+    char *path;
+
+    if (now_us - entry->refusals_from_us >= CS_SEC_US) {
+        entry->refusals_from_us = now_us;
+        entry->refusal_lines = 0;
+    }
+    if (entry->refusal_lines >= REFUSAL_LINES_PER_S) {
+        entry->refusals_not_logged++;
+        return;
+    }
+    entry->refusal_lines++;
+    cs_config_status_describe(status, &state->config_status, now_us);
+    /* Bytes that are not ASCII could be cut within a character. */
+    path = g_strescape(call->path, NULL);
+    cs_log_event("call-refused",
+                 "%s, path %.80s: configuration version %" PRIu64
+                 ", %s; %u refusals not logged before",
+                 reason, path, state->config->version, status,
+                 entry->refusals_not_logged);
+    entry->refusals_not_logged = 0;
+    g_free(path);
+}
+
 static void
 route_call(cs_entry *entry, const cs_entry_call *call, cs_entry_done done,
            void *user_data)
@@ -661,6 +700,8 @@
     }
     queue = cs_fleet_config_route(config, call->host, call->path, &id);
     if (!queue) {
+        (*entry->unknown_queues)++;
+        log_refusal(entry, call, "unknown queue");
         reply_now(done, user_data, CS_REPLY_UNKNOWN_QUEUE, CS_E_NOT_FOUND,
                   "no such queue");
         return;
@@ -669,6 +710,8 @@
         organisation =
             cs_fleet_config_organisation_by_key(config, call->api_key);
     if (!organisation && !queue->allow_anonymous) {
+        (*entry->unknown_keys)++;
+        log_refusal(entry, call, "unknown API key");
         reply_now(done, user_data, CS_REPLY_UNKNOWN_KEY, CS_E_INVALID,
                   "the API key is not known");
         return;
@@ -747,6 +790,10 @@
         cs_fleet_state_counter(fleet_state, "cs_status_calls_total");
     entry->cancel_calls =
         cs_fleet_state_counter(fleet_state, "cs_cancel_calls_total");
+    entry->unknown_queues = cs_fleet_state_counter(
+        fleet_state, "cs_calls_refused_total{reason=\"queue\"}");
+    entry->unknown_keys = cs_fleet_state_counter(
+        fleet_state, "cs_calls_refused_total{reason=\"key\"}");
     return entry;
 }
 
