--- a/src/entry/config_follower.c
+++ b/src/entry/config_follower.c
@@ -210,6 +210,8 @@
 log_received(const cs_config_follower *follower, const cs_store_answer *answer)
 {
     int64_t now_us = cs_fleet_state_now(follower->fleet_state).boot_us;
+    char former[64] = "no former confirmation";
+    int64_t age_ms;
     size_t versions = 0;
     size_t bytes = 0;
     size_t i;
@@ -223,13 +225,15 @@
     if (versions == 0)
         return;
     *follower->versions_received += (int64_t)versions;
+    age_ms = cs_config_status_age_ms(follower->status, now_us);
+    if (age_ms >= 0)
+        g_snprintf(former, sizeof(former),
+                   "the former confirmation is %" PRId64 " ms old", age_ms);
     cs_log_event(
         "config-received",
-        "%zu versions, %zu bytes, %" PRId64
-        " ms after the call%s; the former confirmation is %" PRId64 " ms old",
+        "%zu versions, %zu bytes, %" PRId64 " ms after the call%s; %s",
         versions, bytes, (now_us - follower->status->sent_us) / CS_MS_US,
-        follower->fleet_state->relayed ? ", through a peer" : "",
-        cs_config_status_age_ms(follower->status, now_us));
+        follower->fleet_state->relayed ? ", through a peer" : "", former);
 }
 
 /* Records that the configuration is the newest one of when the call was sent.
