config: a large row is polled again when the route to the store is direct

Callers got 404 for queues whose version had been acknowledged more than 3 s before, from a VM that the store served again. Cause: the poll of a large row, sent through a peer, was waited for to its end although the route had become direct since, up to 4 s, and the pause after its failure, up to 1.6 s, was kept.

A call through a peer is now superseded by one on the direct route, and a change of the route ends the pause after calls on the former one. Changes of the route are limited by the router, so that these repeats are as well.

large_config__poll_is_repeated_when_the_route_is_direct fails without the change (version 2, expected 3).

--- a/src/entry/config_follower.c
+++ b/src/entry/config_follower.c
@@ -435,13 +435,32 @@
     g_free(follower);
 }
 
+static bool
+route_has_changed(const cs_config_follower *follower)
+{
+    return follower->route_changes != follower->fleet_state->route_changes;
+}
+
 /* Returns whether the call in flight went by a route that was left since, and
-   is cheap to repeat. */
+   is to be repeated. A large row is repeated only on the direct route, which
+   needs one transfer where a peer needs two. */
 static bool
 is_superseded(const cs_config_follower *follower)
 {
-    return is_row_small(follower) &&
-           follower->route_changes != follower->fleet_state->route_changes;
+    return route_has_changed(follower) &&
+           (is_row_small(follower) || !follower->fleet_state->relayed);
+}
+
+/* Ends the pause after failed calls if the route has changed since the last
+   one: it says nothing of the new route. Changes are limited by the router. */
+static void
+end_pause_of_former_route(cs_config_follower *follower, int64_t now_us)
+{
+    if (follower->status->failed_calls == 0 || !route_has_changed(follower))
+        return;
+    follower->delayed_calls = 0;
+    follower->unanswered_calls = 0;
+    follower->status->next_call_us = now_us;
 }
 
 void
@@ -456,6 +475,8 @@
         follower->status->call = CS_CONFIG_CALL_NONE;
         follower->status->next_call_us = now_us;
     }
+    if (follower->status->call == CS_CONFIG_CALL_NONE)
+        end_pause_of_former_route(follower, now_us);
     if (follower->status->call != CS_CONFIG_CALL_NONE ||
         now_us < follower->status->next_call_us)
         return;
--- a/tests/test_large_config.c
+++ b/tests/test_large_config.c
@@ -21,11 +21,17 @@
 /* Twice the interval of calls to a store that refuses, stated there as well: a
    call may have been sent just before the store serves again. */
 #define REFUSED_RETRY_BOUND_US (400 * CS_MS_US)
+/* A VM that does not have a configuration in time. */
+#define LATE_VM 38
+/* The first probe of the direct route, up to 1.5 s after the store serves the
+   VM again, and two more, 250 ms apart; see docs/design/store-routes.md. */
+#define DIRECT_AGAIN_US (2 * CS_SEC_US)
 #define RESTART_JOBS 460
 #define RESTART_BOUND_US (2500 * CS_MS_US)
 
 static const fake_vm_faults no_faults = {0};
 static const fake_vm_faults refused = {.store_refuses = true};
+static const fake_vm_faults unanswered = {.config_unanswered = true};
 
 static const fake_fleet_settings slow_links = {.vms = VMS,
                                                .workers = 60,
@@ -231,6 +237,30 @@
     fake_fleet_destroy(fleet);
 }
 
+/* Guards against a VM that waits for the answer to a poll through a peer, or
+   for the pause after it, although the store serves the VM again. */
+static void
+large_config__poll_is_repeated_when_the_route_is_direct(void **state)
+{
+    const fake_vm_faults unreachable = {.store_unreachable = true};
+    int64_t phase_us;
+
+    for (phase_us = 0; phase_us < 4 * CS_SEC_US; phase_us += 500 * CS_MS_US) {
+        fake_fleet *fleet = create_fleet(&slow_links);
+
+        fake_fleet_configure_queues(fleet, 2, MORE_QUEUES);
+        fake_fleet_run(fleet, APPLY_US);
+        fake_fleet_set_faults(fleet, -1, &unanswered);
+        fake_fleet_set_faults(fleet, LATE_VM, &unreachable);
+        fake_fleet_run(fleet, 4 * CS_SEC_US + phase_us);
+        fake_fleet_set_faults(fleet, LATE_VM, &no_faults);
+        fake_fleet_configure_queues(fleet, 3, MORE_QUEUES);
+        fake_fleet_run(fleet, DIRECT_AGAIN_US + APPLY_US / 2);
+        assert_int_equal(fake_fleet_config_version(fleet, LATE_VM), 3);
+        fake_fleet_destroy(fleet);
+    }
+}
+
 static const uint32_t restart_sizes[] = {30, 300};
 /* 64 rows of VMs of 250 bytes, and as much for all else. */
 #define RESTART_BYTES_PER_VM 32768
@@ -289,6 +319,8 @@
         cmocka_unit_test(large_config__is_read_once_after_a_restart),
         cmocka_unit_test(large_config__stalled_transfer_is_repeated),
         cmocka_unit_test(large_config__refused_vms_avoid_refused_peers),
+        cmocka_unit_test(
+            large_config__poll_is_repeated_when_the_route_is_direct),
         cmocka_unit_test(restart__serves_in_bounded_time),
     };
 
