config: a VM that missed versions reads the newest one instead of all

Callers got 404 for queues whose version had been acknowledged more than 3 s before, from VMs that the store served again. Cause: the feed of the store sends each version of the configuration in full, so that a VM that could not poll for a while transferred and decoded all that it had missed (up to 4 versions of 0.3 to 0.45 MB each in an answer, and 0.2 to 0.3 s of decoding each on 0.09 of a core), and missed others meanwhile. Polls that are relayed did so on the link of the peer as well.

A poll now says how many bytes its answer may have, twice the last row. A larger one is abandoned when its length is announced, by the VM or by the relaying peer, and the newest row is read together with the evacuated zones, as of one moment. Of an answer with several versions only the newest is decoded.

--- a/include/corianderstair/http_client.h
+++ b/include/corianderstair/http_client.h
@@ -20,8 +20,8 @@
      * CS_E_CONNECT if nothing was sent;
      * CS_E_OVERLOAD if the call was queued for a connection until its
      * deadline, so that nothing was sent;
-     * CS_E_CUT, CS_E_TIMEOUT or CS_E_TOO_LARGE if the request was sent and
-     * may have been executed.
+     * CS_E_CUT, CS_E_TIMEOUT or CS_E_TOO_LARGE (the response exceeds
+     * max_response_bytes) if the request was sent and may have been executed.
      */
     int code;
     /** HTTP status; if code is not 0, that of a response that had begun, or 0.
@@ -68,7 +68,13 @@
      */
     int64_t progress_deadline_us;
     int64_t progress_us; /**< time within which further bytes must arrive */
-    bool single_use;     /**< uses a new connection and closes it afterwards */
+    /**
+     * Ends the call with CS_E_TOO_LARGE and closes its connection if the body
+     * of the response is larger, before it is transferred if its length is
+     * announced. 0: 64 MB.
+     */
+    size_t max_response_bytes;
+    bool single_use; /**< uses a new connection and closes it afterwards */
     /** Receives the body in chunks; NULL to pass all of it to done. */
     cs_http_chunk_handler on_chunk;
     /**
--- a/include/corianderstair/http_server.h
+++ b/include/corianderstair/http_server.h
@@ -89,6 +89,14 @@
  *         not state it
  */
 int64_t cs_http_request_deadline_ms(const cs_http_request *request);
+/**
+ * Reads a header that holds a whole number. To be called by the handler of a
+ * request without a body, before it returns.
+ * @param name in lower case, with a trailing colon
+ * @return the number; 0 if the header is missing or holds none
+ */
+int64_t cs_http_request_number_header(const cs_http_request *request,
+                                      const char *name);
 /** @return the body, followed by a zero byte that size_bytes leaves out */
 const char *cs_http_request_body(const cs_http_request *request,
                                  size_t *size_bytes);
--- a/include/corianderstair/store_port.h
+++ b/include/corianderstair/store_port.h
@@ -45,7 +45,8 @@
      * CS_E_OVERLOAD, CS_E_STORE_UNAVAILABLE: the store refused the call;
      * nothing changed. CS_E_CONNECT: the call was not sent. CS_E_TOO_OLD:
      * follow asked for changes that the store no longer has. CS_E_INVALID: the
-     * store rejected the call as malformed or forbidden. CS_E_OUTCOME_UNKNOWN:
+     * store rejected the call as malformed or forbidden. CS_E_TOO_LARGE: the
+     * answer to follow is larger than asked for. CS_E_OUTCOME_UNKNOWN:
      * no valid answer; a change may have been applied.
      */
     int code;
@@ -99,10 +100,14 @@
     /**
      * Long poll: returns the rows of a table, of all its partitions, that
      * changed after a version, and waits up to wait_ms for the first of them.
+     * Each change of a row is returned with the row's value, also if a later
+     * one has replaced it.
+     * @param max_bytes an answer that takes more on the wire is abandoned at
+     *                  its begin with CS_E_TOO_LARGE; 0: no limit
      */
     void (*follow)(void *self, const char *table, uint64_t after,
-                   int64_t wait_ms, int64_t deadline_us, cs_store_done done,
-                   void *user_data);
+                   int64_t wait_ms, size_t max_bytes, int64_t deadline_us,
+                   cs_store_done done, void *user_data);
 } cs_store_port;
 
 #endif
--- a/src/entry/config_follower.c
+++ b/src/entry/config_follower.c
@@ -39,6 +39,10 @@
    10 Mbit/s, so that larger ones may exceed ANSWER_TIMEOUT_US. Its feed
    answers with the whole row. */
 #define LARGE_ROW_BYTES (256 * 1024)
+/* An answer to a poll with more bytes than this multiple of the last row holds
+   several versions of it: one takes 4/3 of the row in base64. The row is then
+   read instead, as only its newest version matters. */
+#define MAX_POLL_ROWS 2
 /* Only this many VMs of a zone wait for changes of a large configuration; the
    others poll one after another, in slots of the store's clock. */
 #define WAITING_READERS 4
@@ -54,15 +58,17 @@
     uint64_t call_serial;     /* of the newest call; answers of others are
                                  dropped */
     uint64_t route_changes;   /* of the process when that call was sent */
-    bool evacuations_loaded;  /* false: read the range of evacuated zones */
-    bool row_loaded; /* false: read the row before following changes */
+    bool snapshot_due;       /* read the row and the evacuated zones at once */
+    bool evacuations_loaded; /* false: read the range of evacuated zones */
+    bool row_loaded;         /* false: read the row before following changes */
     uint64_t followed_version; /* store version up to which it is current */
     uint32_t delayed_calls;    /* consecutive failed calls: not refused */
     uint32_t unanswered_calls; /* consecutive failed calls: no answer */
     size_t row_bytes;          /* size of the last row; 0 unknown */
     int64_t store_clock_us;    /* the store's clock minus the boot clock */
     int64_t *versions_received;
-    int64_t *age_ms; /* gauge: since the last confirmation; -1: none */
+    int64_t *age_ms;  /* gauge: since the last confirmation; -1: none */
+    int64_t *skipped; /* polls that were replaced by a read */
     int64_t *retries;
     int64_t *superseded;
     int64_t *applied;
@@ -114,28 +120,25 @@
            !row->deleted;
 }
 
-static void
+/* Puts a version in force unless a newer one is. Returns whether the row can
+   be decoded. */
+static bool
 apply_row(cs_config_follower *follower, const cs_row *row)
 {
     cs_fleet_state *fleet_state = follower->fleet_state;
     cs_fleet_config *config;
 
-    if (!is_config_row(follower, row))
-        return;
-    follower->row_bytes = row->size_bytes;
     if (fleet_state->ports.decode_config(&config, row->value,
                                          row->size_bytes)) {
         (*follower->rejected)++;
-        follower->status->unreadable = true;
         cs_log_event("config-rejected", "row version %" PRIu64 ": %s",
                      row->version, cs_error_last());
-        return;
+        return false;
     }
-    follower->status->unreadable = false;
     if (fleet_state->config &&
         config->version <= fleet_state->config->version) {
         cs_fleet_config_unref(config);
-        return;
+        return true;
     }
     cs_log_event(
         "config-applied", "version %" PRIu64 ", %u queues, %u organisations",
@@ -143,6 +146,39 @@
     cs_fleet_config_unref(fleet_state->config);
     fleet_state->config = config;
     (*follower->applied)++;
+    return true;
+}
+
+/* Applies the newest version of an answer that can be decoded. Decoding takes
+   a weak VM a quarter of a second, so that older ones are skipped. */
+static void
+apply_newest_row(cs_config_follower *follower, const cs_store_answer *answer)
+{
+    bool newest = true;
+    size_t i;
+
+    for (i = answer->row_count; i > 0; i--) {
+        const cs_row *row = &answer->rows[i - 1];
+        bool decoded;
+
+        if (!is_config_row(follower, row))
+            continue;
+        decoded = apply_row(follower, row);
+        if (newest) {
+            follower->row_bytes = row->size_bytes;
+            follower->status->unreadable = !decoded;
+        }
+        newest = false;
+        if (decoded)
+            return;
+    }
+}
+
+/* Returns the size up to which an answer to a poll is transferred. */
+static size_t
+poll_bytes_max(const cs_config_follower *follower)
+{
+    return MAX((size_t)LARGE_ROW_BYTES, MAX_POLL_ROWS * follower->row_bytes);
 }
 
 /* Returns the pause before the next attempt. VMs whose calls failed together
@@ -176,12 +212,21 @@
 static void
 handle_failed_call(cs_config_follower *follower, const cs_store_answer *answer)
 {
+    size_t max_poll_bytes = poll_bytes_max(follower);
     int64_t delay_us;
 
-    if (answer->code == CS_E_TOO_OLD) {
-        follower->evacuations_loaded = false;
-        follower->row_loaded = false;
-        /* The row may have changed, so it is read before the next slot. */
+    if (answer->code == CS_E_TOO_OLD || answer->code == CS_E_TOO_LARGE) {
+        follower->snapshot_due = true;
+        if (answer->code == CS_E_TOO_LARGE) {
+            follower->row_bytes = 0;
+            (*follower->skipped)++;
+            cs_log_event("config-behind",
+                         "the changes are above %zu bytes, the newest version "
+                         "is read instead",
+                         max_poll_bytes);
+        }
+        /* The row has changed, or may have, so it is read before the next
+           slot. */
         follower->status->next_call_us = 0;
         return;
     }
@@ -290,17 +335,39 @@
 static void
 on_config_row(cs_config_follower *follower, const cs_store_answer *answer)
 {
-    size_t i;
-
     if (!end_call(follower, answer))
         return;
     log_received(follower, answer);
-    for (i = 0; i < answer->row_count; i++)
-        apply_row(follower, &answer->rows[i]);
+    apply_newest_row(follower, answer);
     confirm(follower);
     follower->row_loaded = true;
 }
 
+static void
+on_snapshot(cs_config_follower *follower, const cs_store_answer *answer)
+{
+    cs_evacuations *evacuations = follower->fleet_state->evacuations;
+    int64_t now_us = cs_fleet_state_now(follower->fleet_state).boot_us;
+
+    if (!end_call(follower, answer))
+        return;
+    follower->snapshot_due = false;
+    log_received(follower, answer);
+    apply_newest_row(follower, answer);
+    if (answer->has_more) {
+        /* The evacuated zones are incomplete. Changes are followed from the
+           version of the next read, so that the row is read again as well. */
+        follower->evacuations_loaded = false;
+        follower->row_loaded = false;
+        return;
+    }
+    confirm(follower);
+    cs_evacuations_replace(evacuations, answer, now_us);
+    cs_evacuations_confirm(evacuations, follower->status->sent_us);
+    follower->followed_version = answer->version;
+    follower->evacuations_loaded = cs_evacuations_is_known(evacuations);
+}
+
 static void
 on_changes(cs_config_follower *follower, const cs_store_answer *answer)
 {
@@ -311,10 +378,9 @@
     if (!end_call(follower, answer))
         return;
     log_received(follower, answer);
-    for (i = 0; i < answer->row_count; i++) {
-        apply_row(follower, &answer->rows[i]);
+    apply_newest_row(follower, answer);
+    for (i = 0; i < answer->row_count; i++)
         cs_evacuations_apply(evacuations, &answer->rows[i], now_us);
-    }
     cs_evacuations_confirm(evacuations, follower->status->sent_us);
     if (!answer->has_more)
         confirm(follower);
@@ -376,6 +442,25 @@
                        on_answer, create_call(follower, on_evacuations));
 }
 
+/* Reads the rows of the configuration and of the evacuated zones as of one
+   moment, and others whose keys are between them. */
+static void
+read_snapshot(cs_config_follower *follower, int64_t now_us)
+{
+    const cs_fleet_ports *ports = &follower->fleet_state->ports;
+    cs_row_range range = cs_evacuations_range(
+        follower->fleet_state->evacuations, ports->config_table);
+
+    if (strcmp(ports->config_key, range.from) < 0)
+        range.from = ports->config_key;
+    else if (strcmp(ports->config_key, range.to) >= 0)
+        range.to = NULL;
+    range.limit = 0;
+    ports->store->read(ports->store->self, &range,
+                       now_us + answer_timeout_us(follower), on_answer,
+                       create_call(follower, on_snapshot));
+}
+
 static void
 read_row(cs_config_follower *follower, int64_t now_us)
 {
@@ -393,19 +478,21 @@
 static void
 follow_table(cs_config_follower *follower, int64_t now_us)
 {
+    cs_config_status *status = follower->status;
     const cs_fleet_ports *ports = &follower->fleet_state->ports;
     int64_t wait_ms =
         follower->fleet_state->settings.bounds.config_apply_ms / WAIT_DIVISOR;
 
+    status->call = CS_CONFIG_CALL_POLL;
     if (polls_in_slot(follower)) {
         wait_ms = 0;
-        follower->status->next_call_us =
-            now_us + time_to_slot_us(follower, now_us);
+        status->next_call_us = now_us + time_to_slot_us(follower, now_us);
     }
     ports->store->follow(
         ports->store->self, ports->config_table, follower->followed_version,
-        wait_ms, now_us + wait_ms * CS_MS_US + answer_timeout_us(follower),
-        on_answer, create_call(follower, on_changes));
+        wait_ms, poll_bytes_max(follower),
+        now_us + wait_ms * CS_MS_US + answer_timeout_us(follower), on_answer,
+        create_call(follower, on_changes));
 }
 
 cs_config_follower *
@@ -422,6 +509,8 @@
         cs_fleet_state_counter(fleet_state, "cs_config_applied");
     follower->rejected =
         cs_fleet_state_counter(fleet_state, "cs_config_rejected");
+    follower->skipped =
+        cs_fleet_state_counter(fleet_state, "cs_config_polls_skipped_total");
     follower->superseded = cs_fleet_state_counter(
         fleet_state, "cs_config_polls_superseded_total");
     follower->retries =
@@ -480,17 +569,16 @@
     if (follower->status->call != CS_CONFIG_CALL_NONE ||
         now_us < follower->status->next_call_us)
         return;
-    follower->status->call =
-        follower->evacuations_loaded && follower->row_loaded
-            ? CS_CONFIG_CALL_POLL
-            : CS_CONFIG_CALL_READ;
+    follower->status->call = CS_CONFIG_CALL_READ;
     follower->route_changes = follower->fleet_state->route_changes;
     follower->status->sent_us = now_us;
     /* Changes are followed from the version of the first read, so that some
        are applied after the second one has shown them. An old version of the
        configuration is skipped then, but an old change of an evacuation would
        return its zone, so the evacuations are read first. */
-    if (!follower->evacuations_loaded)
+    if (follower->snapshot_due)
+        read_snapshot(follower, now_us);
+    else if (!follower->evacuations_loaded)
         read_evacuations(follower, now_us);
     else if (follower->row_loaded)
         follow_table(follower, now_us);
--- a/src/fleet/feeds.c
+++ b/src/fleet/feeds.c
@@ -235,7 +235,7 @@
     int64_t deadline_us =
         fleet_now(fleet).boot_us + wait_ms * CS_MS_US + ANSWER_TIMEOUT_US;
 
-    store->follow(store->self, feed->table, feed->followed_version, wait_ms,
+    store->follow(store->self, feed->table, feed->followed_version, wait_ms, 0,
                   deadline_us, on_changes, begin_call(fleet, feed));
 }
 
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -71,6 +71,7 @@
     int64_t deadline_us;          /* of the whole call */
     int64_t progress_deadline_us; /* moves while bytes arrive; 0 none */
     int64_t progress_us;          /* by which it moves */
+    size_t max_response_bytes;
     guint timer;       /* source of on_deadline, later of on_release */
     guint body_source; /* source of on_body_buffered */
     bool sent;         /* the request may have reached the server */
@@ -247,11 +248,27 @@
     return G_SOURCE_REMOVE;
 }
 
+/* Returns whether the response announces a body above the limit. */
+static bool
+announces_too_much(const struct call *call, struct lws *wsi)
+{
+    char length[24];
+
+    return !call->on_chunk &&
+           lws_hdr_copy(wsi, length, sizeof(length),
+                        WSI_TOKEN_HTTP_CONTENT_LENGTH) > 0 &&
+           g_ascii_strtoull(length, NULL, 10) > call->max_response_bytes;
+}
+
 static int
 on_headers_received(struct call *call, struct lws *wsi)
 {
     call->status = (int)lws_http_client_http_response(wsi);
     extend_progress_deadline(call);
+    if (announces_too_much(call, wsi)) {
+        notify_done(call, CS_E_TOO_LARGE);
+        return -1;
+    }
     if (!call->body_source)
         call->body_source =
             g_idle_add_full(G_PRIORITY_DEFAULT, on_body_buffered, call, NULL);
@@ -274,7 +291,7 @@
         call->on_chunk(call->user_data, bytes, size);
         return 0;
     }
-    if (call->response->len + size > RESPONSE_MAX_BYTES) {
+    if (call->response->len + size > call->max_response_bytes) {
         notify_done(call, CS_E_TOO_LARGE);
         return -1;
     }
@@ -662,6 +679,9 @@
     call->deadline_us = params->deadline_us;
     call->progress_deadline_us = params->progress_deadline_us;
     call->progress_us = params->progress_us;
+    call->max_response_bytes = params->max_response_bytes
+                                   ? params->max_response_bytes
+                                   : RESPONSE_MAX_BYTES;
     call->single_use = params->single_use;
     client->open_calls++;
     client->queued_count++;
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -530,6 +530,17 @@
     return request->deadline_ms;
 }
 
+int64_t
+cs_http_request_number_header(const cs_http_request *request, const char *name)
+{
+    char text[24];
+
+    if (!request->wsi || lws_hdr_custom_copy(request->wsi, text, sizeof(text),
+                                             name, (int)strlen(name)) <= 0)
+        return 0;
+    return g_ascii_strtoll(text, NULL, 10);
+}
+
 void
 cs_http_request_set_retry_after(cs_http_request *request, uint32_t seconds)
 {
--- a/src/members/store_router.c
+++ b/src/members/store_router.c
@@ -101,6 +101,7 @@
     case CS_E_CONFLICT:
     case CS_E_TOO_OLD:
     case CS_E_INVALID:
+    case CS_E_TOO_LARGE:
         return true;
     default:
         return false;
@@ -389,7 +390,8 @@
 
 static void
 route_follow(void *self, const char *table, uint64_t after, int64_t wait_ms,
-             int64_t deadline_us, cs_store_done done, void *user_data)
+             size_t max_bytes, int64_t deadline_us, cs_store_done done,
+             void *user_data)
 {
     cs_store_router *router = self;
     bool bulk = is_bulk(router, table);
@@ -398,8 +400,8 @@
     struct call *call = create_call(router, route, done, user_data);
 
     call->bulk = bulk;
-    port->follow(port->self, table, after, wait_ms, deadline_us, on_done,
-                 call);
+    port->follow(port->self, table, after, wait_ms, max_bytes, deadline_us,
+                 on_done, call);
 }
 
 cs_store_router *
--- a/src/model/fleet_state.c
+++ b/src/model/fleet_state.c
@@ -108,7 +108,8 @@
 {
     int64_t now_us = cs_fleet_state_now(state).boot_us;
 
-    if (code == 0 || code == CS_E_CONFLICT || code == CS_E_TOO_OLD) {
+    if (code == 0 || code == CS_E_CONFLICT || code == CS_E_TOO_OLD ||
+        code == CS_E_TOO_LARGE) {
         state->last_store_answer_us = now_us;
         state->store_failing_since_us = 0;
     }
--- a/standins/fake_fleet.c
+++ b/standins/fake_fleet.c
@@ -891,6 +891,17 @@
               record ? record->job.spec.queue : "q0", id, NULL, pending);
 }
 
+void
+fake_fleet_query_queue(fake_fleet *deployment, uint32_t vm, const char *queue,
+                       int32_t *reply)
+{
+    struct pending_reply *pending = g_new0(struct pending_reply, 1);
+
+    *reply = -1;
+    pending->reply = reply;
+    send_call(deployment, vm, CS_ENTRY_STATUS, queue, "", NULL, pending);
+}
+
 int32_t
 fake_fleet_job_state(const fake_fleet *deployment, const char *id)
 {
--- a/standins/fake_fleet.h
+++ b/standins/fake_fleet.h
@@ -234,6 +234,13 @@
 void fake_fleet_query_status(fake_fleet *deployment, uint32_t vm,
                              const char *id, int32_t *reply, int32_t *state);
 
+/**
+ * Asks a VM for the length of a queue.
+ * @param reply as in fake_fleet_submit(), but not NULL
+ */
+void fake_fleet_query_queue(fake_fleet *deployment, uint32_t vm,
+                            const char *queue, int32_t *reply);
+
 /** @return the cs_progress_state in the store, or -1 if there is no row */
 int32_t fake_fleet_job_state(const fake_fleet *deployment, const char *id);
 
--- a/standins/fake_fleet_http.c
+++ b/standins/fake_fleet_http.c
@@ -180,7 +180,7 @@
         table = text_argument(request, "table");
         store->follow(store->self, table ? table : "",
                       (uint64_t)number_argument(request, "after"),
-                      number_argument(request, "waitMs"), deadline_us,
+                      number_argument(request, "waitMs"), 0, deadline_us,
                       on_store_answer, request);
         g_free(table);
     }
--- a/standins/fake_fleet_store.c
+++ b/standins/fake_fleet_store.c
@@ -54,7 +54,8 @@
     char *from; /* first key of a range read; NULL for no bound */
     char *to;   /* key after the last one, exclusive; NULL for no bound */
     uint32_t limit;
-    uint64_t after; /* a feed returns changes after this version */
+    uint64_t after;   /* a feed returns changes after this version */
+    size_t max_bytes; /* a larger answer is not sent; 0: any is */
     int64_t wait_until_us;
     int64_t deadline_us;
     bool answered;
@@ -445,12 +446,16 @@
         transfer->total_bytes +=
             ROW_OVERHEAD_BYTES + ((size_t)row->value->len + 2) / 3 * 4;
     }
+    call->transfer = transfer;
+    if (call->max_bytes && transfer->total_bytes > call->max_bytes) {
+        send_code(call, CS_E_TOO_LARGE);
+        return;
+    }
     if (call->vm->stall_next_transfer &&
         transfer->total_bytes > STALL_MIN_BYTES) {
         call->vm->stall_next_transfer = false;
         transfer->stall_at_bytes = transfer->total_bytes / 2;
     }
-    call->transfer = transfer;
     start_pass(transfer, call->relay != call->vm);
     send_piece(call);
 }
@@ -989,12 +994,14 @@
 
 static void
 port_follow(void *self, const char *table, uint64_t after, int64_t wait_ms,
-            int64_t deadline_us, cs_store_done done, void *user_data)
+            size_t max_bytes, int64_t deadline_us, cs_store_done done,
+            void *user_data)
 {
     struct store_call *call = call_new(self, deadline_us, done, user_data);
 
     call->table = g_strdup(table);
     call->after = after;
+    call->max_bytes = max_bytes;
     call->wait_until_us = call->deployment->now_us + wait_ms * CS_MS_US;
     call->extensible = true;
     schedule(call, execute_follow, false);
--- a/tests/test_large_config.c
+++ b/tests/test_large_config.c
@@ -21,8 +21,9 @@
 /* Twice the interval of calls to a store that refuses, stated there as well: a
    call may have been sent just before the store serves again. */
 #define REFUSED_RETRY_BOUND_US (400 * CS_MS_US)
-/* A VM that does not have a configuration in time. */
+/* A VM that does not have a configuration in time, and versions it misses. */
 #define LATE_VM 38
+#define MISSED_VERSIONS 6
 /* The first probe of the direct route, up to 1.5 s after the store serves the
    VM again, and two more, 250 ms apart; see docs/design/store-routes.md. */
 #define DIRECT_AGAIN_US (2 * CS_SEC_US)
@@ -237,6 +238,32 @@
     fake_fleet_destroy(fleet);
 }
 
+/* Guards against a VM that has to transfer each version that it missed before
+   it learns the newest one, and falls behind meanwhile. */
+static void
+large_config__vm_that_missed_versions_reads_the_newest(void **state)
+{
+    fake_fleet *fleet = create_fleet(&slow_links);
+    uint64_t version = 2;
+    uint64_t bytes;
+
+    fake_fleet_configure_queues(fleet, version, MORE_QUEUES);
+    fake_fleet_run(fleet, APPLY_US);
+    fake_fleet_set_faults(fleet, -1, &unanswered);
+    while (version < 2 + MISSED_VERSIONS) {
+        fake_fleet_configure_queues(fleet, ++version, MORE_QUEUES);
+        fake_fleet_run(fleet, 1500 * CS_MS_US);
+    }
+    assert_int_equal(count_vms_with(fleet, version, VMS), 0);
+    bytes = fake_fleet_store_load(fleet).sent_bytes;
+    fake_fleet_set_faults(fleet, -1, &no_faults);
+    fake_fleet_run(fleet, DISTURBED_US);
+    assert_int_equal(count_vms_with(fleet, version, VMS), VMS);
+    bytes = fake_fleet_store_load(fleet).sent_bytes - bytes;
+    assert_true(bytes < (uint64_t)2 * VMS * ROW_WIRE_BYTES);
+    fake_fleet_destroy(fleet);
+}
+
 /* Guards against a VM that waits for the answer to a poll through a peer, or
    for the pause after it, although the store serves the VM again. */
 static void
@@ -319,6 +346,8 @@
         cmocka_unit_test(large_config__is_read_once_after_a_restart),
         cmocka_unit_test(large_config__stalled_transfer_is_repeated),
         cmocka_unit_test(large_config__refused_vms_avoid_refused_peers),
+        cmocka_unit_test(
+            large_config__vm_that_missed_versions_reads_the_newest),
         cmocka_unit_test(
             large_config__poll_is_repeated_when_the_route_is_direct),
         cmocka_unit_test(restart__serves_in_bounded_time),
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -6,10 +6,12 @@
 #include <cmocka.h>
 
 #include "relay.h"
+#include "store.h"
 #include "corianderstair/clock.h"
+#include "corianderstair/errors.h"
 
 #include <arpa/inet.h>
-#include <glib.h>
+#include <glib-unix.h>
 #include <signal.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -161,11 +163,81 @@
     fixture_dispose(&fixture);
 }
 
+/* A store whose answers announce a length and do not begin. */
+static gboolean
+on_store_connection(gint fd, GIOCondition condition, gpointer user_data)
+{
+    static const char headers[] =
+        "HTTP/1.1 200 OK\r\nContent-Length: 4000\r\n\r\n";
+    int *store_connection = user_data;
+
+    *store_connection = accept(fd, NULL, NULL);
+    assert_int_equal(write(*store_connection, headers, sizeof(headers) - 1),
+                     sizeof(headers) - 1);
+    return G_SOURCE_CONTINUE;
+}
+
+static void
+on_follow_answer(void *user_data, const cs_store_answer *answer)
+{
+    int *code = user_data;
+
+    assert_false(answer->partial);
+    *code = answer->code;
+}
+
+/* Returns the code of a poll that allows answers of some bytes, or 1 if it is
+   not answered. */
+static int
+poll_store(struct fixture *fixture, platform_store_route route,
+           size_t max_bytes)
+{
+    const char *address = route == PLATFORM_STORE_PEER
+                              ? fixture->address
+                              : fixture->store_address;
+    cs_counters *counters = cs_counters_create();
+    platform_store *store =
+        platform_store_create(fixture->peer_client, counters, address, route);
+    const cs_store_port *port = platform_store_port(store);
+    int code = 1;
+
+    port->follow(port->self, "op", 1, 0, max_bytes,
+                 cs_clock_boot_us() + 100 * CS_MS_US, on_follow_answer, &code);
+    run_for(fixture, 300);
+    platform_store_destroy(store);
+    cs_counters_destroy(counters);
+    return code;
+}
+
+/* Guards against a link that carries an answer which the poll does not allow:
+   the VM's own, and that of a peer that relays the call. */
+static void
+relay__answer_above_the_limit_is_not_transferred(void **state)
+{
+    struct fixture fixture;
+    int connection = -1;
+    guint source;
+
+    fixture_init(&fixture);
+    source = g_unix_fd_add(fixture.store_fd, G_IO_IN, on_store_connection,
+                           &connection);
+    assert_int_equal(poll_store(&fixture, PLATFORM_STORE_DIRECT, 3999),
+                     CS_E_TOO_LARGE);
+    close(connection);
+    assert_int_equal(poll_store(&fixture, PLATFORM_STORE_PEER, 3999),
+                     CS_E_TOO_LARGE);
+    close(connection);
+    assert_int_equal(fixture.relay.open_config_reads, 0);
+    g_source_remove(source);
+    fixture_dispose(&fixture);
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(relay__reads_of_the_configuration_are_limited),
+        cmocka_unit_test(relay__answer_above_the_limit_is_not_transferred),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
