config: changes are followed while too many zones are evacuated

While more zones are evacuated than a VM keeps (64), no VM put a new version of the configuration in force. Cause: the read of these zones was repeated before anything else, and when it succeeded again changes were followed from its version, so that those of the configuration between were lost for good.

The read is now repeated each 5 s, the configuration is followed meanwhile, and its row is read again whenever changes are followed from another version. As before nothing is started while the evacuated zones are not known.

Found while looking for the same class of fault; no report is known. config__is_applied_while_too_many_zones_are_evacuated fails without the change (version 1, expected 2).

--- a/src/entry/config_follower.c
+++ b/src/entry/config_follower.c
@@ -43,6 +43,9 @@
    several versions of it: one takes 4/3 of the row in base64. The row is then
    read instead, as only its newest version matters. */
 #define MAX_POLL_ROWS 2
+/* Pause after a read that showed more evacuated zones than are kept. Until
+   they are known nothing is started, and the configuration is followed. */
+#define EVACUATIONS_RETRY_US (5 * CS_SEC_US)
 /* Only this many VMs of a zone wait for changes of a large configuration; the
    others poll one after another, in slots of the store's clock. */
 #define WAITING_READERS 4
@@ -60,7 +63,8 @@
     uint64_t route_changes;   /* of the process when that call was sent */
     bool snapshot_due;       /* read the row and the evacuated zones at once */
     bool evacuations_loaded; /* false: read the range of evacuated zones */
-    bool row_loaded;         /* false: read the row before following changes */
+    int64_t next_evacuations_us; /* boot clock; not before this time */
+    bool row_loaded; /* false: read the row before following changes */
     uint64_t followed_version; /* store version up to which it is current */
     uint32_t delayed_calls;    /* consecutive failed calls: not refused */
     uint32_t unanswered_calls; /* consecutive failed calls: no answer */
@@ -320,13 +324,16 @@
 
     if (!end_call(follower, answer))
         return;
-    if (!cs_evacuations_replace(evacuations, answer, now_us)) {
-        follower->status->next_call_us = now_us + RETRY_DELAY_US;
-        return;
-    }
-    cs_evacuations_confirm(evacuations, follower->status->sent_us);
+    follower->evacuations_loaded =
+        cs_evacuations_replace(evacuations, answer, now_us);
+    if (follower->evacuations_loaded)
+        cs_evacuations_confirm(evacuations, follower->status->sent_us);
+    else
+        follower->next_evacuations_us = now_us + EVACUATIONS_RETRY_US;
+    /* Changes of the configuration row before this version are not followed
+       any more. */
     follower->followed_version = answer->version;
-    follower->evacuations_loaded = true;
+    follower->row_loaded = false;
     /* Reads the configuration row at once, as a process that has started
        serves nothing without it. */
     cs_config_follower_tick(follower);
@@ -578,7 +585,8 @@
        return its zone, so the evacuations are read first. */
     if (follower->snapshot_due)
         read_snapshot(follower, now_us);
-    else if (!follower->evacuations_loaded)
+    else if (!follower->evacuations_loaded &&
+             now_us >= follower->next_evacuations_us)
         read_evacuations(follower, now_us);
     else if (follower->row_loaded)
         follow_table(follower, now_us);
--- a/standins/fake_fleet.c
+++ b/standins/fake_fleet.c
@@ -372,17 +372,27 @@
 }
 
 void
-fake_fleet_evacuate(fake_fleet *deployment, uint32_t zone, bool evacuate)
+fake_fleet_put_evacuation(fake_fleet *deployment, const char *zone,
+                          bool evacuate)
 {
-    char key[32];
+    char *key = g_strconcat(PLATFORM_EVACUATION_PREFIX, zone, NULL);
 
-    g_snprintf(key, sizeof(key), PLATFORM_EVACUATION_PREFIX "z%u", zone);
-    if (evacuate == (deployment->evacuated_us[zone] >= 0))
-        return;
     if (evacuate)
         fake_store_put(deployment, PLATFORM_CONFIG_TABLE, "", key, "{}", 2);
     else
         fake_store_remove(deployment, PLATFORM_CONFIG_TABLE, "", key);
+    g_free(key);
+}
+
+void
+fake_fleet_evacuate(fake_fleet *deployment, uint32_t zone, bool evacuate)
+{
+    char name[16];
+
+    if (evacuate == (deployment->evacuated_us[zone] >= 0))
+        return;
+    g_snprintf(name, sizeof(name), "z%u", zone);
+    fake_fleet_put_evacuation(deployment, name, evacuate);
     deployment->evacuated_us[zone] = evacuate ? deployment->now_us : -1;
 }
 
--- a/standins/fake_fleet.h
+++ b/standins/fake_fleet.h
@@ -223,6 +223,9 @@
  */
 void fake_fleet_submit(fake_fleet *deployment, uint32_t vm, fake_job *job,
                        int32_t *reply);
+/** Writes or removes the row that evacuates a zone, which need not exist. */
+void fake_fleet_put_evacuation(fake_fleet *deployment, const char *zone,
+                               bool evacuate);
 /** Sends a cancel request to a VM; reply as in fake_fleet_submit(). */
 void fake_fleet_cancel(fake_fleet *deployment, uint32_t vm, const char *id,
                        int32_t *reply);
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -50,12 +50,56 @@
     fake_fleet_destroy(fleet);
 }
 
+static void
+put_evacuations(fake_fleet *fleet, uint32_t count, bool evacuate)
+{
+    uint32_t i;
+
+    for (i = 0; i < count; i++) {
+        char zone[16];
+
+        g_snprintf(zone, sizeof(zone), "other-%u", i);
+        fake_fleet_put_evacuation(fleet, zone, evacuate);
+    }
+}
+
+/* Guards against a configuration that is not put in force because more zones
+   are evacuated than a VM keeps, and against one that is lost when they
+   return. */
+static void
+config__is_applied_while_too_many_zones_are_evacuated(void **state)
+{
+    fake_fleet *fleet = fake_fleet_create(&small);
+    fake_job job;
+
+    fake_fleet_run(fleet, 6 * CS_SEC_US);
+    put_evacuations(fleet, CS_EVACUATIONS_MAX + 1, true);
+    fake_fleet_run(fleet, CS_SEC_US);
+    fake_fleet_configure_queues(fleet, 2, 1);
+    fake_fleet_run(fleet, 2 * CS_SEC_US);
+    assert_int_equal(fake_fleet_config_version(fleet, VM), 2);
+    fake_job_init(&job, 1, 1, 1, 1, 500);
+    fake_fleet_submit(fleet, VM, &job, NULL);
+    fake_fleet_run(fleet, 2 * CS_SEC_US);
+    assert_int_equal(fake_fleet_start_count(fleet, "0000000000000001"), 0);
+    put_evacuations(fleet, CS_EVACUATIONS_MAX + 1, false);
+    fake_fleet_configure_queues(fleet, 3, 2);
+    fake_fleet_run(fleet, 2 * CS_SEC_US);
+    assert_int_equal(fake_fleet_config_version(fleet, VM), 3);
+    fake_fleet_run(fleet, 6 * CS_SEC_US);
+    assert_int_equal(fake_fleet_start_count(fleet, "0000000000000001"), 1);
+    assert_null(fake_fleet_violation(fleet));
+    fake_fleet_destroy(fleet);
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(
             config__queue_is_denied_only_by_a_confirmed_configuration),
+        cmocka_unit_test(
+            config__is_applied_while_too_many_zones_are_evacuated),
     };
 
     if (!g_getenv("CS_TEST_LOG"))
