config: an answer of the feed that may be cut off confirms nothing

The feed of the store ends an answer at about a megabyte and does not say so. A VM took such an answer for all changes there were, denied queues of versions that it had not received as if its configuration were the newest one, and a holder took its list of evacuated zones for current.

Only an answer without rows confirms now. After one with rows the store is asked at once, with an answer of 4 KB at most, whether there is more; larger changes wait for the next poll as before. This costs one small call for each change and VM.

The stand-in of the store ends its answers at a megabyte as well. config__answer_that_is_cut_off_confirms_nothing fails without the change (404).

--- a/src/entry/config_follower.c
+++ b/src/entry/config_follower.c
@@ -43,6 +43,8 @@
    several versions of it: one takes 4/3 of the row in base64. The row is then
    read instead, as only its newest version matters. */
 #define MAX_POLL_ROWS 2
+/* Up to this size changes are transferred to see whether there are any. */
+#define CHECK_BYTES_MAX 4096
 /* Pause after a read that showed more evacuated zones than are kept. Until
    they are known nothing is started, and the configuration is followed. */
 #define EVACUATIONS_RETRY_US (5 * CS_SEC_US)
@@ -61,6 +63,7 @@
     uint64_t call_serial;     /* of the newest call; answers of others are
                                  dropped */
     uint64_t route_changes;   /* of the process when that call was sent */
+    bool check_due;           /* ask whether there are further changes */
     bool snapshot_due;       /* read the row and the evacuated zones at once */
     bool evacuations_loaded; /* false: read the range of evacuated zones */
     int64_t next_evacuations_us; /* boot clock; not before this time */
@@ -301,6 +304,7 @@
 end_call(cs_config_follower *follower, const cs_store_answer *answer)
 {
     follower->status->call = CS_CONFIG_CALL_NONE;
+    follower->check_due = false;
     cs_fleet_state_record_store_answer(follower->fleet_state, answer->code);
     if (answer->code) {
         handle_failed_call(follower, answer);
@@ -375,26 +379,52 @@
     follower->evacuations_loaded = cs_evacuations_is_known(evacuations);
 }
 
+/* Applies the changes of a poll. The store ends an answer at a size without
+   saying so, thus only one without rows shows that nothing is missing. */
 static void
-on_changes(cs_config_follower *follower, const cs_store_answer *answer)
+apply_changes(cs_config_follower *follower, const cs_store_answer *answer)
 {
     cs_evacuations *evacuations = follower->fleet_state->evacuations;
     int64_t now_us = cs_fleet_state_now(follower->fleet_state).boot_us;
     size_t i;
 
-    if (!end_call(follower, answer))
-        return;
     log_received(follower, answer);
     apply_newest_row(follower, answer);
     for (i = 0; i < answer->row_count; i++)
         cs_evacuations_apply(evacuations, &answer->rows[i], now_us);
-    cs_evacuations_confirm(evacuations, follower->status->sent_us);
-    if (!answer->has_more)
+    if (answer->row_count == 0) {
+        cs_evacuations_confirm(evacuations, follower->status->sent_us);
         confirm(follower);
+    }
+    follower->check_due = answer->row_count > 0;
     follower->followed_version = answer->version;
     follower->evacuations_loaded = cs_evacuations_is_known(evacuations);
 }
 
+static void
+on_changes(cs_config_follower *follower, const cs_store_answer *answer)
+{
+    if (!end_call(follower, answer))
+        return;
+    apply_changes(follower, answer);
+    cs_config_follower_tick(follower);
+}
+
+static void
+on_check(cs_config_follower *follower, const cs_store_answer *answer)
+{
+    if (answer->code == CS_E_TOO_LARGE) {
+        /* The next poll transfers the changes. */
+        follower->check_due = false;
+        follower->status->call = CS_CONFIG_CALL_NONE;
+        cs_fleet_state_record_store_answer(follower->fleet_state,
+                                           answer->code);
+        return;
+    }
+    if (end_call(follower, answer))
+        apply_changes(follower, answer);
+}
+
 static int64_t
 answer_timeout_us(const cs_config_follower *follower)
 {
@@ -482,6 +512,19 @@
                        create_call(follower, on_config_row));
 }
 
+/* Polls without waiting for changes or transferring large ones. */
+static void
+check_for_changes(cs_config_follower *follower, int64_t now_us)
+{
+    const cs_fleet_ports *ports = &follower->fleet_state->ports;
+
+    follower->status->call = CS_CONFIG_CALL_POLL;
+    ports->store->follow(ports->store->self, ports->config_table,
+                         follower->followed_version, 0, CHECK_BYTES_MAX,
+                         now_us + answer_timeout_us(follower), on_answer,
+                         create_call(follower, on_check));
+}
+
 static void
 follow_table(cs_config_follower *follower, int64_t now_us)
 {
@@ -574,7 +617,7 @@
     if (follower->status->call == CS_CONFIG_CALL_NONE)
         end_pause_of_former_route(follower, now_us);
     if (follower->status->call != CS_CONFIG_CALL_NONE ||
-        now_us < follower->status->next_call_us)
+        (now_us < follower->status->next_call_us && !follower->check_due))
         return;
     follower->status->call = CS_CONFIG_CALL_READ;
     follower->route_changes = follower->fleet_state->route_changes;
@@ -588,8 +631,10 @@
     else if (!follower->evacuations_loaded &&
              now_us >= follower->next_evacuations_us)
         read_evacuations(follower, now_us);
-    else if (follower->row_loaded)
-        follow_table(follower, now_us);
-    else
+    else if (!follower->row_loaded)
         read_row(follower, now_us);
+    else if (follower->check_due)
+        check_for_changes(follower, now_us);
+    else
+        follow_table(follower, now_us);
 }
--- a/standins/fake_fleet_store.c
+++ b/standins/fake_fleet_store.c
@@ -16,6 +16,10 @@
 #define MIN_LATE_US (1 * CS_SEC_US)
 #define MAX_LATE_US (6 * CS_SEC_US)
 
+/* A feed ends its answer once it has this many bytes of values, and does not
+   say so: the caller continues from the answer's version. */
+#define FEED_BYTES ((size_t)1 << 20)
+
 /* A transfer is sent in pieces of this size, so that several transfers share a
    link. */
 #define PIECE_BYTES 16384
@@ -490,6 +494,7 @@
     uint64_t version = call->deployment->store.version;
     guint limit = call->deployment->feed_rows_max;
     bool has_more = false;
+    size_t bytes = 0;
     GPtrArray *rows;
     guint first;
     guint i;
@@ -509,15 +514,16 @@
 
         if (strcmp(row->table, call->table) != 0)
             continue;
-        if (limit > 0 && rows->len >= limit) {
+        if ((limit > 0 && rows->len >= limit) || bytes >= FEED_BYTES) {
             const struct fake_row *last =
                 g_ptr_array_index(rows, rows->len - 1);
 
-            has_more = true;
+            has_more = bytes < FEED_BYTES;
             version = last->version;
             break;
         }
         g_ptr_array_add(rows, row);
+        bytes += row->value->len;
     }
     send_rows(call, 0, rows, has_more, version);
     g_ptr_array_free(rows, TRUE);
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -9,6 +9,9 @@
 #include <cmocka.h>
 
 #define VM 2
+/* A row above the size at which the store ends an answer. */
+#define MANY_QUEUES 3000
+#define NEWEST_QUEUE "more-3000"
 
 static const fake_vm_faults no_faults = {0};
 static const fake_vm_faults unanswered = {.config_unanswered = true};
@@ -50,6 +53,40 @@
     fake_fleet_destroy(fleet);
 }
 
+/* Guards against a VM that takes its configuration for the newest one after an
+   answer that the store has cut off, and denies a queue by it. */
+static void
+config__answer_that_is_cut_off_confirms_nothing(void **state)
+{
+    static const fake_fleet_settings slow = {.vms = 6,
+                                             .workers = 24,
+                                             .racks = 4,
+                                             .seed = 9,
+                                             .config_apply_ms = 3000,
+                                             .link_kbps = {10000},
+                                             .store_kbps = 1000000};
+    fake_fleet *fleet = fake_fleet_create(&slow);
+    uint32_t i;
+
+    fake_fleet_run(fleet, 6 * CS_SEC_US);
+    fake_fleet_configure_queues(fleet, 2, MANY_QUEUES);
+    fake_fleet_run(fleet, 6 * CS_SEC_US);
+    assert_int_equal(fake_fleet_config_version(fleet, VM), 2);
+    fake_fleet_set_faults(fleet, -1, &unanswered);
+    fake_fleet_run(fleet, 4 * CS_SEC_US);
+    fake_fleet_configure_queues(fleet, 3, MANY_QUEUES);
+    fake_fleet_configure_queues(fleet, 4, MANY_QUEUES + 1);
+    fake_fleet_run(fleet, 4 * CS_SEC_US);
+    fake_fleet_set_faults(fleet, -1, &no_faults);
+    /* 6 s for a disturbed store, and the transfer of a second version. */
+    for (i = 0; i < 160; i++) {
+        fake_fleet_run(fleet, 50 * CS_MS_US);
+        assert_int_not_equal(ask(fleet, NEWEST_QUEUE), CS_REPLY_UNKNOWN_QUEUE);
+    }
+    assert_int_equal(ask(fleet, NEWEST_QUEUE), CS_REPLY_QUEUE_LENGTH);
+    fake_fleet_destroy(fleet);
+}
+
 static void
 put_evacuations(fake_fleet *fleet, uint32_t count, bool evacuate)
 {
@@ -98,6 +135,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(
             config__queue_is_denied_only_by_a_confirmed_configuration),
+        cmocka_unit_test(config__answer_that_is_cut_off_confirms_nothing),
         cmocka_unit_test(
             config__is_applied_while_too_many_zones_are_evacuated),
     };
