--- a/src/entry/config_follower.c
+++ b/src/entry/config_follower.c
@@ -43,10 +43,12 @@
    several versions of it: one takes 4/3 of the row in base64. The row is then
    read instead, as only its newest version matters. */
 #define MAX_POLL_ROWS 2
-/* Up to this size changes are transferred to see whether there are any. */
+/* Up to this size changes are transferred to see whether there are any: an
+   answer without rows has about 60 bytes, rows of evacuated zones have 100. */
 #define CHECK_BYTES_MAX 4096
-/* Pause after a read that showed more evacuated zones than are kept. Until
-   they are known nothing is started, and the configuration is followed. */
+/* Pause after a read that showed more evacuated zones than are kept, as the
+   row of the configuration has to be read again after each one. Until the zones
+   are known nothing is started, and the configuration is followed. */
 #define EVACUATIONS_RETRY_US (5 * CS_SEC_US)
 /* Only this many VMs of a zone wait for changes of a large configuration; the
    others poll one after another, in slots of the store's clock. */
--- a/tests/test_large_config.c
+++ b/tests/test_large_config.c
@@ -21,7 +21,7 @@
 /* Twice the interval of calls to a store that refuses, stated there as well: a
    call may have been sent just before the store serves again. */
 #define REFUSED_RETRY_BOUND_US (400 * CS_MS_US)
-/* A VM that does not have a configuration in time, and versions it misses. */
+/* A VM that the store does not serve for a while. */
 #define LATE_VM 38
 #define MISSED_VERSIONS 6
 /* The first probe of the direct route, up to 1.5 s after the store serves the
