--- a/src/entry/config_follower.c
+++ b/src/entry/config_follower.c
@@ -47,8 +47,8 @@
    answer without rows has about 60 bytes, rows of evacuated zones have 100. */
 #define CHECK_BYTES_MAX 4096
 /* Pause after a read that showed more evacuated zones than are kept, as the
-   row of the configuration has to be read again after each one. Until the zones
-   are known nothing is started, and the configuration is followed. */
+   row of the configuration has to be read again after each one. Until the
+   zones are known nothing is started, and the configuration is followed. */
 #define EVACUATIONS_RETRY_US (5 * CS_SEC_US)
 /* Only this many VMs of a zone wait for changes of a large configuration; the
    others poll one after another, in slots of the store's clock. */
