fleet: log which runs start, are adopted, end and are not wanted, and why

A start wrote no line, a run-unknown line did not tell which condition held, and a run that was given up because an answer did not list it looked like any other. A record of a task that ran twice could not tell which holder had started which run, from which record, and why another holder did not know it.

No decision changes.

--- a/src/fleet/commit.c
+++ b/src/fleet/commit.c
@@ -67,6 +67,8 @@
     if (waits_for_members(step))
         return;
     start_gate_release(fleet, step);
+    if (!job_is_final(step->job))
+        run_log_starts(fleet, step);
     for (k = 0; k < step->spec->task_count; k++) {
         struct task *task = &step->tasks[k];
 
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -162,6 +162,8 @@
         return;
     case TENURE_LOADING:
         feeds_tick(fleet);
+        if (fleet->tenure == TENURE_HOLDING)
+            run_log_adopted(fleet);
         commit_tick(fleet);
         return;
     case TENURE_HOLDING:
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -57,6 +57,15 @@
 struct ledger;
 struct reserve;
 
+/* A run that a worker lists and that is not, or no longer, wanted there. */
+struct unwanted_run {
+    char task[TASK_NAME_BYTES];
+    uint32_t run;
+    uint32_t repeats;  /* how often it was listed again */
+    int64_t seen_us;   /* when it was last listed */
+    int64_t logged_us; /* 0 not yet */
+};
+
 /* A worker as the holder of the cell knows it, across its incarnations. */
 struct worker {
     uint32_t zone_number; /* unique to the zone's name in this process */
@@ -107,6 +116,7 @@
     int64_t quarantine_us;   /* length of the last quarantine; 0 none */
     cs_speed speed;          /* learned */
     GPtrArray *tasks;        /* of struct task, placed on the worker */
+    GArray *unwanted_runs;   /* of struct unwanted_run */
     /* The names are last: a cycle reads all of the others of each worker. */
     char address[48];
     char id[CS_JOB_NAME_BYTES];
@@ -509,9 +519,9 @@
                 uint32_t run);
 /* Takes the task off its worker and lets it wait again. */
 void task_release(cs_fleet *fleet, struct task *task);
-/* Handles the end of the task's newest run. */
+/* Handles the end of the task's newest run. reason: for the log */
 void task_end(cs_fleet *fleet, struct task *task, cs_run_outcome end,
-              const char *checkpoint);
+              const char *checkpoint, const char *reason);
 /* Stores a newer checkpoint of the task; NULL and empty are ignored. */
 void task_set_checkpoint(struct task *task, const char *checkpoint);
 /* Learns the worker's speed from progress that a heartbeat has listed. */
@@ -545,6 +555,21 @@
 void run_stop_unknown(cs_fleet *fleet, struct worker *worker, const char *task,
                       uint32_t run);
 
+/* run_log.c */
+/* Logs the recorded tasks of a step, which are about to start. */
+void run_log_starts(const cs_fleet *fleet, const struct step *step);
+/* Logs the tasks that were restored from a former holder's records. */
+void run_log_adopted(const cs_fleet *fleet);
+/* Logs why a run that a worker lists is not wanted, unless it did so a short
+   while ago. */
+void run_log_unwanted(cs_fleet *fleet, struct worker *worker, const char *name,
+                      uint32_t run);
+/* Drops the worker's unwanted runs that were last listed before a time. */
+void run_log_forget_unwanted(struct worker *worker, int64_t seen_before_us);
+/* Logs the end of a task's run, unless it is done. */
+void run_log_end(const cs_fleet *fleet, const struct task *task,
+                 cs_run_outcome end, const char *reason);
+
 /* advice.c */
 void advice_free(struct advice *advice);
 /* Asks about some of the ranked workers unless a query is in flight. */
--- a/src/fleet/heartbeat.c
+++ b/src/fleet/heartbeat.c
@@ -62,7 +62,8 @@
     if (!task || end->run > task->run)
         return;
     if (task->worker == worker && task->run == end->run) {
-        task_end(fleet, task, end->outcome, end->checkpoint_data);
+        task_end(fleet, task, end->outcome, end->checkpoint_data,
+                 "as the worker lists");
         return;
     }
     /* The run was considered lost, and its task was released or restarted. */
@@ -125,6 +126,20 @@
         task->confirmed_us = now_us;
 }
 
+static void
+end_absent_task(cs_fleet *fleet, struct task *task, cs_run_outcome end,
+                int64_t sent_us)
+{
+    char reason[96];
+
+    g_snprintf(reason, sizeof(reason),
+               "not listed in the answer to a heartbeat sent %" PRId64
+               " ms ago",
+               (fleet_now(fleet).boot_us - sent_us) / CS_MS_US);
+    fleet_increment_counter(fleet, "cs_runs_absent_total");
+    task_end(fleet, task, end, "", reason);
+}
+
 /* Handles a placed task that an answer has not listed. */
 static void
 process_absent_task(cs_fleet *fleet, struct task *task, int64_t sent_us)
@@ -134,18 +149,18 @@
         if (task->adopted)
             /* This tenure's epoch fences a delayed start of the former
                holder's, so the run can no longer begin. */
-            task_end(fleet, task, CS_OUTCOME_LAPSED, "");
+            end_absent_task(fleet, task, CS_OUTCOME_LAPSED, sent_us);
         else if (task->start_unconfirmed)
             run_stop(fleet, task);
         return;
     case TASK_RUNNING:
         if (task->confirmed_us < sent_us)
-            task_end(fleet, task, CS_OUTCOME_LAPSED, "");
+            end_absent_task(fleet, task, CS_OUTCOME_LAPSED, sent_us);
         return;
     case TASK_STOPPING:
         if (task->adopted ||
             (task->stop_answered && task->stop_answered_us < sent_us))
-            task_end(fleet, task, CS_OUTCOME_STOPPED, "");
+            end_absent_task(fleet, task, CS_OUTCOME_STOPPED, sent_us);
         return;
     case TASK_WAITING:
     case TASK_PLANNED:
@@ -207,6 +222,7 @@
     process_ends(fleet, worker, answer);
     for (i = 0; i < answer->run_count; i++)
         process_run(fleet, worker, &answer->runs[i], heartbeat, now_us);
+    run_log_forget_unwanted(worker, now_us);
     /* A run that is neither listed as present nor among the first ends may
        have ended as well; a later answer lists it. */
     if (answer->ended_run_count < CS_WORKER_ENDS_MAX)
--- a/src/fleet/task.c
+++ b/src/fleet/task.c
@@ -364,34 +364,15 @@
     }
 }
 
-static void
-log_end(const cs_fleet *fleet, const struct task *task, cs_run_outcome end)
-{
-    static const char *const end_names[] = {"done",   "failed", "stopped",
-                                            "lapsed", "broken", "alone"};
-    char name[TASK_NAME_BYTES];
-
-    if (end == CS_OUTCOME_DONE)
-        return;
-    task_name(name, task);
-    cs_log_event("run-ended",
-                 "task %s run %u worker %s %s at %" PRId64
-                 "%%, %.0f core-seconds lost, queue %s",
-                 name, task->run, task->worker->id, end_names[end],
-                 task->progress_percent,
-                 task_stop_loss(fleet, task, fleet_now(fleet).boot_us),
-                 task->step->job->spec.queue);
-}
-
 void
 task_end(cs_fleet *fleet, struct task *task, cs_run_outcome end,
-         const char *checkpoint)
+         const char *checkpoint, const char *reason)
 {
     struct step *step = task->step;
     struct job *job = step->job;
 
     task_set_checkpoint(task, checkpoint);
-    log_end(fleet, task, end);
+    run_log_end(fleet, task, end, reason);
     if (end == CS_OUTCOME_FAILED)
         record_failure(fleet, task);
     if (end != CS_OUTCOME_DONE || step->spec->perpetual) {
--- a/src/fleet/worker.c
+++ b/src/fleet/worker.c
@@ -46,6 +46,8 @@
     worker->remaining_ms = -1;
     worker->rack = worker_rack_number(fleet, "");
     worker->tasks = g_ptr_array_new();
+    worker->unwanted_runs =
+        g_array_new(FALSE, FALSE, sizeof(struct unwanted_run));
     g_hash_table_insert(fleet->workers, worker->id, worker);
     g_ptr_array_add(fleet->worker_list, worker);
     return worker;
@@ -57,6 +59,7 @@
     struct worker *worker = data;
 
     g_ptr_array_free(worker->tasks, TRUE);
+    g_array_free(worker->unwanted_runs, TRUE);
     g_strfreev(worker->labels);
     g_free(worker);
 }
@@ -232,7 +235,7 @@
             i++;
             continue;
         }
-        task_end(fleet, task, CS_OUTCOME_LAPSED, "");
+        task_end(fleet, task, CS_OUTCOME_LAPSED, "", reason);
         /* The end of a gang's member may have released others, which changes
            the list. */
         i = 0;
@@ -251,6 +254,7 @@
         cs_log_event("worker-reborn", "worker %s, %u tasks", worker->id,
                      worker->tasks->len);
     worker->incarnation_ms = incarnation_ms;
+    g_array_set_size(worker->unwanted_runs, 0);
     worker->answered = false;
     worker->fenced = false;
     worker->ends_processed = 0;
