executor: each start order is logged with its holder, order id and outcome

An executor now writes a line for each start order that it receives: relayed-start-sent or relayed-start-dropped (late, or the zone is evacuated), with task, run, worker, epoch, sender address, order id and the time left until the deadline, and relayed-start-failed if the call does not end with 0. Other orders get no line.

No change of what is sent or answered. test_dispatch, test_scale and test_process pass (ASan, UBSan).

--- a/src/dispatch/executor.c
+++ b/src/dispatch/executor.c
@@ -2,7 +2,9 @@
 #include "corianderstair/executor.h"
 #include "corianderstair/dispatch_batch.h"
 #include "corianderstair/errors.h"
+#include "corianderstair/log.h"
 
+#include <inttypes.h>
 #include <string.h>
 
 /* A holder sends a batch several times a second. One that is silent has lost
@@ -38,6 +40,7 @@
     cs_executor *executor; /* NULL once it has been destroyed */
     char *sender_address;
     uint64_t order_id;
+    char *start; /* what the log says of a start order; NULL for others */
 };
 
 static int64_t
@@ -78,6 +81,9 @@
     cs_executor *executor = call->executor;
     struct sender *sender;
 
+    if (call->start && answer->code)
+        cs_log_event("relayed-start-failed", "%s: %s, refusal %d", call->start,
+                     cs_error_name(answer->code), (int)answer->refusal);
     if (executor) {
         g_hash_table_remove(executor->open_calls, call);
         sender = g_hash_table_lookup(executor->senders, call->sender_address);
@@ -85,6 +91,7 @@
             cs_batch_add_answer(&sender->answers, call->order_id, answer);
     }
     g_free(call->sender_address);
+    g_free(call->start);
     g_free(call);
 }
 
@@ -123,6 +130,36 @@
                                      EVACUATIONS_AGE_MAX_US);
 }
 
+/* Returns what the log says of a start order, to be freed with g_free, or NULL
+   for an order of another type. */
+static char *
+describe_start(const cs_executor *executor, const cs_dispatch_order *order)
+{
+    const cs_start_order *start = &order->u.start;
+
+    if (order->type != CS_DISPATCH_START)
+        return NULL;
+    return g_strdup_printf(
+        "task %.60s run %" PRIu32 " worker %.60s epoch %" PRIu64
+        " from %s order %" PRIu64,
+        start->task, start->run, order->target.incarnation, start->epoch,
+        executor->current_sender->address, order->id);
+}
+
+/* Logs a start order that is not sent to its worker. */
+static void
+log_dropped_start(const cs_executor *executor, const cs_dispatch_order *order,
+                  const char *reason)
+{
+    char *start = describe_start(executor, order);
+
+    if (start)
+        cs_log_event("relayed-start-dropped",
+                     "%s: %s, deadline in %" PRId64 " ms", start, reason,
+                     (order->deadline_us - now_us(executor)) / CS_MS_US);
+    g_free(start);
+}
+
 static void
 on_order(void *user_data, const cs_dispatch_order *order)
 {
@@ -133,17 +170,23 @@
     (*executor->orders_total)++;
     if (now_us(executor) >= order->deadline_us) {
         (*executor->late_total)++;
+        log_dropped_start(executor, order, "late");
         drop_order(executor, order);
         return;
     }
     if (is_start_in_evacuated_zone(executor, order)) {
         (*executor->withheld_total)++;
+        log_dropped_start(executor, order, "zone evacuated");
         drop_order(executor, order);
         return;
     }
     call = begin_call(executor, order->id);
     switch (order->type) {
     case CS_DISPATCH_START:
+        call->start = describe_start(executor, order);
+        cs_log_event("relayed-start-sent", "%s, deadline in %" PRId64 " ms",
+                     call->start,
+                     (order->deadline_us - now_us(executor)) / CS_MS_US);
         port->start(port->self, &order->target, &order->u.start,
                     order->deadline_us, on_done, call);
         return;
