fleet: the log tells at which versions a new holder has read its rows

A holder reads the jobs, then their progress, and removes progress rows whose job it does not know. Nothing in the log told at which versions of the store it had read them, which rows it took for those of removed jobs, and which rows it removed. A job that two holders start cannot be traced back to what the second one had read.

New lines: cell-read (versions of the epoch row and of the answers with jobs, progress and workers, adopted tasks, rows without a job), progress-orphaned (20 in a tenure), progress-removed (a line for each change), job-removed, and page-behind for an answer that is older than the epoch row. New counters: cs_orphan_rows_total, cs_pages_behind_total.

--- a/src/fleet/commit.c
+++ b/src/fleet/commit.c
@@ -123,6 +123,24 @@
     }
 }
 
+/* A change removes a few rows at most, so that their keys fit into a line. */
+static void
+log_removals(const struct commit *commit)
+{
+    GString *keys;
+    guint i;
+
+    if (commit->removals->len == 0)
+        return;
+    keys = g_string_new(NULL);
+    for (i = 0; i < commit->removals->len; i++)
+        g_string_append_printf(keys, " %s",
+                               g_array_index(commit->removals, cs_row, i).key);
+    cs_log_event("progress-removed", "%u rows:%s", commit->removals->len,
+                 keys->str);
+    g_string_free(keys, TRUE);
+}
+
 static void
 complete_commit(cs_fleet *fleet, uint64_t version)
 {
@@ -134,6 +152,7 @@
                                      now_us - commit->first_attempt_us);
     for (i = 0; i < commit->rows->len; i++)
         row_committed(fleet, g_ptr_array_index(commit->rows, i), version);
+    log_removals(commit);
     for (i = 0; i < commit->expired_rows->len; i++) {
         struct progress_row *row = g_ptr_array_index(commit->expired_rows, i);
 
--- a/src/fleet/feeds.c
+++ b/src/fleet/feeds.c
@@ -13,6 +13,8 @@
 /* The store returns at most this many rows at a time. An answer with as many
    may have left out later changes. */
 #define ANSWER_ROWS_MAX 500
+/* Log lines about orphan rows in a tenure. */
+#define ORPHAN_LINES_MAX 20
 /* Draining must be seen well within the notice that a worker gives. */
 #define WORKERS_POLL_INTERVAL_US (400 * CS_MS_US)
 
@@ -50,14 +52,22 @@
  * job that was inserted meanwhile has no progress.
  */
 static void
-note_orphan(cs_fleet *fleet, const char *key)
+note_orphan(cs_fleet *fleet, const cs_row *row)
 {
     char id[CS_JOB_ID_BYTES];
 
-    g_strlcpy(id, key, sizeof(id));
-    if (!fleet->job_rows_unreadable && progress_is_key(key) &&
-        !g_hash_table_contains(fleet->jobs, id))
-        g_queue_push_tail(&fleet->orphan_rows, g_strdup(key));
+    g_strlcpy(id, row->key, sizeof(id));
+    if (fleet->job_rows_unreadable || !progress_is_key(row->key) ||
+        g_hash_table_contains(fleet->jobs, id))
+        return;
+    g_queue_push_tail(&fleet->orphan_rows, g_strdup(row->key));
+    fleet_increment_counter(fleet, "cs_orphan_rows_total");
+    if (fleet->orphan_count++ < ORPHAN_LINES_MAX)
+        cs_log_event("progress-orphaned",
+                     "row %s of version %" PRIu64
+                     ", jobs read at version %" PRIu64 " to %" PRIu64,
+                     row->key, row->version, fleet->job_feed.lowest_version,
+                     fleet->job_feed.highest_version);
 }
 
 /* The rows are read in the order of their keys, so that the first row of a
@@ -71,7 +81,7 @@
     struct job *job;
 
     if (!progress_row) {
-        note_orphan(fleet, row->key);
+        note_orphan(fleet, row);
         return;
     }
     job = progress_row->job;
@@ -166,6 +176,23 @@
         feed->apply_row(fleet, &answer->rows[i]);
 }
 
+static void
+note_page_version(cs_fleet *fleet, struct feed *feed, uint64_t version)
+{
+    if (!feed->page_start[0] && feed->part_number == 0) {
+        feed->lowest_version = version;
+        feed->highest_version = version;
+    }
+    feed->lowest_version = MIN(feed->lowest_version, version);
+    feed->highest_version = MAX(feed->highest_version, version);
+    if (version >= fleet->epoch_version)
+        return;
+    cs_log_event("page-behind",
+                 "table %s at version %" PRIu64 ", epoch row %" PRIu64,
+                 feed->table, version, fleet->epoch_version);
+    fleet_increment_counter(fleet, "cs_pages_behind_total");
+}
+
 static void
 on_page(void *user_data, const cs_store_answer *answer)
 {
@@ -175,6 +202,7 @@
 
     if (!feed)
         return;
+    note_page_version(fleet, feed, answer->version);
     apply_rows(fleet, feed, answer);
     advance_page(feed, answer);
     if (feed->loaded && feed->read_completed)
@@ -346,6 +374,44 @@
     fleet->speed_feed = speeds;
 }
 
+static uint32_t
+count_adopted_tasks(const cs_fleet *fleet)
+{
+    uint32_t count = 0;
+    guint i;
+    guint k;
+
+    for (i = 0; i < fleet->worker_list->len; i++) {
+        const struct worker *worker = g_ptr_array_index(fleet->worker_list, i);
+
+        for (k = 0; k < worker->tasks->len; k++)
+            count += ((const struct task *)g_ptr_array_index(worker->tasks, k))
+                         ->adopted;
+    }
+    return count;
+}
+
+static void
+log_loaded(const cs_fleet *fleet)
+{
+    const struct feed *jobs = &fleet->job_feed;
+    const struct feed *progress = &fleet->progress_feed;
+    const struct feed *workers = &fleet->worker_feed;
+
+    cs_log_event("cell-loaded", "epoch %" PRIu64 ", %u jobs, %u workers",
+                 fleet->epoch, g_hash_table_size(fleet->jobs),
+                 g_hash_table_size(fleet->workers));
+    cs_log_event(
+        "cell-read",
+        "epoch row of version %" PRIu64 ", jobs at %" PRIu64 " to %" PRIu64
+        ", progress at %" PRIu64 " to %" PRIu64 ", workers at %" PRIu64
+        " to %" PRIu64 ", %u tasks adopted, %u orphan rows",
+        fleet->epoch_version, jobs->lowest_version, jobs->highest_version,
+        progress->lowest_version, progress->highest_version,
+        workers->lowest_version, workers->highest_version,
+        count_adopted_tasks(fleet), fleet->orphan_count);
+}
+
 void
 feeds_tick(cs_fleet *fleet)
 {
@@ -367,7 +433,5 @@
        adopted. */
     fleet->headroom.mean_used = MAX(fleet->headroom.mean_used,
                                     (double)fleet->headroom.used_accelerators);
-    cs_log_event("cell-loaded", "epoch %" PRIu64 ", %u jobs, %u workers",
-                 fleet->epoch, g_hash_table_size(fleet->jobs),
-                 g_hash_table_size(fleet->workers));
+    log_loaded(fleet);
 }
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -233,7 +233,9 @@
     int64_t next_call_us;                   /* no call before */
     char page_start[CS_JOB_NAME_BYTES + 1]; /* first key of the next page;
                                                empty for the first page */
-    uint64_t read_version;     /* of the store when the first page was read */
+    uint64_t read_version;   /* of the store when the first page was read */
+    uint64_t lowest_version; /* of the store in the answers with pages */
+    uint64_t highest_version;
     uint64_t followed_version; /* changes up to it were applied */
     int64_t followed_until_us; /* changes that were made before this time were
                                   applied; 0 unknown */
@@ -289,6 +291,7 @@
                                 whose progress rows are to be */
     GQueue orphan_rows; /* of char, owned: keys of progress rows without a job,
                            to be removed */
+    uint32_t orphan_count;    /* of them in this tenure */
     bool job_rows_unreadable; /* at least one, whose job is not known */
     bool job_removal_pending; /* the removal of a job row is in flight */
     struct commit commit;
--- a/src/fleet/job.c
+++ b/src/fleet/job.c
@@ -361,9 +361,17 @@
 
     if (!call_is_stale(call)) {
         fleet->job_removal_pending = false;
-        if (answer->code == 0)
-            g_queue_push_tail(&fleet->expired_progress,
-                              g_queue_pop_head(&fleet->expired_jobs));
+        if (answer->code == 0) {
+            struct job *job = g_queue_pop_head(&fleet->expired_jobs);
+
+            cs_log_event("job-removed",
+                         "job %s, ended %" PRId64
+                         " ms ago, change of version %" PRIu64,
+                         job->spec.id,
+                         fleet_now(fleet).wall_us / CS_MS_US - job->ended_ms,
+                         answer->version);
+            g_queue_push_tail(&fleet->expired_progress, job);
+        }
     }
     g_free(call);
 }
