fleet: a run is not started on a worker that has started anew

Callers saw tasks run on two workers at once. A worker that returned with the same id and address after a crash, while runs placed on it were being recorded, was sent their starts before it had answered. Its clock was unknown then, so the end of its leases was computed from the time of the last answer of its former incarnation. For a worker that had been idle for longer than a lease, that time was past: the next tick took its leases for ended, gave the runs up and placed them elsewhere, while the starts were on the way.

Such a run is withheld now and its task, or its whole gang, waits again; its start was never sent. Nothing is ordered from an incarnation before it has answered a heartbeat, after which its clock is known and it refuses former holders.

The tests submit a job at each time within an interval in which entries of workers are read.

--- a/src/fleet/start_gate.c
+++ b/src/fleet/start_gate.c
@@ -1,6 +1,7 @@
 /*
- * Where and when tasks may start: not in an evacuated zone, and nowhere while
- * an evacuation may have been missed. Only starts are held back. Running work
+ * Where and when tasks may start: not in an evacuated zone, not on a worker
+ * that has started anew and not answered yet, and nowhere while an evacuation
+ * may have been missed. Only starts are held back. Running work
  * goes on, its leases are extended and the cell is kept.
  */
 #include "fleet_internal.h"
@@ -55,11 +56,21 @@
     return fleet_now(fleet).boot_us >= fleet->extend_until_us;
 }
 
+/* Returns whether the worker has started anew since the run was placed, and
+   has not answered since. The end of a lease on its clock is not known then,
+   nor does it refuse the orders of former holders. */
+static bool
+has_started_anew(const struct worker *worker)
+{
+    return worker->clock_ms < 0;
+}
+
 static bool
 must_withhold(cs_fleet *fleet, const struct task *task)
 {
     return task->state == TASK_RECORDING && task->recorded &&
-           (is_overdue(fleet) || !start_gate_is_open(fleet) ||
+           (is_overdue(fleet) || has_started_anew(task->worker) ||
+            !start_gate_is_open(fleet) ||
             start_gate_is_closed_at(fleet, task->worker));
 }
 
@@ -68,6 +79,8 @@
 {
     if (is_overdue(fleet))
         return "the lease was not renewed in time";
+    if (has_started_anew(task->worker))
+        return "the worker has started anew and not answered yet";
     return fleet->starts_held ? "the evacuations were not confirmed in time"
                               : task->worker->zone;
 }
--- /dev/null
+++ b/tests/test_fleet_incarnation.c
@@ -0,0 +1,87 @@
+/* Workers that crash and return with the same id and address, in a simulated
+   deployment on a virtual clock. */
+#include "fake_fleet.h"
+#include "corianderstair/log.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+/* Workers without tasks get no heartbeats; after this time their last answer
+   is older than a lease. */
+#define IDLE_US (10 * CS_SEC_US)
+/* The interval in which a holder reads the entries of workers, in steps
+   shorter than a tick. */
+#define SUBMIT_DELAY_MAX_MS 400
+#define SUBMIT_DELAY_STEP_MS 10
+
+/* Lets all workers crash and return, and submits a job some time later. */
+static void
+submit_after_crash(int64_t delay_ms, bool gang)
+{
+    fake_fleet_settings settings = {
+        .vms = 4, .workers = 3, .racks = 1, .seed = 1, .call_us = 100};
+    fake_fleet *deployment = fake_fleet_create(&settings);
+    fake_job job;
+    int32_t reply;
+    uint32_t i;
+
+    fake_fleet_run(deployment, IDLE_US);
+    for (i = 0; i < settings.workers; i++)
+        fake_fleet_crash_worker(deployment, i, 100 * CS_MS_US);
+    fake_fleet_run(deployment, delay_ms * CS_MS_US);
+    fake_job_init(&job, 1, 0, 8, 1, 2000);
+    job.spec.steps[0].gang = gang;
+    fake_fleet_submit(deployment, 0, &job, &reply);
+    fake_fleet_run(deployment, 8 * CS_SEC_US);
+    if (fake_fleet_violation(deployment))
+        fail_msg("submitted %d ms after the crash: %s", (int)delay_ms,
+                 fake_fleet_violation(deployment));
+    assert_int_equal(fake_fleet_job_state(deployment, "0000000000000001"),
+                     CS_PROGRESS_COMPLETED);
+    fake_fleet_destroy(deployment);
+}
+
+static void
+submit_at_any_time_after_crash(bool gang)
+{
+    int64_t delay_ms;
+
+    for (delay_ms = 0; delay_ms <= SUBMIT_DELAY_MAX_MS;
+         delay_ms += SUBMIT_DELAY_STEP_MS)
+        submit_after_crash(delay_ms, gang);
+}
+
+/*
+ * Guards against tasks that run twice because an idle worker has started anew
+ * while their runs were recorded: its lease was taken for ended before the
+ * starts arrived.
+ */
+static void
+incarnation__worker_reborn_before_a_start_runs_tasks_once(void **state)
+{
+    submit_at_any_time_after_crash(false);
+}
+
+/* The same for a gang, of which no member may start without the others. */
+static void
+incarnation__worker_reborn_before_a_start_runs_a_gang_once(void **state)
+{
+    submit_at_any_time_after_crash(true);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(
+            incarnation__worker_reborn_before_a_start_runs_tasks_once),
+        cmocka_unit_test(
+            incarnation__worker_reborn_before_a_start_runs_a_gang_once),
+    };
+
+    if (!g_getenv("CS_TEST_LOG"))
+        cs_log_silence();
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
