--- a/standins/fake_fleet.c
+++ b/standins/fake_fleet.c
@@ -672,8 +672,8 @@
 void
 fake_fleet_compact(fake_fleet *deployment)
 {
+    /* The rows stay for reads that lag. */
     deployment->store.compacted_version = deployment->store.version;
-    g_ptr_array_set_size(deployment->store.history, 0);
 }
 
 static void
--- a/standins/fake_fleet.h
+++ b/standins/fake_fleet.h
@@ -173,6 +173,15 @@
 uint64_t fake_fleet_config_version(const fake_fleet *deployment, uint32_t vm);
 /** Delays the store's answers by a duration; 0 ends the delay. */
 void fake_fleet_set_store_delay(fake_fleet *deployment, int64_t us);
+/**
+ * Lets reads and polls return the rows and the version of an earlier time; the
+ * history that this needs is kept. Changes and their conditions do not lag.
+ * @param vm that sends the calls to the store, or all VMs if vm < 0
+ * @param table the only one that lags, or NULL for all; not copied
+ * @param us 0 ends the lag
+ */
+void fake_fleet_set_store_lag(fake_fleet *deployment, int32_t vm,
+                              const char *table, int64_t us);
 /**
  * Lets the transfer of the next answer of more than 64 KB to a VM stall after
  * its first half.
--- a/standins/fake_fleet_internal.h
+++ b/standins/fake_fleet_internal.h
@@ -40,11 +40,20 @@
     bool deleted;
 };
 
+/* See fake_fleet_set_store_lag(). */
+struct fake_store_lag {
+    int32_t vm;
+    const char *table;
+    int64_t us;
+};
+
 struct fake_store {
     GHashTable *rows;   /* "table part key" to struct fake_row */
     GPtrArray *history; /* of struct fake_row, copies by version */
     uint64_t version;
-    uint64_t compacted_version; /* history up to this version is deleted */
+    GArray *version_times; /* of int64_t, when version 1 and so on was made */
+    struct fake_store_lag lag;
+    uint64_t compacted_version; /* feeds get no changes up to this version */
     GPtrArray *waiting_feeds;   /* of struct store_call */
     GHashTable *table_versions; /* table to the uint64_t of its last change */
     int64_t delay_us;           /* of each answer, by a fault */
--- a/standins/fake_fleet_store.c
+++ b/standins/fake_fleet_store.c
@@ -2,7 +2,8 @@
  * The fake row store: conditional changes, range reads and change feeds. With
  * faults, it applies changes without an answer, at once or late. Answers to
  * reads and polls take time on the links of the store, of a relaying peer and
- * of the VM, if these have a bandwidth.
+ * of the VM, if these have a bandwidth. Reads and polls may lag: they return
+ * the rows and the version of an earlier time.
  */
 #include "fake_fleet_internal.h"
 
@@ -130,6 +131,7 @@
     store->rows =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, row_free);
     store->history = g_ptr_array_new_with_free_func(row_free);
+    store->version_times = g_array_new(FALSE, FALSE, sizeof(int64_t));
     store->waiting_feeds = g_ptr_array_new();
     store->table_versions =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -159,6 +161,7 @@
 {
     g_hash_table_destroy(deployment->store.rows);
     g_ptr_array_free(deployment->store.history, TRUE);
+    g_array_free(deployment->store.version_times, TRUE);
     g_ptr_array_free(deployment->store.waiting_feeds, TRUE);
     g_hash_table_destroy(deployment->store.table_versions);
 }
@@ -477,26 +480,79 @@
                      call->deployment->now_us / CS_MS_US + 1);
 }
 
+/* Returns by how much the answer to a read or a poll lags. */
+static int64_t
+answer_lag_us(const struct store_call *call)
+{
+    const struct fake_store_lag *lag = &call->deployment->store.lag;
+
+    if ((lag->vm >= 0 && (uint32_t)lag->vm != call->relay->number) ||
+        (lag->table && strcmp(lag->table, call->table) != 0))
+        return 0;
+    return lag->us;
+}
+
+/* Returns the version of the store that the call is answered at. */
+static uint64_t
+visible_version(const struct store_call *call)
+{
+    const struct fake_store *store = &call->deployment->store;
+    int64_t at_us = call->deployment->now_us - answer_lag_us(call);
+    uint64_t version = store->version;
+
+    while (version > 0 &&
+           g_array_index(store->version_times, int64_t, version - 1) > at_us)
+        version--;
+    return version;
+}
+
+/* Returns the first row of the history after a version. */
+static guint
+find_in_history(const fake_fleet *deployment, uint64_t version)
+{
+    const GPtrArray *history = deployment->store.history;
+    guint first = history->len;
+
+    while (first > 0 &&
+           ((const struct fake_row *)g_ptr_array_index(history, first - 1))
+                   ->version > version)
+        first--;
+    return first;
+}
+
 /* Returns whether the table has changed after the version of the feed. */
 static bool
 feed_is_ready(const struct store_call *call)
 {
-    const uint64_t *version = g_hash_table_lookup(
-        call->deployment->store.table_versions, call->table);
+    const fake_fleet *deployment = call->deployment;
+    const uint64_t *version =
+        g_hash_table_lookup(deployment->store.table_versions, call->table);
+    guint end;
+    guint i;
 
-    return version && *version > call->after;
+    if (!version || *version <= call->after || answer_lag_us(call) == 0)
+        return version && *version > call->after;
+    end = find_in_history(deployment, visible_version(call));
+    for (i = find_in_history(deployment, call->after); i < end; i++) {
+        const struct fake_row *row =
+            g_ptr_array_index(deployment->store.history, i);
+
+        if (strcmp(row->table, call->table) == 0)
+            return true;
+    }
+    return false;
 }
 
 static void
 send_feed(struct store_call *call)
 {
     const GPtrArray *history = call->deployment->store.history;
-    uint64_t version = call->deployment->store.version;
+    uint64_t version = visible_version(call);
     guint limit = call->deployment->feed_rows_max;
     bool has_more = false;
     size_t bytes = 0;
     GPtrArray *rows;
-    guint first;
+    guint end;
     guint i;
 
     if (call->after < call->deployment->store.compacted_version) {
@@ -504,12 +560,8 @@
         return;
     }
     rows = g_ptr_array_new();
-    first = history->len;
-    while (first > 0 &&
-           ((const struct fake_row *)g_ptr_array_index(history, first - 1))
-                   ->version > call->after)
-        first--;
-    for (i = first; i < history->len; i++) {
+    end = find_in_history(call->deployment, version);
+    for (i = find_in_history(call->deployment, call->after); i < end; i++) {
         struct fake_row *row = g_ptr_array_index(history, i);
 
         if (strcmp(row->table, call->table) != 0)
@@ -578,11 +630,23 @@
     g_free(row_id);
 }
 
+static void
+begin_version(fake_fleet *deployment)
+{
+    struct fake_store *store = &deployment->store;
+
+    store->version++;
+    g_array_append_val(store->version_times, deployment->now_us);
+    if (store->lag.us > 0)
+        fake_schedule(deployment, deployment->now_us + store->lag.us,
+                      answer_ready_feeds_event, deployment);
+}
+
 void
 fake_store_put(fake_fleet *deployment, const char *table, const char *part,
                const char *key, const void *value, size_t size)
 {
-    deployment->store.version++;
+    begin_version(deployment);
     write_row(deployment, table, part, key, value, size, false);
     fake_schedule(deployment, deployment->now_us, answer_ready_feeds_event,
                   deployment);
@@ -592,7 +656,7 @@
 fake_store_remove(fake_fleet *deployment, const char *table, const char *part,
                   const char *key)
 {
-    deployment->store.version++;
+    begin_version(deployment);
     write_row(deployment, table, part, key, NULL, 0, true);
     fake_schedule(deployment, deployment->now_us, answer_ready_feeds_event,
                   deployment);
@@ -643,7 +707,7 @@
     fake_fleet *deployment = call->deployment;
     guint i;
 
-    deployment->store.version++;
+    begin_version(deployment);
     for (i = 0; i < call->change.puts->len; i++) {
         const struct fake_row *row = g_ptr_array_index(call->change.puts, i);
 
@@ -795,26 +859,65 @@
            (!call->to || strcmp(row->key, call->to) < 0);
 }
 
-static void
-execute_read(void *user_data)
+/* Returns the rows in the range of the call as of a version, to be freed by
+   the caller. */
+static GPtrArray *
+list_past_rows(const struct store_call *call, uint64_t version)
+{
+    const fake_fleet *deployment = call->deployment;
+    guint end = find_in_history(deployment, version);
+    GHashTable *by_key = g_hash_table_new(g_str_hash, g_str_equal);
+    GPtrArray *rows = g_ptr_array_new();
+    GHashTableIter iter;
+    gpointer value;
+    guint i;
+
+    for (i = 0; i < end; i++) {
+        struct fake_row *row = g_ptr_array_index(deployment->store.history, i);
+
+        if (in_range(call, row))
+            g_hash_table_replace(by_key, row->key, row);
+    }
+    g_hash_table_iter_init(&iter, by_key);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        if (!((const struct fake_row *)value)->deleted)
+            g_ptr_array_add(rows, value);
+    }
+    g_hash_table_destroy(by_key);
+    return rows;
+}
+
+static GPtrArray *
+list_current_rows(const struct store_call *call)
 {
-    struct store_call *call = user_data;
     GPtrArray *rows = g_ptr_array_new();
     GHashTableIter iter;
     gpointer value;
-    guint limit = call->limit ? call->limit : 500;
-    bool has_more;
 
     g_hash_table_iter_init(&iter, call->deployment->store.rows);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         if (in_range(call, value))
             g_ptr_array_add(rows, value);
     }
+    return rows;
+}
+
+static void
+execute_read(void *user_data)
+{
+    struct store_call *call = user_data;
+    uint64_t version = visible_version(call);
+    GPtrArray *rows = version < call->deployment->store.version
+                          ? list_past_rows(call, version)
+                          : list_current_rows(call);
+    guint limit = call->limit ? call->limit : 500;
+    bool has_more;
+
     g_ptr_array_sort(rows, compare_rows);
     has_more = rows->len > limit;
     if (has_more)
         g_ptr_array_set_size(rows, (gint)limit);
-    send_rows(call, 0, rows, has_more, call->deployment->store.version);
+    send_rows(call, 0, rows, has_more, version);
     g_ptr_array_free(rows, TRUE);
 }
 
@@ -1019,6 +1122,15 @@
     deployment->store.delay_us = us;
 }
 
+void
+fake_fleet_set_store_lag(fake_fleet *deployment, int32_t vm, const char *table,
+                         int64_t us)
+{
+    struct fake_store_lag lag = {.vm = vm, .table = table, .us = us};
+
+    deployment->store.lag = lag;
+}
+
 void
 fake_fleet_stall_transfer(fake_fleet *deployment, uint32_t vm)
 {
