fleet: changes are followed from the oldest page of a table

An accepted job was never run. A holder reads the jobs page by page and then follows their changes from the version of the first page. If a later page is answered as of an earlier moment than the first, a job that was stored between the two is in neither. It is not seen before another holder reads all rows.

Changes are followed from the lowest version of all pages; what is repeated is applied twice without effect.

--- a/src/fleet/feeds.c
+++ b/src/fleet/feeds.c
@@ -148,8 +148,6 @@
 static void
 advance_page(struct feed *feed, const cs_store_answer *answer)
 {
-    if (!feed->page_start[0] && feed->part_number == 0)
-        feed->read_version = answer->version;
     if (answer->has_more && answer->row_count > 0) {
         /* Any other key after the last one of this page sorts behind this
            character. */
@@ -161,7 +159,9 @@
     if (!feed->part && ++feed->part_number < CS_JOB_PARTS)
         return;
     feed->part_number = 0;
-    feed->followed_version = feed->read_version;
+    /* Of the pages that lag, each may lack a change that is older than the
+       version of the first one. */
+    feed->followed_version = feed->lowest_version;
     feed->followed_until_us = 0;
     feed->loaded = true;
 }
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -234,7 +234,6 @@
     int64_t lagging_since_us; /* since when pages lag; 0 they do not */
     char page_start[CS_JOB_NAME_BYTES + 1]; /* first key of the next page;
                                                empty for the first page */
-    uint64_t read_version;   /* of the store when the first page was read */
     uint64_t lowest_version; /* of the store in the answers with pages */
     uint64_t highest_version;
     uint64_t followed_version; /* changes up to it were applied */
--- a/tests/test_fleet_takeover.c
+++ b/tests/test_fleet_takeover.c
@@ -373,6 +373,7 @@
         cmocka_unit_test(takeover__tasks_run_once_while_reads_of_jobs_lag),
         cmocka_unit_test(takeover__tasks_run_once_while_reads_of_progress_lag),
         cmocka_unit_test(takeover__tasks_run_once_while_all_reads_lag),
+        cmocka_unit_test(takeover__job_accepted_between_pages_is_run),
     };
     /* KNOWN-RED.txt lists these. */
     const struct CMUnitTest known_red[] = {
@@ -380,7 +381,6 @@
             takeover__late_removal_of_progress_spares_a_newer_job),
         cmocka_unit_test(takeover__late_removal_of_a_job_spares_a_newer_one),
         cmocka_unit_test(takeover__removed_job_does_not_run_again),
-        cmocka_unit_test(takeover__job_accepted_between_pages_is_run),
         cmocka_unit_test(takeover__progress_of_running_tasks_is_not_removed),
     };
 
