fleet: a removed job is not taken for a new one when jobs are read again

A task that had ended done ran again. When the store no longer has the history that the holder follows, it reads all jobs again. A page that is older than the removal of an ended job still shows the job; the holder does not know it any more and runs it. The same holds for a page that was read before the removal and arrives after it.

A job row that is not newer than the changes that were applied is no new job. Repeated reads do not go back either: their pages have to be as new as the last change that the feed has seen. As answers that lag may be too old again, 100 ms lie between two repeated reads.

--- a/src/fleet/feeds.c
+++ b/src/fleet/feeds.c
@@ -34,6 +34,12 @@
         fleet_increment_counter(fleet, "cs_rows_unreadable_total");
         return;
     }
+    /* All changes up to this version were applied, so that the job was known
+       and is removed. Pages that are read again may still show it. */
+    if (!job && row->version <= fleet->job_feed.followed_version) {
+        cs_job_spec_dispose(&spec);
+        return;
+    }
     cancelled = spec.cancelled;
     /* job_cancel() sets it again, also for a new job. */
     spec.cancelled = false;
@@ -136,7 +142,8 @@
         cs_log_event("table-reread", "table %s: the history is gone",
                      feed->table);
         feed->loaded = false;
-        feed->next_call_us = 0;
+        /* If answers lag, the next one may be too old again. */
+        feed->next_call_us = fleet_now(fleet).boot_us + RETRY_US;
         return NULL;
     }
     feed->next_call_us = fleet_now(fleet).boot_us + RETRY_US;
@@ -179,15 +186,17 @@
 /*
  * Returns whether a page lags behind the tenure: it may lack what a former
  * holder has recorded, so that running tasks would be started again. What is
- * written later, by this holder or by entries, does not have to be in a page.
- * An answer without a version lags as well.
+ * written later, by this holder or by entries, does not have to be in a page,
+ * unless the feed has seen it before. An answer without a version lags as
+ * well.
  */
 static bool
 page_lags(cs_fleet *fleet, struct feed *feed, uint64_t version)
 {
+    uint64_t known = MAX(fleet->epoch_version, feed->followed_version);
     int64_t now_us = fleet_now(fleet).boot_us;
 
-    if (version >= fleet->epoch_version) {
+    if (version >= known) {
         if (feed->lagging_since_us)
             cs_log_event("page-current", "table %s after %" PRId64 " ms",
                          feed->table,
@@ -198,8 +207,9 @@
     if (feed->lagging_since_us == 0) {
         feed->lagging_since_us = now_us;
         cs_log_event("page-behind",
-                     "table %s at version %" PRIu64 ", epoch row %" PRIu64,
-                     feed->table, version, fleet->epoch_version);
+                     "table %s at version %" PRIu64 ", epoch row %" PRIu64
+                     ", known to %" PRIu64,
+                     feed->table, version, fleet->epoch_version, known);
     }
     fleet_increment_counter(fleet, "cs_pages_behind_total");
     feed->next_call_us = now_us + RETRY_US;
--- a/tests/test_fleet_takeover.c
+++ b/tests/test_fleet_takeover.c
@@ -263,11 +263,12 @@
 }
 
 /*
- * Guards against an ended job that runs again: its row was removed, and a
- * repeated read of all jobs, which lags, still shows it.
+ * Removes a completed job after its retention, and lets the holder read all
+ * jobs again, of which the job is one as of an earlier time.
+ * lag_before: reads and polls lag already when the job is removed
  */
 static void
-takeover__removed_job_does_not_run_again(void **state)
+expect_removed_job_stays_removed(bool lag_before)
 {
     fake_fleet *deployment = create_deployment(1);
     uint32_t starts;
@@ -278,6 +279,8 @@
     assert_int_equal(fake_fleet_job_state(deployment, JOB_ID),
                      CS_PROGRESS_COMPLETED);
     starts = fake_fleet_start_count(deployment, JOB_ID);
+    if (lag_before)
+        fake_fleet_set_store_lag(deployment, -1, "job", 4 * CS_SEC_US);
     run_to_removal(deployment);
     fake_fleet_set_store_lag(deployment, -1, "job", 4 * CS_SEC_US);
     fake_fleet_compact(deployment);
@@ -289,6 +292,17 @@
     fake_fleet_destroy(deployment);
 }
 
+/*
+ * Guards against an ended job that runs again: its row was removed, and a
+ * repeated read of all jobs, which lags, still shows it.
+ */
+static void
+takeover__removed_job_does_not_run_again(void **state)
+{
+    expect_removed_job_stays_removed(false);
+    expect_removed_job_stays_removed(true);
+}
+
 /*
  * Guards against jobs that are never run: they were accepted while a new
  * holder read the jobs page by page, and a later page lags behind the first.
@@ -374,13 +388,13 @@
         cmocka_unit_test(takeover__tasks_run_once_while_reads_of_progress_lag),
         cmocka_unit_test(takeover__tasks_run_once_while_all_reads_lag),
         cmocka_unit_test(takeover__job_accepted_between_pages_is_run),
+        cmocka_unit_test(takeover__removed_job_does_not_run_again),
     };
     /* KNOWN-RED.txt lists these. */
     const struct CMUnitTest known_red[] = {
         cmocka_unit_test(
             takeover__late_removal_of_progress_spares_a_newer_job),
         cmocka_unit_test(takeover__late_removal_of_a_job_spares_a_newer_one),
-        cmocka_unit_test(takeover__removed_job_does_not_run_again),
         cmocka_unit_test(takeover__progress_of_running_tasks_is_not_removed),
     };
 
