--- a/src/fleet/feeds.c
+++ b/src/fleet/feeds.c
@@ -34,6 +34,12 @@
         fleet_increment_counter(fleet, "cs_rows_unreadable_total");
         return;
     }
+    /* All changes up to this version were applied, so that the job was known
+       and is removed. Pages that are read again may still show it. */
+    if (!job && row->version <= fleet->job_feed.followed_version) {
+        cs_job_spec_dispose(&spec);
+        return;
+    }
     cancelled = spec.cancelled;
     /* job_cancel() sets it again, also for a new job. */
     spec.cancelled = false;
@@ -41,33 +47,69 @@
         cs_job_spec_dispose(&spec);
     else
         job = job_add(fleet, &spec);
+    job->row_version = MAX(job->row_version, row->version);
     if (cancelled)
         job_cancel(fleet, job);
     fleet->cycle_requested = true;
 }
 
+/* Returns whether the job of a progress row without a known job has ended, as
+   its first row, which is read before the others, tells. */
+static bool
+orphan_has_ended(cs_fleet *fleet, const cs_row *row, const char *id)
+{
+    cs_job_progress progress;
+
+    if (strcmp(row->key, id) != 0)
+        return strcmp(fleet->ended_orphan, id) == 0;
+    fleet->ended_orphan[0] = '\0';
+    if (cs_job_progress_decode(&progress, row->value, row->size_bytes))
+        return false;
+    if (cs_progress_is_final(progress.state))
+        g_strlcpy(fleet->ended_orphan, id, sizeof(fleet->ended_orphan));
+    cs_job_progress_dispose(&progress);
+    return fleet->ended_orphan[0] != '\0';
+}
+
+static void
+queue_removal(cs_fleet *fleet, const cs_row *row)
+{
+    struct orphan_row *orphan = g_new0(struct orphan_row, 1);
+
+    g_strlcpy(orphan->key, row->key, sizeof(orphan->key));
+    orphan->version = row->version;
+    g_queue_push_tail(&fleet->orphan_rows, orphan);
+}
+
 /*
  * Queues the removal of a progress row whose job is not known: a former holder
  * had removed the job row, and not yet this one. Jobs are read before, and a
- * job that was inserted meanwhile has no progress.
+ * job that was inserted meanwhile has no progress. Only ended jobs are
+ * removed. The tasks of another one may be running: if its row returns, its
+ * progress must still be there.
  */
 static void
 note_orphan(cs_fleet *fleet, const cs_row *row)
 {
     char id[CS_JOB_ID_BYTES];
+    bool ended;
 
     g_strlcpy(id, row->key, sizeof(id));
     if (fleet->job_rows_unreadable || !progress_is_key(row->key) ||
         g_hash_table_contains(fleet->jobs, id))
         return;
-    g_queue_push_tail(&fleet->orphan_rows, g_strdup(row->key));
+    ended = orphan_has_ended(fleet, row, id);
+    if (ended)
+        queue_removal(fleet, row);
     fleet_increment_counter(fleet, "cs_orphan_rows_total");
     if (fleet->orphan_count++ < ORPHAN_LINES_MAX)
         cs_log_event("progress-orphaned",
                      "row %s of version %" PRIu64
-                     ", jobs read at version %" PRIu64 " to %" PRIu64,
+                     ", jobs read at version %" PRIu64 " to %" PRIu64 ", %s",
                      row->key, row->version, fleet->job_feed.lowest_version,
-                     fleet->job_feed.highest_version);
+                     fleet->job_feed.highest_version,
+                     ended ? "to be removed"
+                           : "kept, as the job has not ended");
 }
 
 /* The rows are read in the order of their keys, so that the first row of a
@@ -136,7 +178,8 @@
         cs_log_event("table-reread", "table %s: the history is gone",
                      feed->table);
         feed->loaded = false;
-        feed->next_call_us = 0;
+        /* If answers lag, the next one may be too old again. */
+        feed->next_call_us = fleet_now(fleet).boot_us + RETRY_US;
         return NULL;
     }
     feed->next_call_us = fleet_now(fleet).boot_us + RETRY_US;
@@ -148,8 +191,6 @@
 static void
 advance_page(struct feed *feed, const cs_store_answer *answer)
 {
-    if (!feed->page_start[0] && feed->part_number == 0)
-        feed->read_version = answer->version;
     if (answer->has_more && answer->row_count > 0) {
         /* Any other key after the last one of this page sorts behind this
            character. */
@@ -161,7 +202,9 @@
     if (!feed->part && ++feed->part_number < CS_JOB_PARTS)
         return;
     feed->part_number = 0;
-    feed->followed_version = feed->read_version;
+    /* Of the pages that lag, each may lack a change that is older than the
+       version of the first one. */
+    feed->followed_version = feed->lowest_version;
     feed->followed_until_us = 0;
     feed->loaded = true;
 }
@@ -176,8 +219,41 @@
         feed->apply_row(fleet, &answer->rows[i]);
 }
 
+/*
+ * Returns whether a page lags behind the tenure: it may lack what a former
+ * holder has recorded, so that running tasks would be started again. What is
+ * written later, by this holder or by entries, does not have to be in a page,
+ * unless the feed has seen it before. An answer without a version lags as
+ * well.
+ */
+static bool
+page_lags(cs_fleet *fleet, struct feed *feed, uint64_t version)
+{
+    uint64_t known = MAX(fleet->epoch_version, feed->followed_version);
+    int64_t now_us = fleet_now(fleet).boot_us;
+
+    if (version >= known) {
+        if (feed->lagging_since_us)
+            cs_log_event("page-current", "table %s after %" PRId64 " ms",
+                         feed->table,
+                         (now_us - feed->lagging_since_us) / CS_MS_US);
+        feed->lagging_since_us = 0;
+        return false;
+    }
+    if (feed->lagging_since_us == 0) {
+        feed->lagging_since_us = now_us;
+        cs_log_event("page-behind",
+                     "table %s at version %" PRIu64 ", epoch row %" PRIu64
+                     ", known to %" PRIu64,
+                     feed->table, version, fleet->epoch_version, known);
+    }
+    fleet_increment_counter(fleet, "cs_pages_behind_total");
+    feed->next_call_us = now_us + RETRY_US;
+    return true;
+}
+
 static void
-note_page_version(cs_fleet *fleet, struct feed *feed, uint64_t version)
+note_page_version(struct feed *feed, uint64_t version)
 {
     if (!feed->page_start[0] && feed->part_number == 0) {
         feed->lowest_version = version;
@@ -185,12 +261,6 @@
     }
     feed->lowest_version = MIN(feed->lowest_version, version);
     feed->highest_version = MAX(feed->highest_version, version);
-    if (version >= fleet->epoch_version)
-        return;
-    cs_log_event("page-behind",
-                 "table %s at version %" PRIu64 ", epoch row %" PRIu64,
-                 feed->table, version, fleet->epoch_version);
-    fleet_increment_counter(fleet, "cs_pages_behind_total");
 }
 
 static void
@@ -200,9 +270,9 @@
     cs_fleet *fleet = call->fleet;
     struct feed *feed = end_call(call, answer);
 
-    if (!feed)
+    if (!feed || page_lags(fleet, feed, answer->version))
         return;
-    note_page_version(fleet, feed, answer->version);
+    note_page_version(feed, answer->version);
     apply_rows(fleet, feed, answer);
     advance_page(feed, answer);
     if (feed->loaded && feed->read_completed)
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -22,6 +22,7 @@
 #include <string.h>
 
 #define TASK_NAME_BYTES 64
+#define CS_PROGRESS_KEY_BYTES (CS_JOB_ID_BYTES + 12)
 /* Keys of the rows of CS_TABLE_CELL. */
 #define EPOCH_KEY "epoch"
 #define LEASE_KEY "lease"
@@ -192,8 +193,15 @@
     bool committing;  /* the row is being written */
 };
 
+/* A progress row in the store whose job is not known. */
+struct orphan_row {
+    char key[CS_PROGRESS_KEY_BYTES];
+    uint64_t version;
+};
+
 struct job {
     cs_job_spec spec;
+    uint64_t row_version; /* of its row in CS_TABLE_JOBS */
     cs_progress_state state;
     struct progress_row *rows;
     uint32_t row_count; /* at least 1 */
@@ -240,10 +248,10 @@
     void (*read_completed)(cs_fleet *fleet);
     bool pending; /* a call is in flight */
     bool loaded;
-    int64_t next_call_us;                   /* no call before */
+    int64_t next_call_us;     /* no call before */
+    int64_t lagging_since_us; /* since when pages lag; 0 they do not */
     char page_start[CS_JOB_NAME_BYTES + 1]; /* first key of the next page;
                                                empty for the first page */
-    uint64_t read_version;   /* of the store when the first page was read */
     uint64_t lowest_version; /* of the store in the answers with pages */
     uint64_t highest_version;
     uint64_t followed_version; /* changes up to it were applied */
@@ -299,9 +307,9 @@
     GQueue expired_jobs; /* of struct job, whose job row is to be removed */
     GQueue expired_progress; /* of struct job, whose job row was removed and
                                 whose progress rows are to be */
-    GQueue orphan_rows; /* of char, owned: keys of progress rows without a job,
-                           to be removed */
-    uint32_t orphan_count;    /* of them in this tenure */
+    GQueue orphan_rows;      /* of struct orphan_row, owned: to be removed */
+    uint32_t orphan_count;   /* progress rows without a job in this tenure */
+    char ended_orphan[CS_JOB_ID_BYTES]; /* the last ended job among theirs */
     bool job_rows_unreadable; /* at least one, whose job is not known */
     bool job_removal_pending; /* the removal of a job row is in flight */
     struct commit commit;
@@ -488,7 +496,6 @@
 void task_name(char *out, const struct task *task);
 
 /* progress.c */
-#define CS_PROGRESS_KEY_BYTES (CS_JOB_ID_BYTES + 12)
 /* Returns the store's limit of a row's value. */
 size_t progress_max_row_bytes(const cs_fleet *fleet);
 /* Returns how many tasks a row of a new job holds. */
