fleet: a task is not started while a worker lists another run of it

Callers saw a subtask run on two workers at once. A run that a worker lists and that the holder does not know there was stopped, which takes up to stopMs, but its task was not held back meanwhile: a waiting task was placed, recorded and started elsewhere within milliseconds, and one whose record was being written was started as soon as the store confirmed it. The next run could also get a number up to the one listed.

What a worker lists now counts, whatever the reason that the holder does not know the run. Its task is neither placed nor, once recorded, started, a gang as a whole, until the answer to a later heartbeat does not list the run, the worker's leases have surely ended, or the worker is another incarnation; other tasks of the step go on. The next run is numbered above the listed one. csctl tells the reason, start-withheld names it, and runs-unknown-ended logs what was not seen to end.

This does not help where the task was started before the worker answered.

The six new tests failed before:

--- a/src/fleet/cycle.c
+++ b/src/fleet/cycle.c
@@ -228,11 +228,11 @@
     for (i = 0; i < step->spec->task_count && placed < count; i++) {
         struct task *task = &step->tasks[i];
 
-        if (task->state != TASK_WAITING)
+        if (task->state != TASK_WAITING || task->held)
             continue;
         task_place(fleet, task,
                    g_ptr_array_index(fleet->worker_list, workers[placed++]),
-                   step->spec->gang ? run : task->run + 1);
+                   step->spec->gang ? run : task_next_run(task));
         progress_set_task_dirty(fleet, task);
     }
     if (step->job->state == CS_PROGRESS_QUEUED) {
@@ -379,6 +379,7 @@
 cycle_run(cs_fleet *fleet)
 {
     struct cycle cycle = {.fleet = fleet, .now = fleet_now(fleet)};
+    GPtrArray *held;
     guint i;
 
     fleet->cycle_requested = false;
@@ -390,12 +391,14 @@
     cycle.guarantee_used =
         g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
     build_cell(&cycle);
+    held = unwanted_hold_tasks(fleet);
     cycle_collect_candidates(&cycle);
     apply_reservations(&cycle);
     for (i = 0; i < cycle.candidates->len; i++)
         schedule_candidate(
             &cycle, &g_array_index(cycle.candidates, struct candidate, i));
     reserve_update(&cycle);
+    unwanted_release_tasks(held);
     cycle_preempt_dispose(&cycle);
     cs_binpack_cell_unindex(&cycle.cell);
     g_free(cycle.expected_cell.workers);
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -56,6 +56,7 @@
     fleet->label_pairs = worker_label_pairs_create();
     fleet->queue_run_times =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    fleet->unwanted_tasks = unwanted_tasks_create();
     fleet->stored_speeds =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     fleet->reserve = reserve_create();
@@ -83,6 +84,7 @@
     g_array_free(fleet->label_pairs, TRUE);
     g_hash_table_destroy(fleet->queue_run_times);
     g_hash_table_destroy(fleet->stored_speeds);
+    g_hash_table_destroy(fleet->unwanted_tasks);
     reserve_free(fleet->reserve);
 }
 
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -156,6 +156,9 @@
     uint64_t heartbeat; /* serial of the last heartbeat that listed it */
     struct worker *avoid_worker; /* where its last run failed */
     int64_t avoid_until_us;      /* not placed there before */
+    bool held; /* not placed in this cycle, see unwanted_hold_tasks() */
+    /* Of the runs that workers have listed and that were not wanted there. */
+    uint32_t highest_listed_run;
 };
 
 /* A step of one occurrence of a job. */
@@ -293,6 +296,8 @@
     GHashTable *rack_numbers; /* name to number + 1 */
     GArray *label_pairs;      /* of struct label_pair, by number of the bit */
     GHashTable *queue_run_times; /* queue name to struct queue_run_time */
+    GHashTable *unwanted_tasks;  /* name to struct unwanted_task, of tasks with
+                                    a struct unwanted_run on any worker */
     GQueue dirty_rows;           /* of struct progress_row, to be written */
     GQueue expired_jobs; /* of struct job, whose job row is to be removed */
     GQueue expired_progress; /* of struct job, whose job row was removed and
@@ -533,6 +538,8 @@
  * its task and stops the newer run.
  */
 void task_complete_late(cs_fleet *fleet, struct task *task, uint32_t run);
+/* Returns the number of the task's next run, unless it is of a gang. */
+uint32_t task_next_run(const struct task *task);
 /* Returns the number of the next run of a gang. */
 uint32_t step_next_run(const struct step *step);
 /* Stops or releases all members of a gang after one of them has ended. */
@@ -555,6 +562,27 @@
 void run_stop_unknown(cs_fleet *fleet, struct worker *worker, const char *task,
                       uint32_t run);
 
+/* unwanted.c */
+GHashTable *unwanted_tasks_create(void);
+/* Notes that a worker lists a run that is not wanted there. */
+void unwanted_note(cs_fleet *fleet, struct worker *worker, const char *name,
+                   uint32_t run);
+/* Forgets those of the worker's unwanted runs that the answer to a heartbeat
+   has not listed. Ones that were seen after it was sent may have started
+   behind it. */
+void unwanted_forget(cs_fleet *fleet, struct worker *worker, int64_t sent_us);
+/* Forgets all of them, as they have surely ended. */
+void unwanted_end_all(cs_fleet *fleet, struct worker *worker,
+                      const char *reason);
+/* Returns whether a worker lists an unwanted run of the task. */
+bool unwanted_holds(const cs_fleet *fleet, const struct task *task);
+/*
+ * Holds the waiting tasks with unwanted runs for a scheduling cycle: they do
+ * not count in waiting_count until unwanted_release_tasks(). Returns them.
+ */
+GPtrArray *unwanted_hold_tasks(cs_fleet *fleet);
+void unwanted_release_tasks(GPtrArray *held);
+
 /* run_log.c */
 /* Logs the recorded tasks of a step, which are about to start. */
 void run_log_starts(const cs_fleet *fleet, const struct step *step);
@@ -562,10 +590,8 @@
 void run_log_adopted(const cs_fleet *fleet);
 /* Logs why a run that a worker lists is not wanted, unless it did so a short
    while ago. */
-void run_log_unwanted(cs_fleet *fleet, struct worker *worker, const char *name,
-                      uint32_t run);
-/* Drops the worker's unwanted runs that were last listed before a time. */
-void run_log_forget_unwanted(struct worker *worker, int64_t seen_before_us);
+void run_log_unwanted(cs_fleet *fleet, const struct worker *worker,
+                      struct unwanted_run *unwanted);
 /* Logs the end of a task's run, unless it is done. */
 void run_log_end(const cs_fleet *fleet, const struct task *task,
                  cs_run_outcome end, const char *reason);
--- a/src/fleet/heartbeat.c
+++ b/src/fleet/heartbeat.c
@@ -222,7 +222,7 @@
     process_ends(fleet, worker, answer);
     for (i = 0; i < answer->run_count; i++)
         process_run(fleet, worker, &answer->runs[i], heartbeat, now_us);
-    run_log_forget_unwanted(worker, now_us);
+    unwanted_forget(fleet, worker, sent_us);
     /* A run that is neither listed as present nor among the first ends may
        have ended as well; a later answer lists it. */
     if (answer->ended_run_count < CS_WORKER_ENDS_MAX)
@@ -374,7 +374,7 @@
     if (now_us < leases_end_us(fleet, worker) ||
         now_us - worker->last_answer_us < ANSWER_TIMEOUT_US)
         return;
-    if (worker_count_started(worker) == 0)
+    if (worker_count_started(worker) == 0 && worker->unwanted_runs->len == 0)
         return;
     worker_end_started_tasks(fleet, worker, "its leases have ended");
 }
--- a/src/fleet/run.c
+++ b/src/fleet/run.c
@@ -251,7 +251,7 @@
 run_stop_unknown(cs_fleet *fleet, struct worker *worker, const char *task,
                  uint32_t run)
 {
-    run_log_unwanted(fleet, worker, task, run);
+    unwanted_note(fleet, worker, task, run);
     fleet_increment_counter(fleet, "cs_runs_unknown_total");
     worker_expect_end(fleet, worker);
     /* No task accounts for the run's demand, so the worker's capacity appears
--- a/src/fleet/run_log.c
+++ b/src/fleet/run_log.c
@@ -163,77 +163,34 @@
 }
 
 static void
-write_unwanted(cs_fleet *fleet, const struct worker *worker, const char *name,
-               uint32_t run, uint32_t repeats)
+write_unwanted(cs_fleet *fleet, const struct worker *worker,
+               const struct unwanted_run *unwanted)
 {
-    const struct task *task = job_find_task(fleet, name);
+    const struct task *task = job_find_task(fleet, unwanted->task);
     char *now = describe_task(task);
 
-    cs_log_event("run-unknown",
-                 "task %.60s run %u worker %s/%" PRIu64
-                 " is stopped, %s%s; epoch %" PRIu64 " for %" PRId64
-                 " ms, listed %u times before",
-                 name, run, worker->id, worker->incarnation_ms,
-                 describe_mismatch(task, worker, run), now, fleet->epoch,
-                 (fleet_now(fleet).boot_us - fleet->acquire_sent_us) /
-                     CS_MS_US,
-                 repeats);
+    cs_log_event(
+        "run-unknown",
+        "task %s run %u worker %s/%" PRIu64 " is stopped, %s%s; epoch %" PRIu64
+        " for %" PRId64 " ms, listed %u times before",
+        unwanted->task, unwanted->run, worker->id, worker->incarnation_ms,
+        describe_mismatch(task, worker, unwanted->run), now, fleet->epoch,
+        (fleet_now(fleet).boot_us - fleet->acquire_sent_us) / CS_MS_US,
+        unwanted->repeats);
     g_free(now);
 }
 
-static struct unwanted_run *
-find_unwanted(const struct worker *worker, const char *name, uint32_t run)
-{
-    guint i;
-
-    for (i = 0; i < worker->unwanted_runs->len; i++) {
-        struct unwanted_run *unwanted =
-            &g_array_index(worker->unwanted_runs, struct unwanted_run, i);
-
-        if (unwanted->run == run && strcmp(unwanted->task, name) == 0)
-            return unwanted;
-    }
-    return NULL;
-}
-
 void
-run_log_unwanted(cs_fleet *fleet, struct worker *worker, const char *name,
-                 uint32_t run)
+run_log_unwanted(cs_fleet *fleet, const struct worker *worker,
+                 struct unwanted_run *unwanted)
 {
     int64_t now_us = fleet_now(fleet).boot_us;
-    struct unwanted_run *unwanted = find_unwanted(worker, name, run);
-    struct unwanted_run added = {.run = run};
 
-    if (!unwanted) {
-        g_strlcpy(added.task, name, sizeof(added.task));
-        g_array_append_val(worker->unwanted_runs, added);
-        unwanted = &g_array_index(worker->unwanted_runs, struct unwanted_run,
-                                  worker->unwanted_runs->len - 1);
-    }
-    else {
-        fleet_increment_counter(fleet, "cs_runs_unknown_repeated_total");
-        unwanted->repeats++;
-    }
-    unwanted->seen_us = now_us;
     if (unwanted->logged_us &&
         now_us - unwanted->logged_us < REPEAT_INTERVAL_US)
         return;
     unwanted->logged_us = now_us;
-    write_unwanted(fleet, worker, name, run, unwanted->repeats);
-}
-
-void
-run_log_forget_unwanted(struct worker *worker, int64_t seen_before_us)
-{
-    guint i = 0;
-
-    while (i < worker->unwanted_runs->len) {
-        if (g_array_index(worker->unwanted_runs, struct unwanted_run, i)
-                .seen_us < seen_before_us)
-            g_array_remove_index_fast(worker->unwanted_runs, i);
-        else
-            i++;
-    }
+    write_unwanted(fleet, worker, unwanted);
 }
 
 void
--- a/src/fleet/start_gate.c
+++ b/src/fleet/start_gate.c
@@ -1,6 +1,7 @@
 /*
- * Where and when tasks may start: not in an evacuated zone, and nowhere while
- * an evacuation may have been missed. Only starts are held back. Running work
+ * Where and when tasks may start: not in an evacuated zone, nowhere while an
+ * evacuation may have been missed, and not while a worker lists a run of the
+ * task that is not wanted there. Only starts are held back. Running work
  * goes on, its leases are extended and the cell is kept.
  */
 #include "fleet_internal.h"
@@ -60,7 +61,8 @@
 {
     return task->state == TASK_RECORDING && task->recorded &&
            (is_overdue(fleet) || !start_gate_is_open(fleet) ||
-            start_gate_is_closed_at(fleet, task->worker));
+            start_gate_is_closed_at(fleet, task->worker) ||
+            unwanted_holds(fleet, task));
 }
 
 static const char *
@@ -68,8 +70,11 @@
 {
     if (is_overdue(fleet))
         return "the lease was not renewed in time";
-    return fleet->starts_held ? "the evacuations were not confirmed in time"
-                              : task->worker->zone;
+    if (fleet->starts_held)
+        return "the evacuations were not confirmed in time";
+    return start_gate_is_closed_at(fleet, task->worker)
+               ? task->worker->zone
+               : "a worker lists another run of the task or of its gang";
 }
 
 /* Lets a recorded task wait again. Its run was never sent to a worker. */
--- a/src/fleet/status.c
+++ b/src/fleet/status.c
@@ -113,8 +113,15 @@
 step_reason(const cs_fleet *fleet, const struct job *job,
             const struct step *step)
 {
+    uint32_t i;
+
     if (step->waiting_count == 0)
         return "every task is placed or done";
+    for (i = 0; i < step->spec->task_count; i++) {
+        if (step->tasks[i].state == TASK_WAITING &&
+            unwanted_holds(fleet, &step->tasks[i]))
+            return "a worker still lists a run that is being stopped";
+    }
     if (!job_step_is_ready(job, step))
         return "an earlier step is not done";
     if (fleet->starts_held)
--- a/src/fleet/task.c
+++ b/src/fleet/task.c
@@ -104,6 +104,12 @@
     task->step->waiting_count++;
 }
 
+uint32_t
+task_next_run(const struct task *task)
+{
+    return MAX(task->run, task->highest_listed_run) + 1;
+}
+
 uint32_t
 step_next_run(const struct step *step)
 {
@@ -111,8 +117,8 @@
     uint32_t i;
 
     for (i = 0; i < step->spec->task_count; i++)
-        run = MAX(run, step->tasks[i].run);
-    return run + 1;
+        run = MAX(run, task_next_run(&step->tasks[i]));
+    return run;
 }
 
 double
--- a/src/fleet/worker.c
+++ b/src/fleet/worker.c
@@ -228,6 +228,7 @@
     worker_expect_end(fleet, worker);
     if (worker_count_started(worker) > 0)
         log_lost_tasks(fleet, worker, reason);
+    unwanted_end_all(fleet, worker, reason);
     while (i < worker->tasks->len) {
         struct task *task = g_ptr_array_index(worker->tasks, i);
 
@@ -254,7 +255,7 @@
         cs_log_event("worker-reborn", "worker %s, %u tasks", worker->id,
                      worker->tasks->len);
     worker->incarnation_ms = incarnation_ms;
-    g_array_set_size(worker->unwanted_runs, 0);
+    unwanted_end_all(fleet, worker, "another incarnation");
     worker->answered = false;
     worker->fenced = false;
     worker->ends_processed = 0;
--- a/standins/fake_fleet.h
+++ b/standins/fake_fleet.h
@@ -200,6 +200,15 @@
 /** Cuts or restores the network of a worker; its runs continue. */
 void fake_fleet_set_worker_disconnected(fake_fleet *deployment,
                                         uint32_t worker, bool cut);
+/**
+ * Starts a run on a worker by an order that no VM has sent, and lets the
+ * worker list it at once.
+ * @param task "JOB.OCCURRENCE.STEP.INDEX" of a submitted job
+ */
+void fake_fleet_start_run(fake_fleet *deployment, uint32_t worker,
+                          const char *task, uint32_t run);
+/** @return whether a run of the task is on any worker */
+bool fake_fleet_task_runs(const fake_fleet *deployment, const char *task);
 /** Sets whether every run on a worker fails. */
 void fake_fleet_set_worker_failing(fake_fleet *deployment, uint32_t worker,
                                    bool failing);
--- a/standins/fake_fleet_worker.c
+++ b/standins/fake_fleet_worker.c
@@ -592,6 +592,41 @@
     send_answer(order, &answer);
 }
 
+void
+fake_fleet_start_run(fake_fleet *deployment, uint32_t number, const char *task,
+                     uint32_t run_number)
+{
+    struct fake_fleet_worker *worker = &deployment->workers[number];
+    struct fake_run *run = g_new0(struct fake_run, 1);
+    char **parts = g_strsplit(task, ".", 0);
+
+    g_strlcpy(run->task, task, sizeof(run->task));
+    g_strlcpy(run->job, parts[0], sizeof(run->job));
+    run->step = (uint32_t)atoi(parts[2]);
+    g_strfreev(parts);
+    run->run = run_number;
+    run->started_us = deployment->now_us;
+    g_ptr_array_add(worker->runs, run);
+    worker->lease_end_us =
+        MAX(worker->lease_end_us,
+            deployment->now_us + (int64_t)FAKE_WORKER_LEASE_MS * CS_MS_US);
+    fake_check_start(deployment, worker, run, deployment->now_us);
+    start_work_if_complete(worker, run);
+    answer_waiting_heartbeats(worker);
+}
+
+bool
+fake_fleet_task_runs(const fake_fleet *deployment, const char *task)
+{
+    uint32_t i;
+
+    for (i = 0; i < deployment->worker_count; i++) {
+        if (find_run(&deployment->workers[i], task))
+            return true;
+    }
+    return false;
+}
+
 static void
 execute_stop(struct order *order, struct fake_fleet_worker *worker)
 {
--- /dev/null
+++ b/tests/test_fleet_runs.c
@@ -0,0 +1,262 @@
+/*
+ * Tests of runs that workers list and that the holder of the cell does not
+ * want there, in a simulated deployment on a virtual clock. Such a run stands
+ * for whatever reason a holder may have to lose sight of a run.
+ */
+#include "harness.h"
+#include "fake_fleet.h"
+#include "corianderstair/log.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#define WORKERS 16
+/* An evacuation and its end are known to the holder by then. */
+#define NOTICE_US (500 * CS_MS_US)
+#define JOB "0000000000000002"
+/* By then the leases of a silent worker have surely ended. */
+#define LEASES_END_US (7 * CS_SEC_US)
+
+static void
+evacuate_all(fake_fleet *deployment, bool evacuate)
+{
+    uint32_t zone;
+
+    for (zone = 0; zone < FAKE_ZONES; zone++)
+        fake_fleet_evacuate(deployment, zone, evacuate);
+}
+
+static void
+submit(fake_fleet *deployment, uint32_t number, uint32_t tasks,
+       int64_t accelerators, int64_t run_ms, bool gang)
+{
+    fake_job job;
+
+    fake_job_init(&job, number, 1, tasks, accelerators, run_ms);
+    job.spec.steps[0].gang = gang;
+    fake_fleet_submit(deployment, 0, &job, NULL);
+    fake_fleet_run(deployment, 200 * CS_MS_US);
+}
+
+/* Lets a job with a task on each worker run, so that all of them are waited on
+   by heartbeats. */
+static fake_fleet *
+create_deployment(void)
+{
+    fake_fleet_settings settings = {
+        .vms = 4, .workers = WORKERS, .racks = 2, .seed = 61};
+    fake_fleet *deployment = fake_fleet_create(&settings);
+
+    fake_fleet_run(deployment, 2 * CS_SEC_US);
+    submit(deployment, 1, WORKERS, 5, 60 * 1000, false);
+    assert_int_equal(fake_fleet_start_count(deployment, "0000000000000001"),
+                     WORKERS);
+    return deployment;
+}
+
+/* The same with a job of four tasks that waits until a zone is returned. */
+static fake_fleet *
+create_deployment_with_waiting_job(bool gang)
+{
+    fake_fleet *deployment = create_deployment();
+
+    evacuate_all(deployment, true);
+    fake_fleet_run(deployment, NOTICE_US);
+    submit(deployment, 2, 4, 2, 2000, gang);
+    assert_int_equal(fake_fleet_start_count(deployment, JOB), 0);
+    return deployment;
+}
+
+static int64_t
+holder_counter(const fake_fleet *deployment, const char *name)
+{
+    return fake_fleet_counter(deployment,
+                              (uint32_t)fake_fleet_holder(deployment), name);
+}
+
+static void
+expect_no_violation(const fake_fleet *deployment)
+{
+    if (fake_fleet_violation(deployment))
+        fail_msg("%s", fake_fleet_violation(deployment));
+}
+
+static void
+expect_completed(fake_fleet *deployment)
+{
+    fake_fleet_run(deployment, 4 * CS_SEC_US);
+    expect_no_violation(deployment);
+    assert_int_equal(fake_fleet_job_state(deployment, JOB),
+                     CS_PROGRESS_COMPLETED);
+}
+
+/* Returns the number of the newest run of a task as the holder knows it. */
+static int64_t
+newest_run(const fake_fleet *deployment, uint32_t index)
+{
+    json_t *job = fake_fleet_explain(
+        deployment, (uint32_t)fake_fleet_holder(deployment), JOB);
+    const json_t *step = json_array_get(json_object_get(job, "steps"), 0);
+    const json_t *task = json_array_get(json_object_get(step, "tasks"), index);
+    int64_t run = json_integer_value(json_object_get(task, "run"));
+
+    json_decref(job);
+    return run;
+}
+
+/*
+ * Guards against a waiting task that is started while a run of it, which a
+ * worker lists, is still being stopped there.
+ */
+static void
+fleet_runs__waiting_task_is_held_until_a_listed_run_has_ended(void **state)
+{
+    fake_fleet *deployment = create_deployment_with_waiting_job(false);
+
+    fake_fleet_start_run(deployment, 5, JOB ".0.0.1", 1);
+    evacuate_all(deployment, false);
+    fake_fleet_run(deployment, 200 * CS_MS_US);
+    assert_true(fake_fleet_task_runs(deployment, JOB ".0.0.1"));
+    assert_true(holder_counter(deployment, "cs_runs_unknown_total") > 0);
+    expect_no_violation(deployment);
+    /* The other tasks of the step are not held. */
+    assert_int_equal(fake_fleet_start_count(deployment, JOB), 4);
+    fake_fleet_run(deployment, 500 * CS_MS_US);
+    assert_int_equal(fake_fleet_start_count(deployment, JOB), 5);
+    expect_completed(deployment);
+    fake_fleet_destroy(deployment);
+}
+
+/* Guards against a gang whose members start while a run of one of them is
+   still being stopped, or that starts in part. */
+static void
+fleet_runs__waiting_gang_is_held_as_a_whole(void **state)
+{
+    fake_fleet *deployment = create_deployment_with_waiting_job(true);
+
+    fake_fleet_start_run(deployment, 5, JOB ".0.0.1", 1);
+    evacuate_all(deployment, false);
+    fake_fleet_run(deployment, 200 * CS_MS_US);
+    expect_no_violation(deployment);
+    assert_int_equal(fake_fleet_start_count(deployment, JOB), 1);
+    fake_fleet_run(deployment, 500 * CS_MS_US);
+    assert_int_equal(fake_fleet_start_count(deployment, JOB), 5);
+    expect_completed(deployment);
+    fake_fleet_destroy(deployment);
+}
+
+static void
+expect_recorded_start_is_withheld(bool gang)
+{
+    fake_fleet *deployment = create_deployment();
+    uint32_t withheld = gang ? 4 : 1;
+    fake_job job;
+
+    fake_fleet_set_store_delay(deployment, 100 * CS_MS_US);
+    fake_job_init(&job, 2, 1, 4, 2, 2000);
+    job.spec.steps[0].gang = gang;
+    fake_fleet_submit(deployment, 0, &job, NULL);
+    while (newest_run(deployment, 1) == 0)
+        fake_fleet_run(deployment, 10 * CS_MS_US);
+    assert_int_equal(fake_fleet_start_count(deployment, JOB), 0);
+    fake_fleet_start_run(deployment, 5, JOB ".0.0.1", 1);
+    fake_fleet_run(deployment, 250 * CS_MS_US);
+    expect_no_violation(deployment);
+    assert_int_equal(holder_counter(deployment, "cs_starts_withheld_total"),
+                     withheld);
+    fake_fleet_set_store_delay(deployment, 0);
+    fake_fleet_run(deployment, CS_SEC_US);
+    assert_true(newest_run(deployment, 1) > 1);
+    expect_completed(deployment);
+    fake_fleet_destroy(deployment);
+}
+
+/* Guards against a start whose record was being written when a worker listed
+   another run of the task. */
+static void
+fleet_runs__recorded_start_is_withheld_while_a_run_is_listed(void **state)
+{
+    expect_recorded_start_is_withheld(false);
+    expect_recorded_start_is_withheld(true);
+}
+
+/*
+ * Guards against a task that is held for good because the worker with the run
+ * is gone, and against one that is started before the run's lease has ended.
+ */
+static void
+fleet_runs__held_task_starts_once_the_leases_have_ended(void **state)
+{
+    fake_fleet *deployment = create_deployment_with_waiting_job(false);
+
+    fake_fleet_start_run(deployment, 5, JOB ".0.0.1", 1);
+    fake_fleet_run(deployment, CS_MS_US);
+    fake_fleet_set_worker_disconnected(deployment, 5, true);
+    evacuate_all(deployment, false);
+    fake_fleet_run(deployment, CS_SEC_US);
+    assert_int_equal(fake_fleet_start_count(deployment, JOB), 4);
+    fake_fleet_run(deployment, LEASES_END_US);
+    assert_int_equal(fake_fleet_start_count(deployment, JOB), 5);
+    expect_completed(deployment);
+    fake_fleet_destroy(deployment);
+}
+
+/* Guards against a task that is held for the run of a former incarnation. */
+static void
+fleet_runs__held_task_starts_once_the_worker_is_another_incarnation(
+    void **state)
+{
+    fake_fleet *deployment = create_deployment_with_waiting_job(false);
+
+    fake_fleet_start_run(deployment, 5, JOB ".0.0.1", 1);
+    fake_fleet_run(deployment, CS_MS_US);
+    fake_fleet_crash_worker(deployment, 5, 500 * CS_MS_US);
+    evacuate_all(deployment, false);
+    fake_fleet_run(deployment, 400 * CS_MS_US);
+    assert_int_equal(fake_fleet_start_count(deployment, JOB), 4);
+    fake_fleet_run(deployment, 1500 * CS_MS_US);
+    assert_int_equal(fake_fleet_start_count(deployment, JOB), 5);
+    expect_completed(deployment);
+    fake_fleet_destroy(deployment);
+}
+
+/*
+ * Guards against a start with a number up to that of a run that a worker has
+ * listed: the worker would refuse it there, and another one would start it
+ * under a number that is not the newest.
+ */
+static void
+fleet_runs__next_run_is_above_a_listed_one(void **state)
+{
+    fake_fleet *deployment = create_deployment_with_waiting_job(false);
+
+    fake_fleet_start_run(deployment, 5, JOB ".0.0.1", 7);
+    evacuate_all(deployment, false);
+    fake_fleet_run(deployment, 1500 * CS_MS_US);
+    assert_int_equal(newest_run(deployment, 0), 1);
+    assert_int_equal(newest_run(deployment, 1), 8);
+    expect_completed(deployment);
+    fake_fleet_destroy(deployment);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(
+            fleet_runs__waiting_task_is_held_until_a_listed_run_has_ended),
+        cmocka_unit_test(fleet_runs__waiting_gang_is_held_as_a_whole),
+        cmocka_unit_test(
+            fleet_runs__recorded_start_is_withheld_while_a_run_is_listed),
+        cmocka_unit_test(
+            fleet_runs__held_task_starts_once_the_leases_have_ended),
+        cmocka_unit_test(
+            fleet_runs__held_task_starts_once_the_worker_is_another_incarnation),
+        cmocka_unit_test(fleet_runs__next_run_is_above_a_listed_one),
+    };
+
+    cs_log_silence();
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
