fleet: the success of a run above the newest known one counts

A worker's end of a run with a higher number than the newest one that the holder knows was acknowledged and not counted. The task was then started again although it is done, and the worker forgot the end.

The number is noted, so that the next run is numbered above it, and a success completes the task, as one of a run that was considered lost does. The task's record gets the run's number: a record without a run is not written, so that the next holder would have started the task again.

--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -157,7 +157,8 @@
     struct worker *avoid_worker; /* where its last run failed */
     int64_t avoid_until_us;      /* not placed there before */
     bool held; /* not placed in this cycle, see unwanted_hold_tasks() */
-    /* Of the runs that workers have listed and that were not wanted there. */
+    /* Of the runs that workers have listed, as present or ended, and that were
+       not wanted there. */
     uint32_t highest_listed_run;
 };
 
--- a/src/fleet/heartbeat.c
+++ b/src/fleet/heartbeat.c
@@ -59,14 +59,17 @@
 {
     struct task *task = job_find_task(fleet, end->task);
 
-    if (!task || end->run > task->run)
+    if (!task)
         return;
+    if (end->run > task->run)
+        task->highest_listed_run = MAX(task->highest_listed_run, end->run);
     if (task->worker == worker && task->run == end->run) {
         task_end(fleet, task, end->outcome, end->checkpoint_data,
                  "as the worker lists");
         return;
     }
-    /* The run was considered lost, and its task was released or restarted. */
+    /* The run was considered lost, and its task was released or restarted, or
+       it was never known. */
     if (end->outcome == CS_OUTCOME_DONE && task->state != TASK_DONE &&
         !task->step->spec->perpetual && !job_is_final(task->step->job))
         task_complete_late(fleet, task, end->run);
--- a/src/fleet/task.c
+++ b/src/fleet/task.c
@@ -284,11 +284,12 @@
 }
 
 static void
-complete_late_task(cs_fleet *fleet, struct task *task)
+complete_late_task(cs_fleet *fleet, struct task *task, uint32_t run)
 {
     if (task->state == TASK_DONE)
         return;
     abandon_run(fleet, task);
+    task->run = MAX(task->run, run);
     task_mark_done(task);
     progress_set_task_dirty(fleet, task);
 }
@@ -306,10 +307,10 @@
     fleet_increment_counter(fleet, "cs_ends_late_total");
     if (step->spec->gang) {
         for (i = 0; i < step->spec->task_count; i++)
-            complete_late_task(fleet, &step->tasks[i]);
+            complete_late_task(fleet, &step->tasks[i], run);
     }
     else {
-        complete_late_task(fleet, task);
+        complete_late_task(fleet, task, run);
     }
     job_update(fleet, step->job);
 }
--- a/tests/test_fleet_runs.c
+++ b/tests/test_fleet_runs.c
@@ -241,6 +241,32 @@
     fake_fleet_destroy(deployment);
 }
 
+/*
+ * Guards against an end that is acknowledged and not counted because its run
+ * has a higher number than the newest one that the holder knows: the task
+ * would be started again although it is done, by this holder or the next one.
+ */
+static void
+fleet_runs__success_of_a_run_above_the_newest_counts(void **state)
+{
+    fake_fleet *deployment = create_deployment();
+
+    evacuate_all(deployment, true);
+    fake_fleet_run(deployment, NOTICE_US);
+    submit(deployment, 2, 4, 2, 20, false);
+    fake_fleet_start_run(deployment, 5, JOB ".0.0.1", 7);
+    fake_fleet_run(deployment, 100 * CS_MS_US);
+    assert_false(fake_fleet_task_runs(deployment, JOB ".0.0.1"));
+    fake_fleet_run(deployment, CS_SEC_US);
+    fake_fleet_kill(deployment, (uint32_t)fake_fleet_holder(deployment),
+                    CS_SEC_US);
+    fake_fleet_run(deployment, 4 * CS_SEC_US);
+    evacuate_all(deployment, false);
+    expect_completed(deployment);
+    assert_int_equal(fake_fleet_start_count(deployment, JOB), 4);
+    fake_fleet_destroy(deployment);
+}
+
 int
 main(void)
 {
@@ -255,6 +281,7 @@
         cmocka_unit_test(
             fleet_runs__held_task_starts_once_the_worker_is_another_incarnation),
         cmocka_unit_test(fleet_runs__next_run_is_above_a_listed_one),
+        cmocka_unit_test(fleet_runs__success_of_a_run_above_the_newest_counts),
     };
 
     cs_log_silence();
