--- a/src/fleet/heartbeat.c
+++ b/src/fleet/heartbeat.c
@@ -59,14 +59,17 @@
 {
     struct task *task = job_find_task(fleet, end->task);
 
-    if (!task || end->run > task->run)
+    if (!task)
         return;
+    if (end->run > task->run)
+        task->highest_listed_run = MAX(task->highest_listed_run, end->run);
     if (task->worker == worker && task->run == end->run) {
         task_end(fleet, task, end->outcome, end->checkpoint_data,
                  "as the worker lists");
         return;
     }
-    /* The run was considered lost, and its task was released or restarted. */
+    /* The run was considered lost, and its task was released or restarted, or
+       it was never known. */
     if (end->outcome == CS_OUTCOME_DONE && task->state != TASK_DONE &&
         !task->step->spec->perpetual && !job_is_final(task->step->job))
         task_complete_late(fleet, task, end->run);
@@ -222,7 +225,7 @@
     process_ends(fleet, worker, answer);
     for (i = 0; i < answer->run_count; i++)
         process_run(fleet, worker, &answer->runs[i], heartbeat, now_us);
-    run_log_forget_unwanted(worker, now_us);
+    unwanted_forget(fleet, worker, sent_us);
     /* A run that is neither listed as present nor among the first ends may
        have ended as well; a later answer lists it. */
     if (answer->ended_run_count < CS_WORKER_ENDS_MAX)
@@ -374,7 +377,7 @@
     if (now_us < leases_end_us(fleet, worker) ||
         now_us - worker->last_answer_us < ANSWER_TIMEOUT_US)
         return;
-    if (worker_count_started(worker) == 0)
+    if (worker_count_started(worker) == 0 && worker->unwanted_runs->len == 0)
         return;
     worker_end_started_tasks(fleet, worker, "its leases have ended");
 }
--- a/src/fleet/start_gate.c
+++ b/src/fleet/start_gate.c
@@ -1,8 +1,9 @@
 /*
  * Where and when tasks may start: not in an evacuated zone, not on a worker
- * that has started anew and not answered yet, and nowhere while an evacuation
- * may have been missed. Only starts are held back. Running work
- * goes on, its leases are extended and the cell is kept.
+ * that has started anew and not answered yet, not while a worker lists a run
+ * of the task that is not wanted there, and nowhere while an evacuation may
+ * have been missed. Only starts are held back. Running work goes on, its
+ * leases are extended and the cell is kept.
  */
 #include "fleet_internal.h"
 
@@ -71,7 +72,8 @@
     return task->state == TASK_RECORDING && task->recorded &&
            (is_overdue(fleet) || has_started_anew(task->worker) ||
             !start_gate_is_open(fleet) ||
-            start_gate_is_closed_at(fleet, task->worker));
+            start_gate_is_closed_at(fleet, task->worker) ||
+            unwanted_holds(fleet, task));
 }
 
 static const char *
@@ -81,8 +83,11 @@
         return "the lease was not renewed in time";
     if (has_started_anew(task->worker))
         return "the worker has started anew and not answered yet";
-    return fleet->starts_held ? "the evacuations were not confirmed in time"
-                              : task->worker->zone;
+    if (fleet->starts_held)
+        return "the evacuations were not confirmed in time";
+    return start_gate_is_closed_at(fleet, task->worker)
+               ? task->worker->zone
+               : "a worker lists another run of the task or of its gang";
 }
 
 /* Lets a recorded task wait again. Its run was never sent to a worker. */
--- a/src/fleet/task.c
+++ b/src/fleet/task.c
@@ -104,6 +104,12 @@
     task->step->waiting_count++;
 }
 
+uint32_t
+task_next_run(const struct task *task)
+{
+    return MAX(task->run, task->highest_listed_run) + 1;
+}
+
 uint32_t
 step_next_run(const struct step *step)
 {
@@ -111,8 +117,8 @@
     uint32_t i;
 
     for (i = 0; i < step->spec->task_count; i++)
-        run = MAX(run, step->tasks[i].run);
-    return run + 1;
+        run = MAX(run, task_next_run(&step->tasks[i]));
+    return run;
 }
 
 double
@@ -278,11 +284,12 @@
 }
 
 static void
-complete_late_task(cs_fleet *fleet, struct task *task)
+complete_late_task(cs_fleet *fleet, struct task *task, uint32_t run)
 {
     if (task->state == TASK_DONE)
         return;
     abandon_run(fleet, task);
+    task->run = MAX(task->run, run);
     task_mark_done(task);
     progress_set_task_dirty(fleet, task);
 }
@@ -300,10 +307,10 @@
     fleet_increment_counter(fleet, "cs_ends_late_total");
     if (step->spec->gang) {
         for (i = 0; i < step->spec->task_count; i++)
-            complete_late_task(fleet, &step->tasks[i]);
+            complete_late_task(fleet, &step->tasks[i], run);
     }
     else {
-        complete_late_task(fleet, task);
+        complete_late_task(fleet, task, run);
     }
     job_update(fleet, step->job);
 }
