standins: a deployment of many workers, with faults, as one process

It serves up to 1,200 workers in zones and racks now. POST /faults sets late orders, late and unanswered changes, store outages and delays, entries that expire and workers that crash and return under the same id. Calls whose outcome a caller must not learn were answered 503, which says that nothing was done; they are left without an answer now.

--- /dev/null
+++ b/scripts/soak/disturbances.py
@@ -0,0 +1,251 @@
+"""Disturbances of a run, drawn from its seed."""
+import heapq
+import random
+import signal
+import threading
+import time
+
+from soak.deployment import GRACE_S
+
+DUTY_PERIOD_S = 0.1
+DUTY_STEP_S = 0.004
+
+
+class DutyCycle(threading.Thread):
+    """Lets VMs run for a share of each period only, as a processor quota
+    does."""
+
+    def __init__(self, vms):
+        super().__init__(daemon=True)
+        self.vms = vms
+        self.stopped = False
+
+    def run(self):
+        while not self.stopped:
+            now = time.monotonic()
+            for vm in self.vms:
+                if vm.freezes or not (vm.share < 1 or vm.paused):
+                    continue
+                phase = (now + vm.number * 0.013) % DUTY_PERIOD_S
+                pause = phase >= vm.share * DUTY_PERIOD_S
+                if pause != vm.paused:
+                    vm.paused = pause
+                    vm.signal(signal.SIGSTOP if pause else signal.SIGCONT)
+            time.sleep(DUTY_STEP_S)
+
+
+class Disturbances:
+    """Plays disturbances in the main thread, which also starts processes."""
+
+    KINDS = {
+        "kill_holder": 6, "kill_holders_in_series": 4, "kill_some": 4,
+        "kill_all": 1, "restart_in_series": 4, "freeze_holder": 5,
+        "freeze_some": 5, "starve_some": 5, "late_orders": 4,
+        "late_changes": 3, "unanswered_changes": 3, "store_outage": 2,
+        "slow_store": 2, "crash_workers": 3, "expire_entries": 1,
+    }
+
+    def __init__(self, deployment, options):
+        self.deployment = deployment
+        self.events = deployment.events
+        self.rng = random.Random(options.seed)
+        self.workers = options.workers
+        self.interval_s = options.interval
+        self.kinds = options.kinds or list(self.KINDS)
+        self.counts = {}
+        self.actions = []
+        self.sequence = 0
+        self.unexpected_exits = []
+        self.healed = False
+        self.duty = DutyCycle(deployment.vms)
+        self.duty.start()
+
+    def after(self, seconds, action, *arguments):
+        self.sequence += 1
+        heapq.heappush(self.actions, (time.monotonic() + seconds,
+                                      self.sequence, action, arguments))
+
+    def start(self):
+        self.after(self.rng.expovariate(1 / self.interval_s), self.disturb)
+
+    def play(self, until):
+        """Carries out actions until a time of the monotonic clock."""
+        while time.monotonic() < until:
+            while self.actions and self.actions[0][0] <= time.monotonic():
+                _, _, action, arguments = heapq.heappop(self.actions)
+                action(*arguments)
+            self.restart_ended()
+            time.sleep(0.01)
+
+    def heal(self):
+        """Ends all disturbances; the VMs and the store work again."""
+        self.healed = True
+        self.actions = []
+        self.control(late_orders=0, late_changes=0, unanswered_changes=0,
+                     store_refuses=False, store_unreachable=False,
+                     store_delay_ms=0)
+        for vm in self.deployment.vms:
+            vm.share = 1.0
+            if vm.freezes:
+                vm.freezes = 1
+                vm.thaw(vm.process)
+            if not vm.is_up():
+                vm.start()
+
+    def stop(self):
+        self.duty.stopped = True
+        self.duty.join()
+
+    def restart_ended(self):
+        """Restarts processes that have ended without a command."""
+        for vm in self.deployment.vms:
+            if vm.stopping or vm.is_up():
+                continue
+            status = vm.process.returncode
+            self.unexpected_exits.append(f"{vm.name}: status {status}")
+            self.events.write("vm-exited", f"{vm.name} status {status}")
+            vm.stopping = True
+            self.after(0.5, self.restart, vm)
+
+    def restart(self, vm):
+        if not vm.is_up():
+            self.events.write("vm-restart", vm.name)
+            vm.start()
+
+    def disturb(self):
+        self.after(self.rng.expovariate(1 / self.interval_s), self.disturb)
+        kind = self.rng.choices(self.kinds,
+                                [self.KINDS[k] for k in self.kinds])[0]
+        self.counts[kind] = self.counts.get(kind, 0) + 1
+        getattr(self, kind)()
+
+    def control(self, **faults):
+        self.events.write("faults", " ".join(
+            f"{name} {value}" for name, value in faults.items()))
+        self.deployment.control(faults)
+
+    def for_a_while(self, seconds, name, value, normal):
+        self.control(**{name: value})
+        self.after(seconds, lambda: self.control(**{name: normal}))
+
+    def some_vms(self, share):
+        vms = self.deployment.vms
+        return self.rng.sample(vms, max(1, int(len(vms) * share)))
+
+    def kill(self, vm, down_s):
+        if vm is None or vm.stopping:
+            return
+        self.events.write("vm-kill", f"{vm.name} for {down_s:.2f} s")
+        self.counts["killed"] = self.counts.get("killed", 0) + 1
+        vm.kill()
+        self.after(down_s, self.restart, vm)
+
+    def down_s(self):
+        return self.rng.choice((self.rng.uniform(0.2, 1),
+                                self.rng.uniform(0.2, 1),
+                                self.rng.uniform(3, 12)))
+
+    def kill_holder(self):
+        self.kill(self.deployment.holder(), self.down_s())
+
+    def kill_holders_in_series(self):
+        at = 0
+        for _ in range(self.rng.randint(2, 5)):
+            self.after(at, self.kill_holder)
+            at += self.rng.uniform(0.3, 6)
+
+    def kill_some(self):
+        for vm in self.some_vms(self.rng.uniform(0.05, 0.3)):
+            self.kill(vm, self.down_s())
+
+    def kill_all(self):
+        for vm in self.deployment.vms:
+            self.kill(vm, self.rng.uniform(0.2, 2))
+
+    def terminate(self, vm, restart_s):
+        if vm is None or vm.stopping:
+            return
+        self.events.write("vm-terminate", vm.name)
+        self.counts["terminated"] = self.counts.get("terminated", 0) + 1
+        vm.terminate()
+        self.after(0.1, self.finish_termination, vm, vm.process,
+                   time.monotonic() + GRACE_S, restart_s)
+
+    def finish_termination(self, vm, process, deadline, restart_s):
+        if vm.process is not process:
+            return
+        if vm.is_up() and time.monotonic() < deadline:
+            self.after(0.1, self.finish_termination, vm, process, deadline,
+                       restart_s)
+            return
+        vm.kill()
+        self.after(restart_s, self.restart, vm)
+
+    def restart_in_series(self):
+        vms = self.some_vms(self.rng.uniform(0.1, 0.5))
+        holder = self.deployment.holder()
+        if holder is not None:
+            vms.insert(0, holder)
+        gap = self.rng.uniform(0.1, 2)
+        for i, vm in enumerate(vms):
+            self.after(i * gap, self.terminate, vm, self.rng.uniform(0.1, 1))
+
+    def freeze(self, vm, seconds):
+        if vm is None or not vm.is_up():
+            return
+        self.events.write("vm-freeze", f"{vm.name} for {seconds:.2f} s")
+        self.counts["frozen"] = self.counts.get("frozen", 0) + 1
+        vm.freeze()
+        self.after(seconds, vm.thaw, vm.process)
+
+    def freeze_holder(self):
+        self.freeze(self.deployment.holder(), self.freeze_s())
+
+    def freeze_s(self):
+        return self.rng.choice((self.rng.uniform(0.2, 3),
+                                self.rng.uniform(1, 20)))
+
+    def freeze_some(self):
+        for vm in self.some_vms(self.rng.uniform(0.05, 0.4)):
+            self.freeze(vm, self.freeze_s())
+
+    def starve_some(self):
+        vms = self.some_vms(self.rng.uniform(0.1, 0.5))
+        holder = self.deployment.holder()
+        if holder is not None and self.rng.random() < 0.5:
+            vms.append(holder)
+        seconds = self.rng.uniform(5, 30)
+        self.events.write("vms-starved", " ".join(vm.name for vm in vms) +
+                          f" for {seconds:.2f} s")
+        for vm in vms:
+            vm.share = self.rng.uniform(0.09, 0.5)
+            self.after(seconds, setattr, vm, "share", 1.0)
+
+    def late_orders(self):
+        self.for_a_while(self.rng.uniform(3, 15), "late_orders",
+                         round(self.rng.uniform(0.02, 0.3), 3), 0)
+
+    def late_changes(self):
+        self.for_a_while(self.rng.uniform(3, 15), "late_changes",
+                         round(self.rng.uniform(0.02, 0.3), 3), 0)
+
+    def unanswered_changes(self):
+        self.for_a_while(self.rng.uniform(3, 15), "unanswered_changes",
+                         round(self.rng.uniform(0.02, 0.3), 3), 0)
+
+    def store_outage(self):
+        name = self.rng.choice(("store_refuses", "store_unreachable"))
+        self.for_a_while(self.rng.uniform(1, 10), name, True, False)
+
+    def slow_store(self):
+        self.for_a_while(self.rng.uniform(3, 10), "store_delay_ms",
+                         self.rng.randint(50, 1200), 0)
+
+    def crash_workers(self):
+        for _ in range(self.rng.randint(1, max(1, self.workers // 20))):
+            self.control(crash_worker=self.rng.randrange(self.workers),
+                         down_ms=self.rng.randint(200, 10000))
+
+    def expire_entries(self):
+        for _ in range(self.rng.randint(1, max(1, self.workers // 10))):
+            self.control(expire_entry=self.rng.randrange(self.workers))
--- a/standins/fake_fleet.c
+++ b/standins/fake_fleet.c
@@ -65,6 +65,9 @@
     va_start(ap, fmt);
     text = g_strdup_vprintf(fmt, ap);
     va_end(ap);
+    deployment->violation_count++;
+    fake_observe(deployment, "violation", "at %.3f s: %s",
+                 (double)deployment->now_us / CS_SEC_US, text);
     if (deployment->violation) {
         g_free(text);
         return;
@@ -74,6 +77,36 @@
     g_free(text);
 }
 
+void
+fake_observe(const fake_fleet *deployment, const char *event, const char *fmt,
+             ...)
+{
+    char *text;
+    va_list ap;
+
+    if (!deployment->observer)
+        return;
+    va_start(ap, fmt);
+    text = g_strdup_vprintf(fmt, ap);
+    va_end(ap);
+    deployment->observer(deployment->observer_data, event, text);
+    g_free(text);
+}
+
+void
+fake_fleet_set_observer(fake_fleet *deployment, fake_observer observer,
+                        void *user_data)
+{
+    deployment->observer = observer;
+    deployment->observer_data = user_data;
+}
+
+uint32_t
+fake_worker_zone(const struct fake_fleet_worker *worker)
+{
+    return worker->number % worker->deployment->worker_zones;
+}
+
 bool
 fake_random_bool(fake_fleet *deployment, double probability)
 {
@@ -270,7 +303,7 @@
     struct fake_fleet_worker *worker = user_data;
 
     if (worker->up && !worker->disconnected &&
-        !worker->deployment->zone_cut[worker->number % FAKE_ZONES]) {
+        !worker->deployment->zone_cut[fake_worker_zone(worker)]) {
         worker->silent_intervals = 0;
         fake_fleet_worker_publish(worker);
     }
@@ -454,7 +487,9 @@
                                          : UINT32_MAX;
     deployment->call_us = settings->call_us;
     deployment->message_us = settings->message_us;
-    for (i = 0; i < FAKE_ZONES; i++)
+    deployment->worker_zones =
+        settings->worker_zones ? settings->worker_zones : FAKE_ZONES;
+    for (i = 0; i < FAKE_WORKER_ZONES_MAX; i++)
         deployment->evacuated_us[i] = -1;
     deployment->config_apply_ms =
         settings->config_apply_ms ? settings->config_apply_ms : 2000;
@@ -622,6 +657,8 @@
         if (vm < 0 || (uint32_t)vm == i)
             deployment->vms[i].faults = *faults;
     }
+    if (vm < 0 && deployment->vm_count == 0)
+        external_vm(deployment)->faults = *faults;
 }
 
 void
@@ -686,6 +723,7 @@
         return;
     fake_fleet_worker_dispose(worker);
     fake_fleet_worker_init(deployment, worker->number);
+    fake_observe(deployment, "worker-restarted", "worker %s", worker->id);
     fake_fleet_worker_publish(worker);
 }
 
@@ -697,6 +735,7 @@
 
     if (!worker->up)
         return;
+    fake_observe(deployment, "worker-crashed", "worker %s", worker->id);
     fake_fleet_worker_lose_results(worker);
     worker->up = false;
     fake_fleet_worker_lapse_runs(worker);
@@ -1006,6 +1045,23 @@
     return NULL;
 }
 
+uint32_t
+fake_fleet_violation_count(const fake_fleet *deployment)
+{
+    return deployment->violation_count;
+}
+
+uint64_t
+fake_fleet_total_starts(const fake_fleet *deployment)
+{
+    uint64_t total = 0;
+    uint32_t i;
+
+    for (i = 0; i < deployment->worker_zones; i++)
+        total += deployment->zone_starts[i];
+    return total;
+}
+
 bool
 fake_fleet_is_idle(const fake_fleet *deployment)
 {
--- a/standins/fake_fleet.h
+++ b/standins/fake_fleet.h
@@ -82,8 +82,18 @@
     int64_t row_bytes;
     /** The VMs' settings do not contain the bound of evacuations. */
     bool evacuate_not_given;
+    /** Number of zones of the workers, at most FAKE_WORKER_ZONES_MAX; 0 means
+        FAKE_ZONES. */
+    uint32_t worker_zones;
 } fake_fleet_settings;
 
+/**
+ * Receives an event that the workers or the store observe.
+ * @param event a name as in cs_log_event()
+ */
+typedef void (*fake_observer)(void *user_data, const char *event,
+                              const char *detail);
+
 /** What the store has done since the start. */
 typedef struct {
     uint64_t reads;      /**< reads and polls that it has received */
@@ -110,6 +120,10 @@
 void fake_fleet_set_address(fake_fleet *deployment, uint32_t worker,
                             const char *address);
 
+/** Sets the receiver of the events; NULL for none. */
+void fake_fleet_set_observer(fake_fleet *deployment, fake_observer observer,
+                             void *user_data);
+
 /** Advances virtual time by a duration. */
 void fake_fleet_run(fake_fleet *deployment, int64_t us);
 /**
@@ -121,7 +135,8 @@
 uint64_t fake_fleet_call_count(const fake_fleet *deployment);
 int64_t fake_fleet_now_us(const fake_fleet *deployment);
 
-/** Sets the faults of a VM, or of all VMs if vm < 0. */
+/** Sets the faults of a VM, or of all VMs and of the calls that come from
+   another process if vm < 0. */
 void fake_fleet_set_faults(fake_fleet *deployment, int32_t vm,
                            const fake_vm_faults *faults);
 
@@ -160,6 +175,8 @@
 
 /** Number of zones; VM or worker n is in zone n modulo this number. */
 #define FAKE_ZONES 3
+/** Maximum number of zones of the workers of a deployment without VMs. */
+#define FAKE_WORKER_ZONES_MAX 8
 /**
  * Writes or removes the row that evacuates a zone. The checker records a
  * violation if a task is started there later than evacuate_ms after the write.
@@ -262,6 +279,12 @@
  */
 const char *fake_fleet_violation(const fake_fleet *deployment);
 
+/** @return number of violations that the checker found */
+uint32_t fake_fleet_violation_count(const fake_fleet *deployment);
+
+/** @return number of runs that workers have started */
+uint64_t fake_fleet_total_starts(const fake_fleet *deployment);
+
 /** @return whether no worker has a run or an unacknowledged ended run */
 bool fake_fleet_is_idle(const fake_fleet *deployment);
 
--- a/standins/fake_fleet_check.c
+++ b/standins/fake_fleet_check.c
@@ -35,10 +35,12 @@
             if (other_run != run && strcmp(other_run->task, run->task) == 0)
                 fake_record_violation(
                     deployment,
-                    "duplicate run: %s run %u on %s while run %u is on "
-                    "%s",
-                    run->task, run->run, worker->id, other_run->run,
-                    other->id);
+                    "duplicate run: %s run %u on %s (epoch %" G_GUINT64_FORMAT
+                    ") while run %u is on %s (epoch %" G_GUINT64_FORMAT
+                    ", started at %.3f s)",
+                    run->task, run->run, worker->id, run->epoch,
+                    other_run->run, other->id, other_run->epoch,
+                    (double)other_run->started_us / CS_SEC_US);
         }
     }
 }
@@ -95,7 +97,7 @@
                  const struct fake_fleet_worker *worker,
                  const struct fake_run *run, int64_t ordered_us)
 {
-    uint32_t zone = worker->number % FAKE_ZONES;
+    uint32_t zone = fake_worker_zone(worker);
     int64_t evacuated_us = deployment->evacuated_us[zone];
 
     deployment->zone_starts[zone]++;
@@ -128,8 +130,11 @@
         !g_hash_table_contains(record->lost_results, run->task))
         fake_record_violation(
             deployment,
-            "duplicate run: %s run %u started after the task was done",
-            run->task, run->run);
+            "duplicate run: %s run %u on %s (epoch %" G_GUINT64_FORMAT
+            ") started after run %u was done",
+            run->task, run->run, worker->id, run->epoch,
+            GPOINTER_TO_UINT(
+                g_hash_table_lookup(record->done_tasks, run->task)));
     if (GPOINTER_TO_UINT(g_hash_table_lookup(record->failure_counts,
                                              run->task)) >= FAKE_MAX_ATTEMPTS)
         fake_record_violation(
--- a/standins/fake_fleet_http.c
+++ b/standins/fake_fleet_http.c
@@ -8,6 +8,9 @@
 
 /* Timeout of a call to the simulated deployment, in virtual time. */
 #define CALL_TIMEOUT_US (10 * CS_SEC_US)
+/* A call whose outcome the caller must not learn is held open for longer than
+   its caller waits, also if it is suspended meanwhile. */
+#define UNANSWERED_S 90
 
 static void
 reply_json(cs_http_request *request, int status, json_t *body)
@@ -19,6 +22,22 @@
     json_decref(body);
 }
 
+static gboolean
+give_up_request(gpointer user_data)
+{
+    reply_json(user_data, 503, json_object());
+    return G_SOURCE_REMOVE;
+}
+
+static void
+leave_unanswered(cs_http_request *request)
+{
+    if (cs_http_request_is_connected(request))
+        g_timeout_add_seconds(UNANSWERED_S, give_up_request, request);
+    else
+        give_up_request(request);
+}
+
 static json_t *
 encode_row(const cs_row *row)
 {
@@ -55,9 +74,14 @@
 static void
 on_store_answer(void *user_data, const cs_store_answer *answer)
 {
-    json_t *rows = json_array();
+    json_t *rows;
     size_t i;
 
+    if (answer->code == CS_E_OUTCOME_UNKNOWN) {
+        leave_unanswered(user_data);
+        return;
+    }
+    rows = json_array();
     for (i = 0; i < answer->row_count; i++)
         json_array_append_new(rows, encode_row(&answer->rows[i]));
     reply_json(user_data, http_status(answer->code),
@@ -177,11 +201,13 @@
         handle_read(store, request, deadline_us);
     }
     else if (strcmp(path, "/rows-feed") == 0) {
+        int64_t wait_ms = number_argument(request, "waitMs");
+
         table = text_argument(request, "table");
         store->follow(store->self, table ? table : "",
-                      (uint64_t)number_argument(request, "after"),
-                      number_argument(request, "waitMs"), 0, deadline_us,
-                      on_store_answer, request);
+                      (uint64_t)number_argument(request, "after"), wait_ms, 0,
+                      deadline_us + wait_ms * CS_MS_US, on_store_answer,
+                      request);
         g_free(table);
     }
     else {
@@ -243,6 +269,10 @@
         reply_refusal(user_data, answer);
         return;
     }
+    if (answer->code == CS_E_OUTCOME_UNKNOWN) {
+        leave_unanswered(user_data);
+        return;
+    }
     if (answer->code) {
         reply_json(user_data, 503, json_object());
         return;
--- a/standins/fake_fleet_http.h
+++ b/standins/fake_fleet_http.h
@@ -20,4 +20,18 @@
 void fake_fleet_http_worker(fake_fleet *deployment, cs_http_request *request,
                             const char *address);
 
+/**
+ * Handles a request to the controls of a deployment. GET /state returns what
+ * the checker counts. POST /faults takes an object; the members that it names
+ * change, the others keep their values:
+ * - late_orders, late_changes, unanswered_changes: shares of orders to workers
+ *   and of changes of the store
+ * - store_refuses, store_unreachable: whether the store is down
+ * - store_delay_ms: delay of the store's answers
+ * - expire_entry: number of a worker whose entry is deleted once
+ * - crash_worker, down_ms: number of a worker that crashes, and when it
+ *   returns under the same address and id
+ */
+void fake_fleet_http_control(fake_fleet *deployment, cs_http_request *request);
+
 #endif
--- a/standins/fake_fleet_internal.h
+++ b/standins/fake_fleet_internal.h
@@ -163,9 +163,11 @@
     uint32_t max_direct_workers;
     int64_t call_us;
     int64_t message_us;
-    bool zone_cut[FAKE_ZONES];        /* see fake_fleet_cut_zone() */
-    int64_t evacuated_us[FAKE_ZONES]; /* when its row was written, or -1 */
-    uint32_t zone_starts[FAKE_ZONES];
+    uint32_t worker_zones;
+    bool zone_cut[FAKE_WORKER_ZONES_MAX]; /* see fake_fleet_cut_zone() */
+    /* When the row of a zone was written, or -1. */
+    int64_t evacuated_us[FAKE_WORKER_ZONES_MAX];
+    uint32_t zone_starts[FAKE_WORKER_ZONES_MAX];
     int64_t config_apply_ms;
     int64_t store_kbps;
     uint32_t store_reads_per_s;
@@ -176,7 +178,10 @@
     uint64_t call_count;              /* store changes and worker orders */
     uint32_t pending_advice_requests; /* not yet answered by the adviser */
     GHashTable *jobs;                 /* id to struct fake_job_record */
-    char *violation;
+    char *violation;                  /* the first one */
+    uint32_t violation_count;
+    fake_observer observer; /* NULL for none */
+    void *observer_data;
 };
 
 /* A call that has not been answered. */
@@ -193,7 +198,7 @@
 /* Schedules an event at a virtual time, or now if that has passed. */
 void fake_schedule(fake_fleet *deployment, int64_t at_us,
                    fake_event_fn callback, void *user_data);
-/* Records a violated rule; later calls have no effect. */
+/* Records a violated rule. Only the text of the first one is kept. */
 void fake_record_violation(fake_fleet *deployment, const char *fmt, ...)
     __attribute__((format(printf, 2, 3)));
 /* Returns whether the process of a VM is suspended. What arrives meanwhile is
@@ -202,6 +207,11 @@
 /* Returns whether zones reach each other. */
 bool fake_zones_are_connected(const fake_fleet *deployment, uint32_t first,
                               uint32_t second);
+/* Returns the zone of a worker. */
+uint32_t fake_worker_zone(const struct fake_fleet_worker *worker);
+/* Passes an event to the observer of the deployment. */
+void fake_observe(const fake_fleet *deployment, const char *event,
+                  const char *fmt, ...) __attribute__((format(printf, 3, 4)));
 /* Returns true with the given probability. */
 bool fake_random_bool(fake_fleet *deployment, double probability);
 
--- a/standins/fake_fleet_store.c
+++ b/standins/fake_fleet_store.c
@@ -548,7 +548,6 @@
         call->is_waiting = false;
         if (!call->answered)
             send_feed(call);
-        i = 0;
     }
 }
 
@@ -651,8 +650,12 @@
                   row->value->data, row->value->len, false);
         if (strcmp(row->table, CS_TABLE_JOBS) == 0)
             fake_check_job(deployment, row->value);
-        if (strcmp(row->table, CS_TABLE_PROGRESS) == 0)
+        if (strcmp(row->table, CS_TABLE_PROGRESS) == 0) {
+            fake_observe(deployment, "progress-stored",
+                         "job %s version %" G_GUINT64_FORMAT, row->key,
+                         deployment->store.version);
             fake_check_progress(deployment, row->key, row->value);
+        }
     }
     for (i = 0; i < call->change.removals->len; i++) {
         const struct fake_row *row =
--- a/standins/fake_fleet_worker.c
+++ b/standins/fake_fleet_worker.c
@@ -16,6 +16,12 @@
 /* Value of a worker's clock when its process starts. */
 #define CLOCK_START_MS 1000
 
+static const char *const outcome_names[] = {
+    [CS_OUTCOME_DONE] = "done",       [CS_OUTCOME_FAILED] = "failed",
+    [CS_OUTCOME_STOPPED] = "stopped", [CS_OUTCOME_LAPSED] = "lapsed",
+    [CS_OUTCOME_BROKEN] = "broken",   [CS_OUTCOME_ALONE] = "alone",
+};
+
 typedef enum { ORDER_START, ORDER_STOP, ORDER_HEARTBEAT } order_type;
 
 struct order {
@@ -121,7 +127,7 @@
         "\"capacity\":{\"cpu\":64000,\"memMb\":131072,\"gpu\":8},"
         "\"labels\":[\"a\",\"r1-%u\"],\"clockMs\":1,\"seq\":%u,\"born\":"
         "%" G_GUINT64_FORMAT "}",
-        worker->address, worker->number % FAKE_ZONES,
+        worker->address, fake_worker_zone(worker),
         worker->draining ? "draining" : "ready",
         worker->number % worker->deployment->rack_count,
         (unsigned)++worker->entry_sequence, worker->incarnation_ms);
@@ -265,7 +271,7 @@
     return !worker->disconnected &&
            fake_zones_are_connected(order->deployment,
                                     order->vm->number % FAKE_ZONES,
-                                    worker->number % FAKE_ZONES);
+                                    fake_worker_zone(worker));
 }
 
 static void
@@ -293,6 +299,10 @@
     g_array_append_val(worker->ended_runs, end);
     g_hash_table_insert(worker->finished_runs, g_strdup(run->task),
                         GUINT_TO_POINTER(run->run));
+    fake_observe(
+        worker->deployment, "worker-run-ended",
+        "task %s run %u worker %s end %" G_GUINT64_FORMAT " outcome %s",
+        run->task, run->run, worker->id, end.sequence, outcome_names[outcome]);
     fake_check_end(worker->deployment, worker, run, outcome);
     g_ptr_array_remove(worker->runs, run);
     answer_waiting_heartbeats(worker);
@@ -587,6 +597,11 @@
     run->started_us = worker->deployment->now_us;
     g_ptr_array_add(worker->runs, run);
     extend_lease(worker, order->lease_end_ms);
+    fake_observe(worker->deployment, "worker-run-started",
+                 "task %s run %u worker %s epoch %" G_GUINT64_FORMAT
+                 " late %" G_GINT64_FORMAT " ms",
+                 run->task, run->run, worker->id, run->epoch,
+                 (worker->deployment->now_us - order->ordered_us) / CS_MS_US);
     fake_check_start(worker->deployment, worker, run, order->ordered_us);
     start_work_if_complete(worker, run);
     send_answer(order, &answer);
@@ -601,6 +616,10 @@
     guint finished_run = GPOINTER_TO_UINT(
         g_hash_table_lookup(worker->finished_runs, order->task));
 
+    fake_observe(
+        worker->deployment, "worker-stop-ordered",
+        "task %s run %u worker %s epoch %" G_GUINT64_FORMAT ", present run %u",
+        order->task, order->run, worker->id, order->epoch, run ? run->run : 0);
     if (run && run->run == order->run && !run->stop_us)
         run->stop_us = worker->deployment->now_us + FAKE_STOP_TIME_US;
     else if (!run)
@@ -615,11 +634,17 @@
     guint i = 0;
 
     while (i < worker->ended_runs->len) {
-        if (g_array_index(worker->ended_runs, struct fake_ended_run, i)
-                .sequence <= order->acknowledged_upto)
-            g_array_remove_index(worker->ended_runs, i);
-        else
+        const struct fake_ended_run *end =
+            &g_array_index(worker->ended_runs, struct fake_ended_run, i);
+
+        if (end->sequence > order->acknowledged_upto) {
             i++;
+            continue;
+        }
+        fake_observe(worker->deployment, "worker-end-acknowledged",
+                     "task %s run %u worker %s epoch %" G_GUINT64_FORMAT,
+                     end->task, end->run, worker->id, order->epoch);
+        g_array_remove_index(worker->ended_runs, i);
     }
     if (order->lease_end_ms)
         extend_lease(worker, order->lease_end_ms);
@@ -650,6 +675,7 @@
 execute(void *user_data)
 {
     struct order *order = user_data;
+    const fake_fleet *deployment = order->deployment;
     struct fake_fleet_worker *worker = find_order_worker(order);
 
     if (!worker || !is_connected(order, worker))
@@ -664,6 +690,11 @@
     }
     if (order->epoch < worker->highest_epoch &&
         worker->deployment->disabled_protection != FAKE_WITHOUT_EPOCH_CHECK) {
+        fake_observe(deployment, "worker-order-fenced",
+                     "task %s run %u worker %s epoch %" G_GUINT64_FORMAT
+                     ", highest %" G_GUINT64_FORMAT,
+                     order->task, order->run, worker->id, order->epoch,
+                     worker->highest_epoch);
         send_code(order, CS_E_WORKER, CS_REFUSED_FENCED);
         return;
     }
--- a/standins/standin_deployment.c
+++ b/standins/standin_deployment.c
@@ -1,12 +1,15 @@
 /*
  * Stand-in for a deployment: serves the store, the placement adviser and
  * workers over the platform's HTTP interfaces, in real time. Prints
- * "ready IP:PORT" with the address of the store and the adviser. Workers
- * listen on ports that the kernel chooses. Stops with status 1 if the checker
- * finds a violation.
+ * "ready IP:PORT" with the address of the store, the adviser and the controls
+ * (see fake_fleet_http.h). Workers listen on ports that the kernel chooses.
+ * Ends with status 1 if the checker has found a violation, with --go-on at
+ * the end, else at once. With --events, what workers and the store observe is
+ * logged in the format of the daemons.
  */
 #include "corianderstair/clock.h"
 #include "corianderstair/errors.h"
+#include "corianderstair/log.h"
 #include "corianderstair/settings.h"
 #include "fake_fleet_http.h"
 
@@ -16,8 +19,9 @@
 #include <string.h>
 
 #define TICK_MS 2
-#define MAX_WORKERS 32
-#define WORKERS_PER_RACK 8
+#define DEFAULT_WORKERS 8
+#define MAX_WORKERS 1200
+#define DEFAULT_WORKERS_PER_RACK 8
 
 struct deployment;
 
@@ -31,10 +35,12 @@
     GMainLoop *loop;
     cs_net *net;
     cs_http_server *store;
-    struct worker_server workers[MAX_WORKERS];
+    struct worker_server *workers;
     uint32_t worker_count;
     fake_fleet *fleet;
     int64_t started_us;
+    bool go_on;    /* after a violation */
+    bool reported; /* the first violation was printed */
 };
 
 /* Advances virtual time to the time since the start of the process. */
@@ -53,23 +59,33 @@
     struct deployment *deployment = user_data;
 
     advance_to_now(deployment);
-    if (fake_fleet_violation(deployment->fleet)) {
-        fprintf(stderr, "violation %s\n",
-                fake_fleet_violation(deployment->fleet));
-        g_main_loop_quit(deployment->loop);
-        return G_SOURCE_REMOVE;
-    }
-    return G_SOURCE_CONTINUE;
+    if (!fake_fleet_violation(deployment->fleet) || deployment->reported)
+        return G_SOURCE_CONTINUE;
+    deployment->reported = true;
+    fprintf(stderr, "violation %s\n", fake_fleet_violation(deployment->fleet));
+    if (deployment->go_on)
+        return G_SOURCE_CONTINUE;
+    g_main_loop_quit(deployment->loop);
+    return G_SOURCE_REMOVE;
+}
+
+static void
+on_event(void *user_data, const char *event, const char *detail)
+{
+    cs_log_event(event, "%s", detail);
 }
 
 static void
 on_store_request(cs_http_request *request, void *user_data)
 {
     struct deployment *deployment = user_data;
+    const char *path = cs_http_request_path(request);
 
     advance_to_now(deployment);
-    if (strcmp(cs_http_request_path(request), "/advise") == 0)
+    if (strcmp(path, "/advise") == 0)
         fake_fleet_http_adviser(deployment->fleet, request);
+    else if (strcmp(path, "/faults") == 0 || strcmp(path, "/state") == 0)
+        fake_fleet_http_control(deployment->fleet, request);
     else
         fake_fleet_http_store(deployment->fleet, request);
 }
@@ -133,6 +149,7 @@
     cs_http_server_destroy(deployment->store);
     for (i = 0; i < deployment->worker_count; i++)
         cs_http_server_destroy(deployment->workers[i].server);
+    g_free(deployment->workers);
     g_main_loop_unref(deployment->loop);
 }
 
@@ -140,11 +157,28 @@
 main(int argc, char **argv)
 {
     struct deployment deployment = {0};
-    fake_fleet_settings settings = {.seed = 1};
-    int64_t workers = WORKERS_PER_RACK;
+    fake_fleet_settings settings = {0};
+    int64_t workers = DEFAULT_WORKERS;
+    int64_t workers_per_rack = DEFAULT_WORKERS_PER_RACK;
+    int64_t zones = FAKE_ZONES;
+    int64_t seed = 1;
+    int64_t organisations = 1;
+    bool events = false;
     const cs_setting options[] = {
         {"workers", CS_SETTING_NUMBER, &workers, 1, MAX_WORKERS, false,
          "number of workers, with 8 accelerators each"},
+        {"rack", CS_SETTING_NUMBER, &workers_per_rack, 1, MAX_WORKERS, false,
+         "number of workers of a rack"},
+        {"zones", CS_SETTING_NUMBER, &zones, 1, FAKE_WORKER_ZONES_MAX, false,
+         "number of zones of the workers, named z0, z1 and so on"},
+        {"seed", CS_SETTING_NUMBER, &seed, 0, UINT32_MAX, false,
+         "seed of the faults"},
+        {"organisations", CS_SETTING_NUMBER, &organisations, 1, 100, false,
+         "number of organisations; number n has the key kn"},
+        {"go-on", CS_SETTING_FLAG, &deployment.go_on, 0, 0, false,
+         "runs on after a violation"},
+        {"events", CS_SETTING_FLAG, &events, 0, 0, false,
+         "logs what workers and the store observe"},
     };
     cs_settings_next next;
     int status = 0;
@@ -160,8 +194,16 @@
     deployment.worker_count = (uint32_t)workers;
     settings.workers = deployment.worker_count;
     settings.racks =
-        (deployment.worker_count + WORKERS_PER_RACK - 1) / WORKERS_PER_RACK;
+        (uint32_t)((workers + workers_per_rack - 1) / workers_per_rack);
+    settings.worker_zones = (uint32_t)zones;
+    settings.seed = (uint64_t)seed;
+    deployment.workers = g_new0(struct worker_server, workers);
     deployment.fleet = fake_fleet_create(&settings);
+    fake_fleet_set_organisations(deployment.fleet, (uint32_t)organisations);
+    fake_fleet_configure(deployment.fleet, 2);
+    cs_log_init("standin");
+    if (events)
+        fake_fleet_set_observer(deployment.fleet, on_event, NULL);
     deployment.loop = g_main_loop_new(NULL, FALSE);
     deployment.started_us = cs_clock_boot_us();
     if (start_servers(&deployment)) {
