fleet: a poll that lags does not tell when an entry was written

A task was started again while it ran. The tasks of a draining worker whose entry is gone restart at once if the entry was written so shortly before that the store cannot have removed it after silence. An entry counts as written after the poll before the one that has shown it. If that poll was answered as of an earlier time, the entry is older than it seems: a worker that drains and is cut off is taken for one that has left while its lease still runs.

--- a/src/fleet/commit.c
+++ b/src/fleet/commit.c
@@ -314,6 +314,7 @@
                            (fleet_now(fleet).boot_us - sent_us) / CS_MS_US);
     if (answer->code == 0) {
         fleet->store_clock_ms = MAX(fleet->store_clock_ms, answer->now_ms);
+        fleet->known_version = MAX(fleet->known_version, answer->version);
         complete_commit(fleet, answer->version);
         return;
     }
--- a/src/fleet/feeds.c
+++ b/src/fleet/feeds.c
@@ -172,8 +172,10 @@
     if (stale)
         return NULL;
     feed->pending = false;
-    if (answer->code == 0)
+    if (answer->code == 0) {
+        fleet->known_version = MAX(fleet->known_version, answer->version);
         return feed;
+    }
     if (answer->code == CS_E_TOO_OLD) {
         cs_log_event("table-reread", "table %s: the history is gone",
                      feed->table);
@@ -296,6 +298,7 @@
     struct call *call = user_data;
     cs_fleet *fleet = call->fleet;
     int64_t sent_us = call->sent_us;
+    bool lags = answer->version < call->known_version;
     struct feed *feed = end_call(call, answer);
 
     if (!feed)
@@ -305,8 +308,10 @@
        Without the rest at once, the feed falls behind without end. */
     if (is_incomplete(answer))
         feed->next_call_us = 0;
-    else
+    else if (!lags)
         feed->followed_until_us = sent_us;
+    else
+        fleet_increment_counter(fleet, "cs_polls_behind_total");
     feed->followed_version = MAX(feed->followed_version, answer->version);
 }
 
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -24,6 +24,7 @@
     call->generation = fleet->generation;
     call->worker = worker;
     call->sent_us = fleet_now(fleet).boot_us;
+    call->known_version = fleet->known_version;
 }
 
 struct call *
@@ -63,6 +64,7 @@
     g_queue_init(&fleet->expired_jobs);
     g_queue_init(&fleet->expired_progress);
     g_queue_init(&fleet->orphan_rows);
+    fleet->known_version = 0;
     fleet->orphan_count = 0;
     fleet->ended_orphan[0] = '\0';
     fleet->job_rows_unreadable = false;
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -264,7 +264,9 @@
     tenure_state tenure;
     uint64_t generation; /* raised when the state of a tenure is dropped */
     uint64_t epoch;
-    uint64_t epoch_version;    /* of the epoch row */
+    uint64_t epoch_version; /* of the epoch row */
+    uint64_t known_version; /* the highest of the store that an answer to this
+                               tenure's reads and changes has shown */
     uint64_t last_ended_epoch; /* of this process's last ended tenure */
     /* Stand-by. */
     bool cell_read_pending;
@@ -348,6 +350,7 @@
     uint64_t ends_recorded; /* heartbeat: the ends that it acknowledges */
     bool probe;             /* an extra heartbeat beside the pending one */
     int64_t sent_us;
+    uint64_t known_version; /* fleet->known_version when it was sent */
 };
 
 /* fleet.c */
--- a/tests/test_fleet_takeover.c
+++ b/tests/test_fleet_takeover.c
@@ -14,6 +14,8 @@
 #include <cmocka.h>
 
 #define VMS 4
+#define WORKERS_TABLE "servers"
+#define WORKER_INTERVAL_US (1500 * CS_MS_US)
 #define JOB_TASKS 8
 #define JOB_ID "0000000000000001"
 #define SECOND_JOB_ID "0000000000000002"
@@ -473,6 +475,46 @@
     fake_fleet_destroy(deployment);
 }
 
+/* Drains a worker with a task and cuts it off a while after its start; its
+   entry is removed after silence. Polls lag until then. */
+static void
+expect_silent_worker_is_not_gone(int64_t offset_us)
+{
+    fake_fleet *deployment = create_deployment(1);
+    fake_job job;
+    int32_t reply;
+
+    /* One worker stays free. */
+    fake_job_init(&job, 1, 2, 15, 8, 60000);
+    fake_fleet_submit(deployment, 0, &job, &reply);
+    fake_fleet_run(deployment, CS_SEC_US + offset_us);
+    assert_int_equal(fake_fleet_start_count(deployment, JOB_ID), 15);
+    fake_fleet_set_store_lag(deployment, -1, WORKERS_TABLE, 3 * CS_SEC_US);
+    fake_fleet_drain_worker(deployment, 0);
+    fake_fleet_set_worker_disconnected(deployment, 0, true);
+    fake_fleet_run(deployment, 3 * WORKER_INTERVAL_US);
+    fake_fleet_expire_entry(deployment, 0);
+    fake_fleet_set_store_lag(deployment, -1, NULL, 0);
+    fake_fleet_run(deployment, 10 * CS_SEC_US);
+    expect_no_violation(deployment);
+    fake_fleet_destroy(deployment);
+}
+
+/*
+ * Guards against tasks that are started again while they run on a worker that
+ * drains and is cut off. The holder sees the entry late, as its polls lag, and
+ * its removal in time, so that the worker seems to have been silent for too
+ * short a time for a removal by the store.
+ */
+static void
+takeover__silent_worker_is_not_gone_when_polls_have_lagged(void **state)
+{
+    int64_t offset_us;
+
+    for (offset_us = 0; offset_us < 2 * CS_SEC_US; offset_us += 100 * CS_MS_US)
+        expect_silent_worker_is_not_gone(offset_us);
+}
+
 int
 main(void)
 {
@@ -489,6 +531,8 @@
         cmocka_unit_test(takeover__progress_of_running_tasks_is_not_removed),
         cmocka_unit_test(takeover__late_removal_of_a_job_spares_a_newer_one),
         cmocka_unit_test(takeover__cancelled_job_is_removed_after_its_end),
+        cmocka_unit_test(
+            takeover__silent_worker_is_not_gone_when_polls_have_lagged),
     };
 
     if (!g_getenv("CS_TEST_LOG"))
