fleet: an earlier process does not show that a former holder has ended

A task was started again after it had ended done: the tasks of silent workers were given up while the former holder, which was cut off with them, still extended their leases. The successor reads the row of the former holder's VM and stops waiting if it names another process. The row may name an earlier one: rows of VMs are written without a condition, so that a write of the process before is carried out late, or the new process has taken the cell before it has written its row, or the read lags.

Only a process that started later, by the wall clock of its VM, shows that the former holder has ended. If the clock went back between the two, the successor waits for the bound, 15 s and a lease.

--- a/src/fleet/former_holder.c
+++ b/src/fleet/former_holder.c
@@ -28,6 +28,16 @@
            strncmp(incarnation, vm, length) == 0;
 }
 
+/* Returns when the process of an incarnation has started, by its VM's wall
+   clock. */
+static uint64_t
+start_of(const char *incarnation)
+{
+    const char *dash = strrchr(incarnation, '-');
+
+    return dash ? g_ascii_strtoull(dash + 1, NULL, 16) : 0;
+}
+
 static void
 note_end(cs_fleet *fleet)
 {
@@ -75,11 +85,13 @@
     if (stale)
         return;
     former->read_pending = false;
+    /* The row may still be that of an earlier process: a VM may hold the cell
+       before it has written its row, and a write may be carried out late. */
     if (answer->code || answer->row_count == 0 ||
         !is_of_vm(former->incarnation, answer->rows[0].key) ||
         !cs_members_read_incarnation(incarnation, sizeof(incarnation),
                                      &answer->rows[0]) ||
-        strcmp(incarnation, former->incarnation) == 0)
+        start_of(incarnation) <= start_of(former->incarnation))
         return;
     cs_log_event("former-holder-ended", "%s runs now", incarnation);
     note_end(fleet);
--- a/standins/fake_fleet.h
+++ b/standins/fake_fleet.h
@@ -151,6 +151,9 @@
 void fake_fleet_remove_job_row(fake_fleet *deployment, const char *id);
 /** Removes a progress row, as only another writer may. */
 void fake_fleet_remove_progress_row(fake_fleet *deployment, const char *key);
+/** Carries out a VM's first write of its own row again, as the store may do
+    seconds later if the VM got no answer. */
+void fake_fleet_repeat_member_write(fake_fleet *deployment, uint32_t vm);
 /** Rewrites the progress rows of a job as the single row that former builds
     wrote. */
 void fake_fleet_merge_progress(fake_fleet *deployment, const char *id);
--- a/standins/fake_fleet_store.c
+++ b/standins/fake_fleet_store.c
@@ -181,6 +181,24 @@
     fake_store_remove(deployment, CS_TABLE_PROGRESS, CS_CELL_PART, key);
 }
 
+void
+fake_fleet_repeat_member_write(fake_fleet *deployment, uint32_t vm)
+{
+    const GPtrArray *history = deployment->store.history;
+    guint i;
+
+    for (i = 0; i < history->len; i++) {
+        const struct fake_row *row = g_ptr_array_index(history, i);
+
+        if (strcmp(row->table, CS_TABLE_MEMBERS) == 0 &&
+            strcmp(row->key, deployment->vms[vm].name) == 0) {
+            fake_store_put(deployment, row->table, row->part, row->key,
+                           row->value->data, row->value->len);
+            return;
+        }
+    }
+}
+
 void
 fake_fleet_merge_progress(fake_fleet *deployment, const char *id)
 {
--- a/tests/test_fleet_takeover.c
+++ b/tests/test_fleet_takeover.c
@@ -515,6 +515,48 @@
         expect_silent_worker_is_not_gone(offset_us);
 }
 
+/*
+ * Guards against tasks that are started again while a former holder that is
+ * cut off still extends their leases: the row of its VM names an earlier
+ * process, as a write of that process was carried out late, and the successor
+ * takes it for a later one.
+ */
+static void
+takeover__earlier_process_does_not_end_the_wait_for_a_holder(void **state)
+{
+    fake_fleet_settings settings = {
+        .vms = 9, .workers = 16, .racks = 2, .seed = 1};
+    fake_fleet *deployment = fake_fleet_create(&settings);
+    uint32_t vm;
+    uint32_t i;
+    fake_job job;
+    int32_t reply;
+
+    fake_fleet_run(deployment, 3 * CS_SEC_US);
+    vm = (uint32_t)fake_fleet_holder(deployment);
+    fake_fleet_kill(deployment, vm, 500 * CS_MS_US);
+    fake_fleet_run(deployment, 3 * CS_SEC_US);
+    for (i = 0; i < settings.vms; i++) {
+        if (i != vm)
+            fake_fleet_kill(deployment, i, 8 * CS_SEC_US);
+    }
+    fake_fleet_run(deployment, 12 * CS_SEC_US);
+    assert_int_equal(fake_fleet_holder(deployment), vm);
+    fake_fleet_repeat_member_write(deployment, vm);
+    fake_job_init(&job, 1, 2, 16, 8, 20 * 1000);
+    fake_fleet_submit(deployment, vm, &job, &reply);
+    fake_fleet_run(deployment, 2 * CS_SEC_US);
+    assert_int_equal(fake_fleet_start_count(deployment, JOB_ID), 16);
+    fake_fleet_cut_zone(deployment, vm % FAKE_ZONES, true);
+    fake_fleet_run(deployment, 40 * CS_SEC_US);
+    fake_fleet_cut_zone(deployment, vm % FAKE_ZONES, false);
+    fake_fleet_run(deployment, 40 * CS_SEC_US);
+    expect_no_violation(deployment);
+    assert_int_equal(fake_fleet_job_state(deployment, JOB_ID),
+                     CS_PROGRESS_COMPLETED);
+    fake_fleet_destroy(deployment);
+}
+
 int
 main(void)
 {
@@ -533,6 +575,8 @@
         cmocka_unit_test(takeover__cancelled_job_is_removed_after_its_end),
         cmocka_unit_test(
             takeover__silent_worker_is_not_gone_when_polls_have_lagged),
+        cmocka_unit_test(
+            takeover__earlier_process_does_not_end_the_wait_for_a_holder),
     };
 
     if (!g_getenv("CS_TEST_LOG"))
