fleet: a late start is refused by the worker's next incarnation

A start that gets no answer may be carried out seconds later. The worker refuses it then because its lease has ended, by its own clock. Once a silent worker's leases have ended the task is started elsewhere. If the worker comes back as another incarnation under the same id, it knows neither that clock, whose times lie in the future of its own, nor earlier stops, nor an epoch, so that it carries the late start out beside the newer run. An idle worker is not asked again, so that nobody notices.

A start whose outcome was not known when its worker was given up is noted, and the worker's next incarnation is told to stop the run before anything else, after which it refuses the start. A start that arrives before the holder knows of the new incarnation is still carried out: no fence that a new incarnation could know excludes that.

--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -115,6 +115,7 @@
                                 and by shorter pauses */
     int64_t quarantine_us;   /* length of the last quarantine; 0 none */
     cs_speed speed;          /* learned */
+    GArray *unsettled;       /* of struct unsettled_start */
     GPtrArray *tasks;        /* of struct task, placed on the worker */
     GArray *unwanted_runs;   /* of struct unwanted_run */
     /* The names are last: a cycle reads all of the others of each worker. */
@@ -563,6 +564,20 @@
 void run_stop_unknown(cs_fleet *fleet, struct worker *worker, const char *task,
                       uint32_t run);
 
+/* Sends a stop that no task accounts for. */
+void run_send_stop(cs_fleet *fleet, struct worker *worker, const char *name,
+                   uint32_t run);
+
+/* unsettled.c */
+GArray *unsettled_starts_create(void);
+/* Notes the start of a task that is given up with its worker, unless it is
+   known whether it was carried out. */
+void unsettled_note(const cs_fleet *fleet, const struct task *task);
+/* Forgets a start that the worker refuses after a stop. */
+void unsettled_settle(struct worker *worker, const char *name, uint32_t run);
+/* Stops such runs on a worker that is another incarnation. */
+void unsettled_tick(cs_fleet *fleet, struct worker *worker, int64_t now_us);
+
 /* unwanted.c */
 GHashTable *unwanted_tasks_create(void);
 /* Notes that a worker lists a run that is not wanted there. */
--- a/src/fleet/heartbeat.c
+++ b/src/fleet/heartbeat.c
@@ -409,6 +409,7 @@
         if (fleet->tenure != TENURE_HOLDING)
             return;
         retry_stops(fleet, worker, now_us);
+        unsettled_tick(fleet, worker, now_us);
         check_leases_ended(fleet, worker, now_us);
         if (!worker->heartbeat_pending &&
             now_us >= worker->next_heartbeat_us && needs_heartbeat(worker) &&
--- a/src/fleet/run.c
+++ b/src/fleet/run.c
@@ -213,13 +213,16 @@
             if (answer->code == 0)
                 confirm_stop(call->fleet, task);
         }
+        else if (answer->code == 0) {
+            unsettled_settle(call->worker, call->task, call->run);
+        }
     }
     g_free(call);
 }
 
-static void
-send_stop(cs_fleet *fleet, struct worker *worker, const char *name,
-          uint32_t run)
+void
+run_send_stop(cs_fleet *fleet, struct worker *worker, const char *name,
+              uint32_t run)
 {
     const cs_worker_port *port = fleet->state->ports.workers;
     cs_worker_target target = {worker->address, worker->id, false,
@@ -244,7 +247,7 @@
     task->stop_pending = true;
     task->stop_sent_us = fleet_now(fleet).boot_us;
     task_name(name, task);
-    send_stop(fleet, task->worker, name, task->run);
+    run_send_stop(fleet, task->worker, name, task->run);
 }
 
 void
@@ -258,5 +261,5 @@
        free until the stop has taken effect. */
     pause_worker(fleet, worker,
                  fleet->state->settings.bounds.stop_ms * CS_MS_US);
-    send_stop(fleet, worker, task, run);
+    run_send_stop(fleet, worker, task, run);
 }
--- a/standins/fake_fleet.c
+++ b/standins/fake_fleet.c
@@ -462,6 +462,8 @@
     deployment->store_reads_per_s = settings->store_reads_per_s;
     deployment->feed_rows_max = settings->feed_rows_max;
     deployment->evacuate_not_given = settings->evacuate_not_given;
+    deployment->late_orders_outlive_workers =
+        settings->late_orders_outlive_workers;
     deployment->row_bytes =
         settings->row_bytes ? settings->row_bytes : DEFAULT_ROW_BYTES;
     fake_store_init(deployment);
--- a/standins/fake_fleet.h
+++ b/standins/fake_fleet.h
@@ -38,6 +38,7 @@
     bool peers_unreachable;    /**< messages from and to other VMs are lost */
     double late_orders_share;  /**< share of orders executed seconds later and
                               never  answered */
+    int64_t late_order_us;     /**< how much later; 0 for a random delay */
 } fake_vm_faults;
 
 /**
@@ -80,6 +81,9 @@
     uint32_t feed_rows_max;
     /** Maximum bytes of a row's value in a change; 0 means 65,536. */
     int64_t row_bytes;
+    /** Orders that are executed late reach the next incarnation of a worker,
+        which has the same id. They are lost with the former one otherwise. */
+    bool late_orders_outlive_workers;
     /** The VMs' settings do not contain the bound of evacuations. */
     bool evacuate_not_given;
 } fake_fleet_settings;
--- a/standins/fake_fleet_internal.h
+++ b/standins/fake_fleet_internal.h
@@ -172,6 +172,7 @@
     uint32_t feed_rows_max;
     int64_t row_bytes;
     bool evacuate_not_given;
+    bool late_orders_outlive_workers;
     bool shutting_down;               /* messages are freed, not delivered */
     uint64_t call_count;              /* store changes and worker orders */
     uint32_t pending_advice_requests; /* not yet answered by the adviser */
--- a/standins/fake_fleet_worker.c
+++ b/standins/fake_fleet_worker.c
@@ -691,6 +691,7 @@
         return;
     /* An order is lost if its worker has restarted since it was sent. */
     if (worker->up && order->incarnation_ms &&
+        !order->deployment->late_orders_outlive_workers &&
         order->incarnation_ms != worker->incarnation_ms)
         return;
     if (!worker->up) {
@@ -772,7 +773,10 @@
 
     if (late)
         at_us = deployment->now_us +
-                g_rand_int_range(deployment->random, MIN_LATE_US, MAX_LATE_US);
+                (faults->late_order_us
+                     ? faults->late_order_us
+                     : g_rand_int_range(deployment->random, MIN_LATE_US,
+                                        MAX_LATE_US));
     if (!faults->workers_unreachable)
         fake_schedule(deployment, at_us, execute, order);
     if (order->wait_until_us)
--- a/tests/test_fleet_runs.c
+++ b/tests/test_fleet_runs.c
@@ -10,6 +10,8 @@
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
+#include <stdlib.h>
+#include <string.h>
 #include <cmocka.h>
 
 #define WORKERS 16
@@ -267,6 +269,59 @@
     fake_fleet_destroy(deployment);
 }
 
+/* Returns the number of the worker that the job's only task is placed on. */
+static uint32_t
+find_worker(const fake_fleet *deployment)
+{
+    json_t *job = fake_fleet_explain(
+        deployment, (uint32_t)fake_fleet_holder(deployment), JOB);
+    const json_t *step = json_array_get(json_object_get(job, "steps"), 0);
+    const json_t *task = json_array_get(json_object_get(step, "tasks"), 0);
+    const char *id = json_string_value(json_object_get(task, "worker"));
+    uint32_t number;
+
+    assert_non_null(id);
+    number = (uint32_t)atoi(id + strlen("w-"));
+    json_decref(job);
+    return number;
+}
+
+/*
+ * Guards against a start without an answer that is carried out after its
+ * worker was given up and has come back as another incarnation under the same
+ * id: the task runs elsewhere meanwhile. The holder needs a moment to learn of
+ * the new incarnation; nothing prevents a start within that time.
+ */
+static void
+fleet_runs__late_start_is_refused_by_the_next_incarnation(void **state)
+{
+    int64_t late_us = 9 * CS_SEC_US;
+    int64_t notice_us = 1500 * CS_MS_US;
+    int64_t down_us;
+
+    for (down_us = 500 * CS_MS_US; down_us <= late_us - notice_us;
+         down_us += 500 * CS_MS_US) {
+        fake_fleet_settings settings = {.vms = 4,
+                                        .workers = WORKERS,
+                                        .racks = 2,
+                                        .seed = 62,
+                                        .late_orders_outlive_workers = true};
+        fake_fleet *deployment = fake_fleet_create(&settings);
+        fake_vm_faults late = {.late_orders_share = 1,
+                               .late_order_us = late_us};
+        fake_vm_faults none = {0};
+
+        fake_fleet_run(deployment, 3 * CS_SEC_US);
+        fake_fleet_set_faults(deployment, -1, &late);
+        submit(deployment, 2, 1, 8, 8000, false);
+        fake_fleet_set_faults(deployment, -1, &none);
+        fake_fleet_crash_worker(deployment, find_worker(deployment), down_us);
+        fake_fleet_run(deployment, 20 * CS_SEC_US);
+        expect_completed(deployment);
+        fake_fleet_destroy(deployment);
+    }
+}
+
 int
 main(void)
 {
@@ -282,6 +337,8 @@
             fleet_runs__held_task_starts_once_the_worker_is_another_incarnation),
         cmocka_unit_test(fleet_runs__next_run_is_above_a_listed_one),
         cmocka_unit_test(fleet_runs__success_of_a_run_above_the_newest_counts),
+        cmocka_unit_test(
+            fleet_runs__late_start_is_refused_by_the_next_incarnation),
     };
 
     cs_log_silence();
