fleet: a start that is refused as old is settled by a heartbeat

A worker refuses a start as old if a run of the task with that number or a higher one was stopped or has ended there, or if another one is present. The task was released at once and started again, although the run itself may be the one that has ended, by another copy of the order, with its end not listed yet.

Such a refusal now counts as a start of unknown outcome: a heartbeat looks at once, an end that it lists counts, and a run that it does not list is stopped before the task waits again. This takes three calls to the worker where the run was not there.

The other refusals release the task as before, since nothing was done: a fence ends the tenure, 421, "late", "room", "ticket", 400 and 404 come before the run begins, 429 and 503 say that nothing was done, and the HTTP client reports CS_E_CONNECT only where it has not handed over the request.

--- a/src/fleet/run.c
+++ b/src/fleet/run.c
@@ -55,7 +55,11 @@
         worker->next_heartbeat_us = 0;
         break;
     case CS_REFUSED_OLD_RUN:
-        break;
+        /* The run itself may have ended there and not be listed yet. If it
+           did not, it is stopped as one of unknown outcome. */
+        task->start_unconfirmed = true;
+        heartbeat_probe(fleet, worker);
+        return;
     case CS_REFUSED_TICKET:
         advice_discard_ticket(task->step, worker);
         fleet_increment_counter(fleet, "cs_starts_without_ticket_total");
--- a/standins/fake_fleet.h
+++ b/standins/fake_fleet.h
@@ -211,6 +211,12 @@
  */
 void fake_fleet_start_run(fake_fleet *deployment, uint32_t worker,
                           const char *task, uint32_t run);
+/**
+ * Ends a run on a worker as done. The answer to the heartbeat that waits for
+ * an end there is late, so that only the next one lists it.
+ */
+void fake_fleet_end_run_unlisted(fake_fleet *deployment, uint32_t worker,
+                                 const char *task);
 /** @return whether a run of the task is on any worker */
 bool fake_fleet_task_runs(const fake_fleet *deployment, const char *task);
 /** Sets whether every run on a worker fails. */
--- a/standins/fake_fleet_worker.c
+++ b/standins/fake_fleet_worker.c
@@ -615,6 +615,19 @@
     answer_waiting_heartbeats(worker);
 }
 
+void
+fake_fleet_end_run_unlisted(fake_fleet *deployment, uint32_t number,
+                            const char *task)
+{
+    struct fake_fleet_worker *worker = &deployment->workers[number];
+    GPtrArray *waiting = worker->waiting_heartbeats;
+
+    worker->waiting_heartbeats = g_ptr_array_new();
+    end_run(worker, find_run(worker, task), CS_OUTCOME_DONE);
+    g_ptr_array_free(worker->waiting_heartbeats, TRUE);
+    worker->waiting_heartbeats = waiting;
+}
+
 bool
 fake_fleet_task_runs(const fake_fleet *deployment, const char *task)
 {
--- a/tests/test_fleet_runs.c
+++ b/tests/test_fleet_runs.c
@@ -286,6 +286,34 @@
     return number;
 }
 
+/*
+ * Guards against a task that is started elsewhere because its worker refuses
+ * the start as old: the run itself may have ended there, and that end is not
+ * listed yet.
+ */
+static void
+fleet_runs__start_refused_as_old_waits_for_the_ends(void **state)
+{
+    fake_fleet *deployment = create_deployment();
+    uint32_t worker;
+    fake_job job;
+
+    fake_fleet_set_store_delay(deployment, 100 * CS_MS_US);
+    fake_job_init(&job, 2, 1, 1, 2, 2000);
+    fake_fleet_submit(deployment, 0, &job, NULL);
+    while (newest_run(deployment, 0) == 0)
+        fake_fleet_run(deployment, 10 * CS_MS_US);
+    worker = find_worker(deployment);
+    fake_fleet_start_run(deployment, worker, JOB ".0.0.0", 1);
+    fake_fleet_run(deployment, 50 * CS_MS_US);
+    fake_fleet_end_run_unlisted(deployment, worker, JOB ".0.0.0");
+    fake_fleet_set_store_delay(deployment, 0);
+    fake_fleet_run(deployment, CS_SEC_US);
+    expect_completed(deployment);
+    assert_int_equal(fake_fleet_start_count(deployment, JOB), 1);
+    fake_fleet_destroy(deployment);
+}
+
 /*
  * Guards against a start without an answer that is carried out after its
  * worker was given up and has come back as another incarnation under the same
@@ -337,6 +365,7 @@
             fleet_runs__held_task_starts_once_the_worker_is_another_incarnation),
         cmocka_unit_test(fleet_runs__next_run_is_above_a_listed_one),
         cmocka_unit_test(fleet_runs__success_of_a_run_above_the_newest_counts),
+        cmocka_unit_test(fleet_runs__start_refused_as_old_waits_for_the_ends),
         cmocka_unit_test(
             fleet_runs__late_start_is_refused_by_the_next_incarnation),
     };
