fleet: no start on a new incarnation before it has answered

A worker may become another incarnation between the placement of a task and the confirmation of its record. The start was sent with a lease that was computed from an unknown clock (-1), so that it ended at 5999 ms of the new clock whatever that showed, and the end that the holder assumed for it from the time at which it had read the former clock. The heartbeat that a placement causes usually extends that end; a record that takes longer than its margin of 150 ms does not. The new incarnation may also be of another kind.

Such a start is withheld, a gang as a whole, and the task is placed again. start-withheld tells, and which member of a gang is the reason.

Before, the new test, in which the worker restarts while a record has no answer, found no start withheld (line 355: withheld > 0).

--- a/src/fleet/start_gate.c
+++ b/src/fleet/start_gate.c
@@ -1,8 +1,9 @@
 /*
  * Where and when tasks may start: not in an evacuated zone, nowhere while an
- * evacuation may have been missed, and not while a worker lists a run of the
- * task that is not wanted there. Only starts are held back. Running work
- * goes on, its leases are extended and the cell is kept.
+ * evacuation may have been missed, not on a worker whose incarnation has not
+ * answered, and not while a worker lists a run of the task that is not wanted
+ * there. Only starts are held back. Running work goes on, its leases are
+ * extended and the cell is kept.
  */
 #include "fleet_internal.h"
 
@@ -62,7 +63,7 @@
     return task->state == TASK_RECORDING && task->recorded &&
            (is_overdue(fleet) || !start_gate_is_open(fleet) ||
             start_gate_is_closed_at(fleet, task->worker) ||
-            unwanted_holds(fleet, task));
+            !task->worker->answered || unwanted_holds(fleet, task));
 }
 
 static const char *
@@ -72,9 +73,13 @@
         return "the lease was not renewed in time";
     if (fleet->starts_held)
         return "the evacuations were not confirmed in time";
-    return start_gate_is_closed_at(fleet, task->worker)
-               ? task->worker->zone
-               : "a worker lists another run of the task or of its gang";
+    if (!task->worker->answered)
+        return "the worker's incarnation has not answered yet";
+    if (start_gate_is_closed_at(fleet, task->worker))
+        return task->worker->zone;
+    return unwanted_holds(fleet, task)
+               ? "a worker lists another run of the task"
+               : "another member of its gang is withheld";
 }
 
 /* Lets a recorded task wait again. Its run was never sent to a worker. */
--- a/tests/test_fleet_runs.c
+++ b/tests/test_fleet_runs.c
@@ -314,6 +314,47 @@
     fake_fleet_destroy(deployment);
 }
 
+/*
+ * Guards against a start on a worker that has become another incarnation since
+ * the task was placed there, before that one has answered: its clock, by which
+ * the lease is given, is not known.
+ */
+static void
+fleet_runs__start_waits_for_an_answer_of_a_new_incarnation(void **state)
+{
+    fake_vm_faults unanswered = {.unanswered_changes_share = 1};
+    fake_vm_faults none = {0};
+    int64_t withheld = 0;
+    int64_t phase_us;
+
+    /* The holder looks for changed entries of workers every 400 ms. */
+    for (phase_us = 0; phase_us < 400 * CS_MS_US; phase_us += 20 * CS_MS_US) {
+        fake_fleet_settings settings = {
+            .vms = 4, .workers = WORKERS, .racks = 2, .seed = 63};
+        fake_fleet *deployment = fake_fleet_create(&settings);
+        uint32_t holder;
+        fake_job job;
+
+        fake_fleet_run(deployment, 3 * CS_SEC_US + phase_us);
+        holder = (uint32_t)fake_fleet_holder(deployment);
+        fake_job_init(&job, 2, 1, 1, 8, 2000);
+        fake_fleet_submit(deployment, (holder + 1) % 4, &job, NULL);
+        /* The answer to the record is lost, so that the new entry of the
+           worker may be read before the record is confirmed. */
+        fake_fleet_set_faults(deployment, (int32_t)holder, &unanswered);
+        while (newest_run(deployment, 0) == 0)
+            fake_fleet_run(deployment, 5 * CS_MS_US);
+        fake_fleet_crash_worker(deployment, find_worker(deployment),
+                                5 * CS_MS_US);
+        fake_fleet_run(deployment, 100 * CS_MS_US);
+        fake_fleet_set_faults(deployment, -1, &none);
+        expect_completed(deployment);
+        withheld += holder_counter(deployment, "cs_starts_withheld_total");
+        fake_fleet_destroy(deployment);
+    }
+    assert_true(withheld > 0);
+}
+
 /*
  * Guards against a start without an answer that is carried out after its
  * worker was given up and has come back as another incarnation under the same
@@ -366,6 +407,8 @@
         cmocka_unit_test(fleet_runs__next_run_is_above_a_listed_one),
         cmocka_unit_test(fleet_runs__success_of_a_run_above_the_newest_counts),
         cmocka_unit_test(fleet_runs__start_refused_as_old_waits_for_the_ends),
+        cmocka_unit_test(
+            fleet_runs__start_waits_for_an_answer_of_a_new_incarnation),
         cmocka_unit_test(
             fleet_runs__late_start_is_refused_by_the_next_incarnation),
     };
