fleet: ends of a new incarnation of an idle worker are acknowledged

A heartbeat that was sent to a worker's former incarnation may be answered by the next one under the same id, after the holder has learned of that from the worker's entry. The number up to which it acknowledges ends was then taken as one of the new incarnation. Its own ends, which are numbered from 1, seemed acknowledged already, so that an idle worker was not told and listed them for good.

A heartbeat's number counts only for the incarnation that it was sent to.

--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -351,8 +351,9 @@
     struct feed *feed;
     char task[TASK_NAME_BYTES];
     uint32_t run;
-    uint64_t ends_recorded; /* heartbeat: the ends that it acknowledges */
-    bool probe;             /* an extra heartbeat beside the pending one */
+    uint64_t ends_recorded;  /* heartbeat: the ends that it acknowledges */
+    uint64_t incarnation_ms; /* heartbeat: of the worker when it was sent */
+    bool probe;              /* an extra heartbeat beside the pending one */
     int64_t sent_us;
 };
 
--- a/src/fleet/heartbeat.c
+++ b/src/fleet/heartbeat.c
@@ -245,6 +245,7 @@
     struct worker *worker = call->worker;
     int64_t sent_us = call->sent_us;
     uint64_t ends_recorded = call->ends_recorded;
+    uint64_t incarnation_ms = call->incarnation_ms;
     bool stale = call_is_stale(call);
     bool probe = call->probe;
 
@@ -261,8 +262,10 @@
         fleet->idle_heartbeats--;
     worker->idle_heartbeat = false;
     if (answer->code == 0) {
-        worker->ends_acknowledged =
-            MAX(worker->ends_acknowledged, ends_recorded);
+        /* Another incarnation numbers its ends anew. */
+        if (incarnation_ms == worker->incarnation_ms)
+            worker->ends_acknowledged =
+                MAX(worker->ends_acknowledged, ends_recorded);
         process_answer(fleet, worker, answer, sent_us);
         return;
     }
@@ -330,6 +333,7 @@
         worker->failed_heartbeats == 0)
         order.wait_ms = HEARTBEAT_WAIT_MS;
     call->ends_recorded = worker->ends_recorded;
+    call->incarnation_ms = worker->incarnation_ms;
     worker->heartbeat_pending = true;
     worker->idle_heartbeat = is_unverified(worker);
     if (worker->idle_heartbeat)
--- a/tests/test_fleet_runs.c
+++ b/tests/test_fleet_runs.c
@@ -355,6 +355,37 @@
     assert_true(withheld > 0);
 }
 
+/*
+ * Guards against ends that are never acknowledged: a heartbeat that was sent
+ * to the former incarnation of a worker is answered by the new one, whose ends
+ * are numbered anew.
+ */
+static void
+fleet_runs__ends_of_a_new_incarnation_are_acknowledged(void **state)
+{
+    int64_t phase_us;
+
+    /* From before the ends of the first job to after their record. */
+    for (phase_us = 0; phase_us < 100 * CS_MS_US; phase_us += 2 * CS_MS_US) {
+        fake_fleet_settings settings = {
+            .vms = 4, .workers = WORKERS, .racks = 2, .seed = 64};
+        fake_fleet *deployment = fake_fleet_create(&settings);
+
+        fake_fleet_run(deployment, 3 * CS_SEC_US);
+        submit(deployment, 1, 8 * WORKERS, 1, 300, false);
+        fake_fleet_run(deployment, 100 * CS_MS_US + phase_us);
+        fake_fleet_crash_worker(deployment, 5, CS_MS_US);
+        fake_fleet_run(deployment, 5 * CS_SEC_US);
+        submit(deployment, 2, WORKERS, 8, 300, false);
+        fake_fleet_run(deployment, 10 * CS_SEC_US);
+        expect_completed(deployment);
+        if (!fake_fleet_is_idle(deployment))
+            fail_msg("ends are left on %s",
+                     fake_fleet_find_busy_worker(deployment));
+        fake_fleet_destroy(deployment);
+    }
+}
+
 /*
  * Guards against a start without an answer that is carried out after its
  * worker was given up and has come back as another incarnation under the same
@@ -409,6 +440,8 @@
         cmocka_unit_test(fleet_runs__start_refused_as_old_waits_for_the_ends),
         cmocka_unit_test(
             fleet_runs__start_waits_for_an_answer_of_a_new_incarnation),
+        cmocka_unit_test(
+            fleet_runs__ends_of_a_new_incarnation_are_acknowledged),
         cmocka_unit_test(
             fleet_runs__late_start_is_refused_by_the_next_incarnation),
     };
