--- a/src/fleet/start_gate.c
+++ b/src/fleet/start_gate.c
@@ -1,9 +1,9 @@
 /*
- * Where and when tasks may start: not in an evacuated zone, not on a worker
- * that has started anew and not answered yet, not while a worker lists a run
- * of the task that is not wanted there, and nowhere while an evacuation may
- * have been missed. Only starts are held back. Running work goes on, its
- * leases are extended and the cell is kept.
+ * Where and when tasks may start: not in an evacuated zone, nowhere while an
+ * evacuation may have been missed, not on a worker whose incarnation has not
+ * answered, and not while a worker lists a run of the task that is not wanted
+ * there. Only starts are held back. Running work goes on, its leases are
+ * extended and the cell is kept.
  */
 #include "fleet_internal.h"
 
@@ -57,23 +57,22 @@
     return fleet_now(fleet).boot_us >= fleet->extend_until_us;
 }
 
-/* Returns whether the worker has started anew since the run was placed, and
-   has not answered since. The end of a lease on its clock is not known then,
-   nor does it refuse the orders of former holders. */
+/* Returns whether the worker has started anew since the run was placed. Until
+   the new incarnation has answered, the end of a lease on its clock is not
+   known, and it does not refuse the orders of former holders. */
 static bool
 has_started_anew(const struct worker *worker)
 {
-    return worker->clock_ms < 0;
+    return !worker->answered;
 }
 
 static bool
 must_withhold(cs_fleet *fleet, const struct task *task)
 {
     return task->state == TASK_RECORDING && task->recorded &&
-           (is_overdue(fleet) || has_started_anew(task->worker) ||
-            !start_gate_is_open(fleet) ||
+           (is_overdue(fleet) || !start_gate_is_open(fleet) ||
             start_gate_is_closed_at(fleet, task->worker) ||
-            unwanted_holds(fleet, task));
+            has_started_anew(task->worker) || unwanted_holds(fleet, task));
 }
 
 static const char *
@@ -81,13 +80,15 @@
 {
     if (is_overdue(fleet))
         return "the lease was not renewed in time";
-    if (has_started_anew(task->worker))
-        return "the worker has started anew and not answered yet";
     if (fleet->starts_held)
         return "the evacuations were not confirmed in time";
-    return start_gate_is_closed_at(fleet, task->worker)
-               ? task->worker->zone
-               : "a worker lists another run of the task or of its gang";
+    if (has_started_anew(task->worker))
+        return "the worker's incarnation has not answered yet";
+    if (start_gate_is_closed_at(fleet, task->worker))
+        return task->worker->zone;
+    return unwanted_holds(fleet, task)
+               ? "a worker lists another run of the task"
+               : "another member of its gang is withheld";
 }
 
 /* Lets a recorded task wait again. Its run was never sent to a worker. */
--- a/standins/fake_fleet.h
+++ b/standins/fake_fleet.h
@@ -38,6 +38,7 @@
     bool peers_unreachable;    /**< messages from and to other VMs are lost */
     double late_orders_share;  /**< share of orders executed seconds later and
                               never  answered */
+    int64_t late_order_us;     /**< how much later; 0 for a random delay */
 } fake_vm_faults;
 
 /**
@@ -80,6 +81,9 @@
     uint32_t feed_rows_max;
     /** Maximum bytes of a row's value in a change; 0 means 65,536. */
     int64_t row_bytes;
+    /** Orders that are executed late reach the next incarnation of a worker,
+        which has the same id. They are lost with the former one otherwise. */
+    bool late_orders_outlive_workers;
     /** The VMs' settings do not contain the bound of evacuations. */
     bool evacuate_not_given;
     /** Number of zones of the workers, at most FAKE_WORKER_ZONES_MAX; 0 means
@@ -238,6 +242,12 @@
  */
 void fake_fleet_start_run(fake_fleet *deployment, uint32_t worker,
                           const char *task, uint32_t run);
+/**
+ * Ends a run on a worker as done. The answer to the heartbeat that waits for
+ * an end there is late, so that only the next one lists it.
+ */
+void fake_fleet_end_run_unlisted(fake_fleet *deployment, uint32_t worker,
+                                 const char *task);
 /** @return whether a run of the task is on any worker */
 bool fake_fleet_task_runs(const fake_fleet *deployment, const char *task);
 /** Sets whether every run on a worker fails. */
--- a/standins/fake_fleet_worker.c
+++ b/standins/fake_fleet_worker.c
@@ -630,6 +630,19 @@
     answer_waiting_heartbeats(worker);
 }
 
+void
+fake_fleet_end_run_unlisted(fake_fleet *deployment, uint32_t number,
+                            const char *task)
+{
+    struct fake_fleet_worker *worker = &deployment->workers[number];
+    GPtrArray *waiting = worker->waiting_heartbeats;
+
+    worker->waiting_heartbeats = g_ptr_array_new();
+    end_run(worker, find_run(worker, task), CS_OUTCOME_DONE);
+    g_ptr_array_free(worker->waiting_heartbeats, TRUE);
+    worker->waiting_heartbeats = waiting;
+}
+
 bool
 fake_fleet_task_runs(const fake_fleet *deployment, const char *task)
 {
@@ -717,6 +730,7 @@
         return;
     /* An order is lost if its worker has restarted since it was sent. */
     if (worker->up && order->incarnation_ms &&
+        !order->deployment->late_orders_outlive_workers &&
         order->incarnation_ms != worker->incarnation_ms)
         return;
     if (!worker->up) {
@@ -803,7 +817,10 @@
 
     if (late)
         at_us = deployment->now_us +
-                g_rand_int_range(deployment->random, MIN_LATE_US, MAX_LATE_US);
+                (faults->late_order_us
+                     ? faults->late_order_us
+                     : g_rand_int_range(deployment->random, MIN_LATE_US,
+                                        MAX_LATE_US));
     if (!faults->workers_unreachable)
         fake_schedule(deployment, at_us, execute, order);
     if (order->wait_until_us)
--- a/tests/test_fleet_runs.c
+++ b/tests/test_fleet_runs.c
@@ -10,6 +10,8 @@
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
+#include <stdlib.h>
+#include <string.h>
 #include <cmocka.h>
 
 #define WORKERS 16
@@ -267,6 +269,159 @@
     fake_fleet_destroy(deployment);
 }
 
+/* Returns the number of the worker that the job's only task is placed on. */
+static uint32_t
+find_worker(const fake_fleet *deployment)
+{
+    json_t *job = fake_fleet_explain(
+        deployment, (uint32_t)fake_fleet_holder(deployment), JOB);
+    const json_t *step = json_array_get(json_object_get(job, "steps"), 0);
+    const json_t *task = json_array_get(json_object_get(step, "tasks"), 0);
+    const char *id = json_string_value(json_object_get(task, "worker"));
+    uint32_t number;
+
+    assert_non_null(id);
+    number = (uint32_t)atoi(id + strlen("w-"));
+    json_decref(job);
+    return number;
+}
+
+/*
+ * Guards against a task that is started elsewhere because its worker refuses
+ * the start as old: the run itself may have ended there, and that end is not
+ * listed yet.
+ */
+static void
+fleet_runs__start_refused_as_old_waits_for_the_ends(void **state)
+{
+    fake_fleet *deployment = create_deployment();
+    uint32_t worker;
+    fake_job job;
+
+    fake_fleet_set_store_delay(deployment, 100 * CS_MS_US);
+    fake_job_init(&job, 2, 1, 1, 2, 2000);
+    fake_fleet_submit(deployment, 0, &job, NULL);
+    while (newest_run(deployment, 0) == 0)
+        fake_fleet_run(deployment, 10 * CS_MS_US);
+    worker = find_worker(deployment);
+    fake_fleet_start_run(deployment, worker, JOB ".0.0.0", 1);
+    fake_fleet_run(deployment, 50 * CS_MS_US);
+    fake_fleet_end_run_unlisted(deployment, worker, JOB ".0.0.0");
+    fake_fleet_set_store_delay(deployment, 0);
+    fake_fleet_run(deployment, CS_SEC_US);
+    expect_completed(deployment);
+    assert_int_equal(fake_fleet_start_count(deployment, JOB), 1);
+    fake_fleet_destroy(deployment);
+}
+
+/*
+ * Guards against a start on a worker that has become another incarnation since
+ * the task was placed there, before that one has answered: its clock, by which
+ * the lease is given, is not known.
+ */
+static void
+fleet_runs__start_waits_for_an_answer_of_a_new_incarnation(void **state)
+{
+    fake_vm_faults unanswered = {.unanswered_changes_share = 1};
+    fake_vm_faults none = {0};
+    int64_t withheld = 0;
+    int64_t phase_us;
+
+    /* The holder looks for changed entries of workers every 400 ms. */
+    for (phase_us = 0; phase_us < 400 * CS_MS_US; phase_us += 20 * CS_MS_US) {
+        fake_fleet_settings settings = {
+            .vms = 4, .workers = WORKERS, .racks = 2, .seed = 63};
+        fake_fleet *deployment = fake_fleet_create(&settings);
+        uint32_t holder;
+        fake_job job;
+
+        fake_fleet_run(deployment, 3 * CS_SEC_US + phase_us);
+        holder = (uint32_t)fake_fleet_holder(deployment);
+        fake_job_init(&job, 2, 1, 1, 8, 2000);
+        fake_fleet_submit(deployment, (holder + 1) % 4, &job, NULL);
+        /* The answer to the record is lost, so that the new entry of the
+           worker may be read before the record is confirmed. */
+        fake_fleet_set_faults(deployment, (int32_t)holder, &unanswered);
+        while (newest_run(deployment, 0) == 0)
+            fake_fleet_run(deployment, 5 * CS_MS_US);
+        fake_fleet_crash_worker(deployment, find_worker(deployment),
+                                5 * CS_MS_US);
+        fake_fleet_run(deployment, 100 * CS_MS_US);
+        fake_fleet_set_faults(deployment, -1, &none);
+        expect_completed(deployment);
+        withheld += holder_counter(deployment, "cs_starts_withheld_total");
+        fake_fleet_destroy(deployment);
+    }
+    assert_true(withheld > 0);
+}
+
+/*
+ * Guards against ends that are never acknowledged: a heartbeat that was sent
+ * to the former incarnation of a worker is answered by the new one, whose ends
+ * are numbered anew.
+ */
+static void
+fleet_runs__ends_of_a_new_incarnation_are_acknowledged(void **state)
+{
+    int64_t phase_us;
+
+    /* From before the ends of the first job to after their record. */
+    for (phase_us = 0; phase_us < 100 * CS_MS_US; phase_us += 2 * CS_MS_US) {
+        fake_fleet_settings settings = {
+            .vms = 4, .workers = WORKERS, .racks = 2, .seed = 64};
+        fake_fleet *deployment = fake_fleet_create(&settings);
+
+        fake_fleet_run(deployment, 3 * CS_SEC_US);
+        submit(deployment, 1, 8 * WORKERS, 1, 300, false);
+        fake_fleet_run(deployment, 100 * CS_MS_US + phase_us);
+        fake_fleet_crash_worker(deployment, 5, CS_MS_US);
+        fake_fleet_run(deployment, 5 * CS_SEC_US);
+        submit(deployment, 2, WORKERS, 8, 300, false);
+        fake_fleet_run(deployment, 10 * CS_SEC_US);
+        expect_completed(deployment);
+        if (!fake_fleet_is_idle(deployment))
+            fail_msg("ends are left on %s",
+                     fake_fleet_find_busy_worker(deployment));
+        fake_fleet_destroy(deployment);
+    }
+}
+
+/*
+ * Guards against a start without an answer that is carried out after its
+ * worker was given up and has come back as another incarnation under the same
+ * id: the task runs elsewhere meanwhile. The holder needs a moment to learn of
+ * the new incarnation; nothing prevents a start within that time.
+ */
+static void
+fleet_runs__late_start_is_refused_by_the_next_incarnation(void **state)
+{
+    int64_t late_us = 9 * CS_SEC_US;
+    int64_t notice_us = 1500 * CS_MS_US;
+    int64_t down_us;
+
+    for (down_us = 500 * CS_MS_US; down_us <= late_us - notice_us;
+         down_us += 500 * CS_MS_US) {
+        fake_fleet_settings settings = {.vms = 4,
+                                        .workers = WORKERS,
+                                        .racks = 2,
+                                        .seed = 62,
+                                        .late_orders_outlive_workers = true};
+        fake_fleet *deployment = fake_fleet_create(&settings);
+        fake_vm_faults late = {.late_orders_share = 1,
+                               .late_order_us = late_us};
+        fake_vm_faults none = {0};
+
+        fake_fleet_run(deployment, 3 * CS_SEC_US);
+        fake_fleet_set_faults(deployment, -1, &late);
+        submit(deployment, 2, 1, 8, 8000, false);
+        fake_fleet_set_faults(deployment, -1, &none);
+        fake_fleet_crash_worker(deployment, find_worker(deployment), down_us);
+        fake_fleet_run(deployment, 20 * CS_SEC_US);
+        expect_completed(deployment);
+        fake_fleet_destroy(deployment);
+    }
+}
+
 int
 main(void)
 {
@@ -282,6 +437,13 @@
             fleet_runs__held_task_starts_once_the_worker_is_another_incarnation),
         cmocka_unit_test(fleet_runs__next_run_is_above_a_listed_one),
         cmocka_unit_test(fleet_runs__success_of_a_run_above_the_newest_counts),
+        cmocka_unit_test(fleet_runs__start_refused_as_old_waits_for_the_ends),
+        cmocka_unit_test(
+            fleet_runs__start_waits_for_an_answer_of_a_new_incarnation),
+        cmocka_unit_test(
+            fleet_runs__ends_of_a_new_incarnation_are_acknowledged),
+        cmocka_unit_test(
+            fleet_runs__late_start_is_refused_by_the_next_incarnation),
     };
 
     cs_log_silence();
