--- a/standins/fake_fleet.c
+++ b/standins/fake_fleet.c
@@ -487,6 +487,7 @@
                                          : UINT32_MAX;
     deployment->call_us = settings->call_us;
     deployment->message_us = settings->message_us;
+    deployment->messages_wait = settings->messages_wait;
     deployment->worker_zones =
         settings->worker_zones ? settings->worker_zones : FAKE_ZONES;
     for (i = 0; i < FAKE_WORKER_ZONES_MAX; i++)
--- a/standins/fake_fleet_internal.h
+++ b/standins/fake_fleet_internal.h
@@ -127,6 +127,7 @@
     uint32_t max_pending_calls;
     cs_peer_link_port link;
     uint64_t incarnation; /* incremented at each start of the process */
+    uint32_t connections[FAKE_VMS_MAX]; /* closed so far, by receiver */
     int64_t cpu_milli;
     int64_t busy_until_us;
     int64_t link_kbps;    /* 0 unlimited */
@@ -172,6 +173,7 @@
     uint32_t max_direct_workers;
     int64_t call_us;
     int64_t message_us;
+    bool messages_wait; /* see fake_fleet_settings */
     uint32_t worker_zones;
     bool zone_cut[FAKE_WORKER_ZONES_MAX]; /* see fake_fleet_cut_zone() */
     /* When the row of a zone was written, or -1. */
