fleet: a heartbeat to a silent worker acknowledges no ends

A task that had ended done ran again. A heartbeat acknowledges ends by their numbers, which a worker counts from 1 in each incarnation. One that was sent to a worker that was down was carried out after the worker had started anew with the same id: it forgot ends of the new incarnation up to the former one's number, before the holder had recorded them, and the next answer listed neither the runs nor their ends.

While a worker's last heartbeat has failed, heartbeats acknowledge nothing. The next answered one tells whether it is the same incarnation; ends that it lists again are known.

A heartbeat that is on its way when the worker crashes, and is carried out after its return, still acknowledges: the protocol names the id only.

--- a/src/fleet/heartbeat.c
+++ b/src/fleet/heartbeat.c
@@ -311,6 +311,18 @@
                max_connections;
 }
 
+/*
+ * Returns up to which number a heartbeat acknowledges ends. A silent worker
+ * may start anew, with the same id and address, before the heartbeat is
+ * carried out. That incarnation numbers its ends from 1, and would forget ends
+ * that have not been recorded.
+ */
+static uint64_t
+acknowledged_upto(const struct worker *worker)
+{
+    return worker->failed_heartbeats == 0 ? worker->ends_recorded : 0;
+}
+
 static void
 send_heartbeat(cs_fleet *fleet, struct worker *worker, int64_t now_us)
 {
@@ -319,8 +331,8 @@
                                worker->tasks->len == 0 &&
                                    must_limit_connections(fleet),
                                worker->zone};
-    cs_heartbeat_order order = {.epoch = fleet->epoch,
-                                .acknowledged_upto = worker->ends_recorded};
+    cs_heartbeat_order order = {
+        .epoch = fleet->epoch, .acknowledged_upto = acknowledged_upto(worker)};
     struct call *call = call_create(fleet, worker);
 
     if (may_extend(fleet, worker, now_us)) {
@@ -332,7 +344,7 @@
     if (worker->ends_processed == worker->ends_recorded && worker->answered &&
         worker->failed_heartbeats == 0)
         order.wait_ms = HEARTBEAT_WAIT_MS;
-    call->ends_recorded = worker->ends_recorded;
+    call->ends_recorded = order.acknowledged_upto;
     call->incarnation_ms = worker->incarnation_ms;
     worker->heartbeat_pending = true;
     worker->idle_heartbeat = is_unverified(worker);
@@ -350,8 +362,8 @@
     const cs_worker_port *port = fleet->state->ports.workers;
     cs_worker_target target = {worker->address, worker->id, false,
                                worker->zone};
-    cs_heartbeat_order order = {.epoch = fleet->epoch,
-                                .acknowledged_upto = worker->ends_recorded};
+    cs_heartbeat_order order = {
+        .epoch = fleet->epoch, .acknowledged_upto = acknowledged_upto(worker)};
     struct call *call = call_create(fleet, worker);
 
     call->probe = true;
--- a/tests/test_fleet_incarnation.c
+++ b/tests/test_fleet_incarnation.c
@@ -71,6 +71,48 @@
     submit_at_any_time_after_crash(true);
 }
 
+/*
+ * Guards against a heartbeat that a worker carries out after it has started
+ * anew: it acknowledged ends by the numbers of the former incarnation, the
+ * worker forgot results that were not recorded, and their tasks ran again.
+ */
+static void
+incarnation__late_heartbeat_acknowledges_no_end_of_the_next_one(void **state)
+{
+    fake_fleet_settings settings = {
+        .vms = 4, .workers = 2, .racks = 1, .seed = 3};
+    fake_vm_faults late = {.late_orders_share = 1};
+    fake_vm_faults none = {0};
+    fake_fleet *deployment = fake_fleet_create(&settings);
+    uint32_t number = 3;
+    fake_job job;
+
+    fake_fleet_run(deployment, 2 * CS_SEC_US);
+    fake_job_init(&job, 1, 2, 16, 1, 200);
+    fake_fleet_submit(deployment, 0, &job, NULL);
+    fake_fleet_run(deployment, CS_SEC_US);
+    /* Each worker has tasks, so that heartbeats are sent while it is down. */
+    fake_job_init(&job, 2, 2, 4, 4, 30000);
+    fake_fleet_submit(deployment, 0, &job, NULL);
+    fake_fleet_run(deployment, CS_SEC_US);
+    fake_fleet_crash_worker(deployment, 0, 2 * CS_SEC_US);
+    fake_fleet_run(deployment, 300 * CS_MS_US);
+    fake_fleet_set_faults(deployment, -1, &late);
+    fake_fleet_run(deployment, CS_SEC_US);
+    fake_fleet_set_faults(deployment, -1, &none);
+    fake_fleet_run(deployment, CS_SEC_US);
+    /* Most of the time there are ends that are not recorded yet. */
+    fake_fleet_set_store_delay(deployment, 150 * CS_MS_US);
+    for (; number < 20; number++) {
+        fake_job_init(&job, number, 0, 4, 1, 300);
+        fake_fleet_submit(deployment, 0, &job, NULL);
+        fake_fleet_run(deployment, 700 * CS_MS_US);
+    }
+    if (fake_fleet_violation(deployment))
+        fail_msg("%s", fake_fleet_violation(deployment));
+    fake_fleet_destroy(deployment);
+}
+
 int
 main(void)
 {
@@ -79,6 +121,8 @@
             incarnation__worker_reborn_before_a_start_runs_tasks_once),
         cmocka_unit_test(
             incarnation__worker_reborn_before_a_start_runs_a_gang_once),
+        cmocka_unit_test(
+            incarnation__late_heartbeat_acknowledges_no_end_of_the_next_one),
     };
 
     if (!g_getenv("CS_TEST_LOG"))
