fleet: a start without an answer is stopped on each further incarnation

A start without an answer was noted only where its worker was given up. Where the worker had been told to stop the run instead, its task was released and ran elsewhere. If the worker then restarted under the same id, the new incarnation did not know of the stop and carried the late start out: the same fault by another way.

Each start without an answer is noted when its call fails, with the incarnation that it was sent to. A later incarnation is told to stop the run unless the task still has that run there, which heartbeats settle. A stop counts for the incarnation that it was sent to.

--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -352,7 +352,7 @@
     char task[TASK_NAME_BYTES];
     uint32_t run;
     uint64_t ends_recorded;  /* heartbeat: the ends that it acknowledges */
-    uint64_t incarnation_ms; /* heartbeat: of the worker when it was sent */
+    uint64_t incarnation_ms; /* of the worker when the call was sent */
     bool probe;              /* an extra heartbeat beside the pending one */
     int64_t sent_us;
 };
@@ -571,11 +571,10 @@
 
 /* unsettled.c */
 GArray *unsettled_starts_create(void);
-/* Notes the start of a task that is given up with its worker, unless it is
-   known whether it was carried out. */
-void unsettled_note(const cs_fleet *fleet, const struct task *task);
-/* Forgets a start that the worker refuses after a stop. */
-void unsettled_settle(struct worker *worker, const char *name, uint32_t run);
+/* Notes the call of a start that has got no answer. */
+void unsettled_note(const struct call *call);
+/* Notes that a stop has succeeded, after which the start is refused. */
+void unsettled_settle(const struct call *call);
 /* Stops such runs on a worker that is another incarnation. */
 void unsettled_tick(cs_fleet *fleet, struct worker *worker, int64_t now_us);
 
--- a/src/fleet/run.c
+++ b/src/fleet/run.c
@@ -94,6 +94,21 @@
                  (fleet_now(call->fleet).boot_us - call->sent_us) / CS_MS_US);
 }
 
+/* Returns whether the order may have been carried out, or may be later. */
+static bool
+is_outcome_unknown(const cs_worker_answer *answer)
+{
+    switch (answer->code) {
+    case 0:
+    case CS_E_WORKER:
+    case CS_E_CONNECT:
+    case CS_E_OVERLOAD:
+        return false;
+    default:
+        return true;
+    }
+}
+
 static void
 handle_start(struct call *call, const cs_worker_answer *answer)
 {
@@ -102,6 +117,8 @@
 
     if (answer->code)
         log_unconfirmed_start(call, answer);
+    if (is_outcome_unknown(answer))
+        unsettled_note(call);
     if (!task)
         return;
     switch (answer->code) {
@@ -175,6 +192,7 @@
     worker_extend_lease_end(worker, order.lease_end_ms);
     task_name(call->task, task);
     call->run = task->run;
+    call->incarnation_ms = worker->incarnation_ms;
     order.task = call->task;
     task->state = TASK_STARTING;
     task->started_us = now_us;
@@ -209,6 +227,8 @@
 
     if (!call_is_stale(call)) {
         task = find_run(call);
+        if (answer->code == 0)
+            unsettled_settle(call);
         if (answer->code == CS_E_WORKER &&
             answer->refusal == CS_REFUSED_FENCED)
             tenure_end(call->fleet, "a worker has seen a higher epoch");
@@ -217,9 +237,6 @@
             if (answer->code == 0)
                 confirm_stop(call->fleet, task);
         }
-        else if (answer->code == 0) {
-            unsettled_settle(call->worker, call->task, call->run);
-        }
     }
     g_free(call);
 }
@@ -235,6 +252,7 @@
 
     g_strlcpy(call->task, name, sizeof(call->task));
     call->run = run;
+    call->incarnation_ms = worker->incarnation_ms;
     fleet_increment_counter(fleet, "cs_stops_total");
     port->stop(port->self, &target, call->task, run, fleet->epoch,
                call->sent_us + ORDER_TIMEOUT_US, on_stop_answer, call);
--- a/src/fleet/worker.c
+++ b/src/fleet/worker.c
@@ -238,7 +238,6 @@
             i++;
             continue;
         }
-        unsettled_note(fleet, task);
         task_end(fleet, task, CS_OUTCOME_LAPSED, "", reason);
         /* The end of a gang's member may have released others, which changes
            the list. */
--- a/tests/test_fleet_runs.c
+++ b/tests/test_fleet_runs.c
@@ -20,6 +20,8 @@
 #define JOB "0000000000000002"
 /* By then the leases of a silent worker have surely ended. */
 #define LEASES_END_US (7 * CS_SEC_US)
+/* By how much an order is late. */
+#define LATE_US (9 * CS_SEC_US)
 
 static void
 evacuate_all(fake_fleet *deployment, bool evacuate)
@@ -386,39 +388,52 @@
     }
 }
 
+/* Lets a start be carried out 9 s late, without an answer, and its worker
+   crash meanwhile. */
+static void
+start_late_on_the_next_incarnation(int64_t crash_us, int64_t down_us)
+{
+    fake_fleet_settings settings = {.vms = 4,
+                                    .workers = WORKERS,
+                                    .racks = 2,
+                                    .seed = 62,
+                                    .late_orders_outlive_workers = true};
+    fake_fleet *deployment = fake_fleet_create(&settings);
+    fake_vm_faults late = {.late_orders_share = 1, .late_order_us = LATE_US};
+    fake_vm_faults none = {0};
+    uint32_t worker;
+
+    fake_fleet_run(deployment, 3 * CS_SEC_US);
+    fake_fleet_set_faults(deployment, -1, &late);
+    submit(deployment, 2, 1, 8, 12 * 1000, false);
+    fake_fleet_set_faults(deployment, -1, &none);
+    worker = find_worker(deployment);
+    fake_fleet_run(deployment, crash_us);
+    fake_fleet_crash_worker(deployment, worker, down_us);
+    fake_fleet_run(deployment, 22 * CS_SEC_US);
+    expect_completed(deployment);
+    fake_fleet_destroy(deployment);
+}
+
 /*
  * Guards against a start without an answer that is carried out after its
- * worker was given up and has come back as another incarnation under the same
- * id: the task runs elsewhere meanwhile. The holder needs a moment to learn of
- * the new incarnation; nothing prevents a start within that time.
+ * worker has come back as another incarnation under the same id, while the
+ * task runs elsewhere: the worker was given up, or the run was stopped there
+ * before the crash. The holder needs a moment to learn of the new incarnation;
+ * nothing prevents a start within that time.
  */
 static void
 fleet_runs__late_start_is_refused_by_the_next_incarnation(void **state)
 {
-    int64_t late_us = 9 * CS_SEC_US;
     int64_t notice_us = 1500 * CS_MS_US;
+    int64_t crash_us;
     int64_t down_us;
 
-    for (down_us = 500 * CS_MS_US; down_us <= late_us - notice_us;
-         down_us += 500 * CS_MS_US) {
-        fake_fleet_settings settings = {.vms = 4,
-                                        .workers = WORKERS,
-                                        .racks = 2,
-                                        .seed = 62,
-                                        .late_orders_outlive_workers = true};
-        fake_fleet *deployment = fake_fleet_create(&settings);
-        fake_vm_faults late = {.late_orders_share = 1,
-                               .late_order_us = late_us};
-        fake_vm_faults none = {0};
-
-        fake_fleet_run(deployment, 3 * CS_SEC_US);
-        fake_fleet_set_faults(deployment, -1, &late);
-        submit(deployment, 2, 1, 8, 8000, false);
-        fake_fleet_set_faults(deployment, -1, &none);
-        fake_fleet_crash_worker(deployment, find_worker(deployment), down_us);
-        fake_fleet_run(deployment, 20 * CS_SEC_US);
-        expect_completed(deployment);
-        fake_fleet_destroy(deployment);
+    for (crash_us = 0; crash_us <= 3 * CS_SEC_US; crash_us += CS_SEC_US) {
+        for (down_us = 500 * CS_MS_US;
+             crash_us + down_us <= LATE_US - notice_us;
+             down_us += 500 * CS_MS_US)
+            start_late_on_the_next_incarnation(crash_us, down_us);
     }
 }
 
