tests: faults while reads of the jobs lag

A further kind of injected fault lets reads and polls of the jobs lag by 3 s, longer than a takeover takes after a job was submitted. It is played alone, in pairs, and before each other kind.

--- a/tests/test_fleet_faults.c
+++ b/tests/test_fleet_faults.c
@@ -26,6 +26,7 @@
 #define SESSION_US (9 * CS_SEC_US)
 #define SETTLE_US (60 * CS_SEC_US)
 #define SESSION_JOBS 5
+#define READ_LAG_US (3 * CS_SEC_US)
 
 static fake_fleet *
 create_deployment_with_rows(uint64_t seed, fake_disabled_protection disabled,
@@ -72,6 +73,7 @@
     FAULT_COMPACT_HISTORY,
     FAULT_EVACUATE_ZONE,
     FAULT_CUT_ZONE,
+    FAULT_LAG_READS,
     FAULT_KINDS
 } fault_kind;
 
@@ -136,6 +138,9 @@
     case FAULT_CUT_ZONE:
         fake_fleet_cut_zone(deployment, (uint32_t)holder % FAKE_ZONES, true);
         return;
+    case FAULT_LAG_READS:
+        fake_fleet_set_store_lag(deployment, -1, "job", READ_LAG_US);
+        return;
     case FAULT_KINDS:
         return;
     }
@@ -148,6 +153,7 @@
     uint32_t i;
 
     fake_fleet_set_faults(deployment, -1, &none);
+    fake_fleet_set_store_lag(deployment, -1, NULL, 0);
     for (i = 0; i < WORKERS; i++)
         fake_fleet_set_worker_disconnected(deployment, i, false);
     for (i = 0; i < FAKE_ZONES; i++) {
@@ -298,6 +304,25 @@
     }
 }
 
+/* Guards against a successor that acts on rows older than its own epoch. */
+static void
+fleet_faults__each_kind_while_reads_lag(void **state)
+{
+    uint64_t calls = count_session_calls();
+    struct injected_fault faults[2] = {{.kind = FAULT_LAG_READS}};
+    uint32_t kind;
+
+    for (kind = 0; kind < FAULT_KINDS; kind++) {
+        faults[1].kind = (fault_kind)kind;
+        for (faults[0].call = 1 + kind % calls_between_faults();
+             faults[0].call < calls;
+             faults[0].call += calls_between_faults()) {
+            faults[1].call = faults[0].call + 3;
+            expect_session_settles(faults, 2);
+        }
+    }
+}
+
 static void
 fleet_faults__pairs_of_faults(void **state)
 {
@@ -547,6 +572,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(fleet_faults__session_without_faults),
         cmocka_unit_test(fleet_faults__each_kind_at_many_calls),
+        cmocka_unit_test(fleet_faults__each_kind_while_reads_lag),
         cmocka_unit_test(fleet_faults__pairs_of_faults),
         cmocka_unit_test(fleet_faults__checker_detects_missing_conditions),
         cmocka_unit_test(fleet_faults__checker_detects_missing_epochs),
