tests: random faults while reads of a table lag

The soak of random faults is played with lags as well: of the reads and polls of the jobs, their progress, the cell, the workers or the VMs, by 0.1 to 4 s, for one VM or all.

--- a/tests/test_fleet_faults.c
+++ b/tests/test_fleet_faults.c
@@ -4,7 +4,7 @@
  * checker is tested too, by removing a protection against a fault.
  *
  * CS_FAULT_STRIDE=1 injects each kind at every call; CS_SOAK_SEED=N runs the
- * random faults with one seed only.
+ * random faults, without and with reads that lag, with one seed only.
  */
 #include "harness.h"
 #include "fake_fleet.h"
@@ -511,11 +511,37 @@
 /* With this limit of the store, the progress of 4 tasks takes a row. */
 #define SMALL_ROW_BYTES 1024
 
+/* Begins or ends a lag of the reads and polls of a table, or does neither. Not
+   of the configuration, whose changes have to be in force in time. */
+static void
+set_random_lag(fake_fleet *deployment, GRand *random)
+{
+    static const char *const tables[] = {"job", "progress", "cell", "servers",
+                                         "vm"};
+    uint32_t table =
+        (uint32_t)g_rand_int_range(random, 0, G_N_ELEMENTS(tables));
+    int32_t vm = g_rand_int_range(random, -VMS, VMS);
+
+    switch (g_rand_int_range(random, 0, 5)) {
+    case 0:
+        fake_fleet_set_store_lag(deployment, vm, tables[table],
+                                 g_rand_int_range(random, 100, 4000) *
+                                     CS_MS_US);
+        break;
+    case 1:
+        fake_fleet_set_store_lag(deployment, -1, NULL, 0);
+        break;
+    default:
+        break;
+    }
+}
+
 /* Runs random jobs and faults, then lets everything settle without faults. */
 static void
-soak(uint32_t seed)
+soak(uint32_t seed, bool reads_lag)
 {
     GRand *random = g_rand_new_with_seed(seed);
+    GRand *lag_random = g_rand_new_with_seed(seed);
     fake_fleet *deployment = create_deployment_with_rows(
         seed, FAKE_ALL_PROTECTIONS, seed % 3 == 0 ? SMALL_ROW_BYTES : 0);
     uint32_t number;
@@ -536,6 +562,8 @@
             clear_faults(deployment);
         if (g_rand_int_range(random, 0, 20) == 0)
             fake_fleet_compact(deployment);
+        if (reads_lag)
+            set_random_lag(deployment, lag_random);
         fake_fleet_run(deployment,
                        g_rand_int_range(random, 50, 700) * CS_MS_US);
         expect_no_violation(deployment);
@@ -548,22 +576,37 @@
     assert_int_equal(fake_fleet_rejected_changes(deployment), 0);
     fake_fleet_destroy(deployment);
     g_rand_free(random);
+    g_rand_free(lag_random);
 }
 
 #define SOAK_SEEDS 60
+/* Seeds 67 and 122 have found that a successor acted on old rows. */
+#define LAG_SOAK_SEEDS 130
 
 static void
-fleet_faults__random_faults_violate_no_rule(void **state)
+soak_all(uint32_t seeds, bool reads_lag)
 {
     const char *single_seed = g_getenv("CS_SOAK_SEED");
     uint32_t seed;
 
     if (single_seed) {
-        soak((uint32_t)atoi(single_seed));
+        soak((uint32_t)atoi(single_seed), reads_lag);
         return;
     }
-    for (seed = 1; seed <= SOAK_SEEDS; seed++)
-        soak(seed);
+    for (seed = 1; seed <= seeds; seed++)
+        soak(seed, reads_lag);
+}
+
+static void
+fleet_faults__random_faults_violate_no_rule(void **state)
+{
+    soak_all(SOAK_SEEDS, false);
+}
+
+static void
+fleet_faults__random_faults_while_reads_lag(void **state)
+{
+    soak_all(LAG_SOAK_SEEDS, true);
 }
 
 int
@@ -579,10 +622,11 @@
         cmocka_unit_test(fleet_faults__checker_detects_old_runs),
         cmocka_unit_test(fleet_faults__checker_detects_missing_evacuations),
         cmocka_unit_test(fleet_faults__random_faults_violate_no_rule),
+        cmocka_unit_test(fleet_faults__random_faults_while_reads_lag),
     };
 
     cs_log_silence();
     if (g_getenv("CS_SOAK_SEED"))
-        cmocka_set_test_filter("fleet_faults__random_faults_violate_no_rule");
+        cmocka_set_test_filter("fleet_faults__random_faults_*");
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
