--- a/tests/test_fleet_faults.c
+++ b/tests/test_fleet_faults.c
@@ -4,7 +4,7 @@
  * checker is tested too, by removing a protection against a fault.
  *
  * CS_FAULT_STRIDE=1 injects each kind at every call; CS_SOAK_SEED=N runs the
- * random faults with one seed only.
+ * random faults, without and with reads that lag, with one seed only.
  */
 #include "harness.h"
 #include "fake_fleet.h"
@@ -26,6 +26,7 @@
 #define SESSION_US (9 * CS_SEC_US)
 #define SETTLE_US (60 * CS_SEC_US)
 #define SESSION_JOBS 5
+#define READ_LAG_US (3 * CS_SEC_US)
 
 static fake_fleet *
 create_deployment_as(const fake_fleet_settings *settings)
@@ -71,6 +72,7 @@
     FAULT_COMPACT_HISTORY,
     FAULT_EVACUATE_ZONE,
     FAULT_CUT_ZONE,
+    FAULT_LAG_READS,
     FAULT_KINDS
 } fault_kind;
 
@@ -135,6 +137,9 @@
     case FAULT_CUT_ZONE:
         fake_fleet_cut_zone(deployment, (uint32_t)holder % FAKE_ZONES, true);
         return;
+    case FAULT_LAG_READS:
+        fake_fleet_set_store_lag(deployment, -1, "job", READ_LAG_US);
+        return;
     case FAULT_KINDS:
         return;
     }
@@ -147,6 +152,7 @@
     uint32_t i;
 
     fake_fleet_set_faults(deployment, -1, &none);
+    fake_fleet_set_store_lag(deployment, -1, NULL, 0);
     for (i = 0; i < WORKERS; i++)
         fake_fleet_set_worker_disconnected(deployment, i, false);
     for (i = 0; i < FAKE_ZONES; i++) {
@@ -297,6 +303,25 @@
     }
 }
 
+/* Guards against a successor that acts on rows older than its own epoch. */
+static void
+fleet_faults__each_kind_while_reads_lag(void **state)
+{
+    uint64_t calls = count_session_calls();
+    struct injected_fault faults[2] = {{.kind = FAULT_LAG_READS}};
+    uint32_t kind;
+
+    for (kind = 0; kind < FAULT_KINDS; kind++) {
+        faults[1].kind = (fault_kind)kind;
+        for (faults[0].call = 1 + kind % calls_between_faults();
+             faults[0].call < calls;
+             faults[0].call += calls_between_faults()) {
+            faults[1].call = faults[0].call + 3;
+            expect_session_settles(faults, 2);
+        }
+    }
+}
+
 static void
 fleet_faults__pairs_of_faults(void **state)
 {
@@ -485,11 +510,44 @@
 /* With this limit of the store, the progress of 4 tasks takes a row. */
 #define SMALL_ROW_BYTES 1024
 
+/* Begins or ends a lag of the reads and polls of a table, or does neither. Not
+   of the configuration, whose changes have to be in force in time. */
+static void
+set_random_lag(fake_fleet *deployment, GRand *random)
+{
+    static const char *const tables[] = {"job", "progress", "cell", "servers",
+                                         "vm"};
+    uint32_t table =
+        (uint32_t)g_rand_int_range(random, 0, G_N_ELEMENTS(tables));
+    int32_t vm = g_rand_int_range(random, -VMS, VMS);
+
+    switch (g_rand_int_range(random, 0, 5)) {
+    case 0:
+        fake_fleet_set_store_lag(deployment, vm, tables[table],
+                                 g_rand_int_range(random, 100, 4000) *
+                                     CS_MS_US);
+        break;
+    case 1:
+        fake_fleet_set_store_lag(deployment, -1, NULL, 0);
+        break;
+    default:
+        break;
+    }
+}
+
+typedef enum {
+    SOAK_DIRECT,         /* the holder calls the workers */
+    SOAK_WITH_EXECUTORS, /* and messages wait for a connection */
+    SOAK_WITH_LAG        /* reads and polls of the store lag */
+} soak_kind;
+
 /* Runs random jobs and faults, then lets everything settle without faults. */
 static void
-soak(uint32_t seed, bool with_executors)
+soak(uint32_t seed, soak_kind kind)
 {
     GRand *random = g_rand_new_with_seed(seed);
+    GRand *lag_random = g_rand_new_with_seed(seed);
+    bool with_executors = kind == SOAK_WITH_EXECUTORS;
     fake_fleet_settings settings = {
         .vms = VMS,
         .workers = WORKERS,
@@ -517,6 +575,8 @@
             clear_faults(deployment);
         if (g_rand_int_range(random, 0, 20) == 0)
             fake_fleet_compact(deployment);
+        if (kind == SOAK_WITH_LAG)
+            set_random_lag(deployment, lag_random);
         fake_fleet_run(deployment,
                        g_rand_int_range(random, 50, 700) * CS_MS_US);
         expect_no_violation(deployment);
@@ -529,28 +589,31 @@
     assert_int_equal(fake_fleet_rejected_changes(deployment), 0);
     fake_fleet_destroy(deployment);
     g_rand_free(random);
+    g_rand_free(lag_random);
 }
 
 #define SOAK_SEEDS 60
+/* Seeds 67 and 122 have found that a successor acted on old rows. */
+#define LAG_SOAK_SEEDS 130
 
 static void
-soak_all(bool with_executors)
+soak_all(uint32_t seeds, soak_kind kind)
 {
     const char *single_seed = g_getenv("CS_SOAK_SEED");
     uint32_t seed;
 
     if (single_seed) {
-        soak((uint32_t)atoi(single_seed), with_executors);
+        soak((uint32_t)atoi(single_seed), kind);
         return;
     }
-    for (seed = 1; seed <= SOAK_SEEDS; seed++)
-        soak(seed, with_executors);
+    for (seed = 1; seed <= seeds; seed++)
+        soak(seed, kind);
 }
 
 static void
 fleet_faults__random_faults_violate_no_rule(void **state)
 {
-    soak_all(false);
+    soak_all(SOAK_SEEDS, SOAK_DIRECT);
 }
 
 /* Guards against orders and answers that reach another process than the one
@@ -559,7 +622,14 @@
 static void
 fleet_faults__random_faults_with_executors_violate_no_rule(void **state)
 {
-    soak_all(true);
+    soak_all(SOAK_SEEDS, SOAK_WITH_EXECUTORS);
+}
+
+/* Guards against a holder that acts on rows from before its tenure. */
+static void
+fleet_faults__random_faults_while_reads_lag(void **state)
+{
+    soak_all(LAG_SOAK_SEEDS, SOAK_WITH_LAG);
 }
 
 int
@@ -568,6 +638,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(fleet_faults__session_without_faults),
         cmocka_unit_test(fleet_faults__each_kind_at_many_calls),
+        cmocka_unit_test(fleet_faults__each_kind_while_reads_lag),
         cmocka_unit_test(fleet_faults__pairs_of_faults),
         cmocka_unit_test(fleet_faults__checker_detects_missing_conditions),
         cmocka_unit_test(fleet_faults__checker_detects_missing_epochs),
@@ -576,6 +647,7 @@
         cmocka_unit_test(fleet_faults__random_faults_violate_no_rule),
         cmocka_unit_test(
             fleet_faults__random_faults_with_executors_violate_no_rule),
+        cmocka_unit_test(fleet_faults__random_faults_while_reads_lag),
     };
 
     if (!g_getenv("CS_TEST_LOG"))
