standins: failed runs whose ends were lost do not count as attempts

The checker counted every failed run towards a task's attempts, also where the worker crashed before its end was acknowledged.

Failures that a worker has not lost count as before.

--- a/standins/fake_fleet.c
+++ b/standins/fake_fleet.c
@@ -465,6 +465,7 @@
     g_hash_table_destroy(record->done_tasks);
     g_hash_table_destroy(record->lost_results);
     g_hash_table_destroy(record->failure_counts);
+    g_hash_table_destroy(record->lost_failure_counts);
     g_free(record);
 }
 
@@ -884,6 +885,8 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     record->failure_counts =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    record->lost_failure_counts =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     g_hash_table_insert(deployment->jobs, record->job.spec.id, record);
     return record;
 }
--- a/standins/fake_fleet_internal.h
+++ b/standins/fake_fleet_internal.h
@@ -80,6 +80,7 @@
     char task[64];
     uint32_t run;
     cs_run_outcome outcome;
+    bool is_lost; /* counted by fake_fleet_worker_lose_results() */
 };
 
 struct fake_fleet_worker {
@@ -152,6 +153,8 @@
     GHashTable *lost_results;   /* tasks done on a worker that lost the result
                                    before it was acknowledged */
     GHashTable *failure_counts; /* task to its number of failed runs */
+    GHashTable *lost_failure_counts; /* of these, the ones that the worker lost
+                                        before they were acknowledged */
     uint32_t start_count;
     bool accepted;
     bool cancelled;
@@ -274,6 +277,8 @@
    network. */
 void fake_check_start(fake_fleet *deployment, struct fake_fleet_worker *worker,
                       const struct fake_run *run, int64_t ordered_us);
+/* Increments the count of a task. */
+void fake_count_task(GHashTable *counts, const char *task);
 void fake_check_end(fake_fleet *deployment, struct fake_fleet_worker *worker,
                     const struct fake_run *run, cs_run_outcome outcome);
 /* Records a job that another process wrote to the store. */
--- a/standins/fake_fleet_worker.c
+++ b/standins/fake_fleet_worker.c
@@ -67,7 +67,7 @@
     guint i;
 
     for (i = 0; worker->ended_runs && i < worker->ended_runs->len; i++) {
-        const struct fake_ended_run *end =
+        struct fake_ended_run *end =
             &g_array_index(worker->ended_runs, struct fake_ended_run, i);
         char id[CS_JOB_ID_BYTES];
         struct fake_job_record *record;
@@ -76,6 +76,9 @@
         record = fake_job_record_find(worker->deployment, id);
         if (record && end->outcome == CS_OUTCOME_DONE)
             g_hash_table_add(record->lost_results, g_strdup(end->task));
+        else if (record && end->outcome == CS_OUTCOME_FAILED && !end->is_lost)
+            fake_count_task(record->lost_failure_counts, end->task);
+        end->is_lost = true;
     }
 }
 
