--- a/tests/test_fleet_faults.c
+++ b/tests/test_fleet_faults.c
@@ -625,7 +625,8 @@
         cmocka_unit_test(fleet_faults__random_faults_while_reads_lag),
     };
 
-    cs_log_silence();
+    if (!g_getenv("CS_TEST_LOG"))
+        cs_log_silence();
     if (g_getenv("CS_SOAK_SEED"))
         cmocka_set_test_filter("fleet_faults__random_faults_*");
     return cmocka_run_group_tests(tests, NULL, NULL);
