--- a/tests/test_fleet_faults.c
+++ b/tests/test_fleet_faults.c
@@ -553,15 +553,24 @@
     soak_all(false);
 }
 
-/* Guards against orders and answers that reach another process than the one
-   they are meant for, and against faults in between the holder and its
-   executors in general. */
+/* Guards against faults between the holder and its executors, and against
+   orders and answers that reach another process than the one they are meant
+   for. */
 static void
 fleet_faults__random_faults_with_executors_violate_no_rule(void **state)
 {
     soak_all(true);
 }
 
+/* Guards against answers to a former process of the holder's VM: the holder
+   took adopted runs for absent, and their tasks ran twice. */
+static void
+fleet_faults__runs_survive_answers_to_a_former_holder(void **state)
+{
+    soak(699, true);
+    soak(779, true);
+}
+
 int
 main(void)
 {
@@ -576,10 +585,14 @@
         cmocka_unit_test(fleet_faults__random_faults_violate_no_rule),
         cmocka_unit_test(
             fleet_faults__random_faults_with_executors_violate_no_rule),
+        cmocka_unit_test(
+            fleet_faults__runs_survive_answers_to_a_former_holder),
     };
 
     if (!g_getenv("CS_TEST_LOG"))
         cs_log_silence();
+    else
+        cs_log_init("test");
     if (g_getenv("CS_SOAK_SEED"))
         cmocka_set_test_filter("fleet_faults__random_faults*");
     return cmocka_run_group_tests(tests, NULL, NULL);
