http: a connection whose request body is not sent is not reused

What callers saw: nothing yet. Found in a review of where the answer to one call may be taken for that to another.

Cause: a server may answer by the headers alone, before it has received the body, as a worker does for another incarnation (421) or when it is unhealthy (503). The client then took the connection for idle although a part of the body was still in libwebsockets' buffer, and sent the next request behind it, which the server reads as the rest of the body.

Change: a connection is closed after an answer if the body has not been passed on or is still buffered.

--- a/src/http/client.c
+++ b/src/http/client.c
@@ -75,6 +75,7 @@
     guint timer;       /* source of on_deadline, later of on_release */
     guint body_source; /* source of on_body_buffered */
     bool sent;         /* the request may have reached the server */
+    bool body_pending; /* the body has not been passed to libwebsockets */
     bool notified;     /* the done callback has run */
     bool connecting;   /* connect_call is running and will release the call */
     bool single_use;   /* uses a connection of its own */
@@ -186,6 +187,7 @@
                                      (unsigned char *)length, size, pos, end))
         return -1;
     if (call->body->len > 0) {
+        call->body_pending = true;
         lws_client_http_body_pending(wsi, 1);
         lws_callback_on_writable(wsi);
     }
@@ -202,6 +204,7 @@
         return 0;
     buffer = g_malloc(LWS_PRE + call->body->len);
     memcpy(buffer + LWS_PRE, call->body->str, call->body->len);
+    call->body_pending = false;
     lws_client_http_body_pending(wsi, 0);
     written = lws_write(wsi, buffer + LWS_PRE, call->body->len,
                         LWS_WRITE_HTTP_FINAL);
@@ -323,16 +326,20 @@
 /*
  * The connection becomes idle, and thus reusable, only after this callback
  * has returned 0, so the slot is released from the main loop. Returning -1
- * closes the connection.
+ * closes the connection. A server that has answered before it received the
+ * whole body would read the next request as the rest of it.
  */
 static int
 on_response_complete(struct call *call, struct lws *wsi)
 {
+    bool close =
+        call->single_use || call->body_pending || lws_partial_buffered(wsi);
+
     detach_connection(call, wsi);
     notify_done(call, 0);
     call->timer = g_idle_add_full(G_PRIORITY_DEFAULT, on_release, call, NULL);
     g_hash_table_add(call->client->completed, call);
-    return call->single_use ? -1 : 0;
+    return close ? -1 : 0;
 }
 
 static void
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -32,6 +32,7 @@
     uint32_t received; /* requests that reached the server */
     uint32_t ended;    /* calls whose done has run */
     bool single_use;   /* each call uses a connection of its own */
+    size_t body_bytes; /* of each call; 0 for one */
     uint32_t not_sent; /* ended calls that were reported as not sent */
 };
 
@@ -71,17 +72,20 @@
 static void
 start_call(struct fixture *fixture, int64_t timeout_us)
 {
+    size_t body_bytes = MAX(fixture->body_bytes, 1);
+    char *body = g_strnfill(body_bytes, 'y');
     cs_http_call call = {.method = "POST",
                          .address = fixture->address,
                          .path = "/x",
-                         .body = "y",
-                         .size_bytes = 1,
+                         .body = body,
+                         .size_bytes = body_bytes,
                          .deadline_us = cs_clock_boot_us() + timeout_us,
                          .single_use = fixture->single_use,
                          .done = on_done,
                          .user_data = fixture};
 
     assert_int_equal(cs_http_client_start(fixture->client, &call), 0);
+    g_free(body);
 }
 
 static void
@@ -239,6 +243,36 @@
     close(silent.fd);
 }
 
+/* Guards against a call on a connection whose server has answered the former
+   call before it received its body: it would read the call as the rest of that
+   body. */
+static void
+http__connection_with_an_unsent_body_is_not_reused(void **state)
+{
+    struct fixture fixture;
+    struct silent_server silent;
+
+    fixture_init(&fixture);
+    silent_init(&silent);
+    g_snprintf(fixture.address, sizeof(fixture.address), "127.0.0.1:%u",
+               silent.port);
+    /* More than fits into the buffers of the sockets. */
+    fixture.body_bytes = (size_t)16 << 20;
+    start_call(&fixture, 10 * CS_SEC_US);
+    while (fixture.ended == 0)
+        run_for(&fixture, 1);
+    fixture.body_bytes = 0;
+    start_call(&fixture, CS_SEC_US);
+    while (fixture.ended == 1)
+        run_for(&fixture, 1);
+    assert_int_equal(silent.connections, 2);
+    fixture_dispose(&fixture);
+    while (g_source_remove_by_user_data(&silent))
+        ;
+    g_hash_table_destroy(silent.responded_fds);
+    close(silent.fd);
+}
+
 /* A single-use call opens a connection of its own, which is closed after. */
 static void
 http__single_use_connection_is_closed(void **state)
@@ -692,6 +726,7 @@
         cmocka_unit_test(http__caller_that_leaves_does_not_hold_up_calls),
         cmocka_unit_test(http__body_is_delivered_while_the_loop_is_busy),
         cmocka_unit_test(http__connection_serves_further_requests),
+        cmocka_unit_test(http__connection_with_an_unsent_body_is_not_reused),
         cmocka_unit_test(http__single_use_connection_is_closed),
         cmocka_unit_test(http__transfer_continues_while_bytes_arrive),
         cmocka_unit_test(http__hanging_connections_free_their_slots),
