--- a/tests/test_fleet_faults.c
+++ b/tests/test_fleet_faults.c
@@ -616,9 +616,9 @@
     soak_all(SOAK_SEEDS, SOAK_DIRECT);
 }
 
-/* Guards against orders and answers that reach another process than the one
-   they are meant for, and against faults in between the holder and its
-   executors in general. */
+/* Guards against faults between the holder and its executors, and against
+   orders and answers that reach another process than the one they are meant
+   for. */
 static void
 fleet_faults__random_faults_with_executors_violate_no_rule(void **state)
 {
@@ -632,6 +632,15 @@
     soak_all(LAG_SOAK_SEEDS, SOAK_WITH_LAG);
 }
 
+/* Guards against answers to a former process of the holder's VM: the holder
+   took adopted runs for absent, and their tasks ran twice. */
+static void
+fleet_faults__runs_survive_answers_to_a_former_holder(void **state)
+{
+    soak(699, SOAK_WITH_EXECUTORS);
+    soak(779, SOAK_WITH_EXECUTORS);
+}
+
 int
 main(void)
 {
@@ -648,10 +657,14 @@
         cmocka_unit_test(
             fleet_faults__random_faults_with_executors_violate_no_rule),
         cmocka_unit_test(fleet_faults__random_faults_while_reads_lag),
+        cmocka_unit_test(
+            fleet_faults__runs_survive_answers_to_a_former_holder),
     };
 
     if (!g_getenv("CS_TEST_LOG"))
         cs_log_silence();
+    else
+        cs_log_init("test");
     if (g_getenv("CS_SOAK_SEED"))
         cmocka_set_test_filter("fleet_faults__random_faults*");
     return cmocka_run_group_tests(tests, NULL, NULL);
