--- a/scripts/soak/callers.py
+++ b/scripts/soak/callers.py
@@ -10,6 +10,7 @@
 
 CALL_TIMEOUT_S = 4
 POLL_S = 1.0
+SUBMITS_MAX = 20
 # A request arrives again, seconds after it was accepted, with this share.
 REPEATED_SHARE = 0.03
 CANCELLED_SHARE = 0.02
@@ -22,7 +23,9 @@
         self.path = f"/{queue}/{job_id}"
         self.body = body
         self.key = key
-        self.state = "new"  # then "accepted", or a state that a VM returns
+        # "new", then "accepted" and a state of ENDED; or "given-up", if no VM
+        # has accepted it.
+        self.state = "new"
         self.attempts = 0
         self.cancelled = False
         self.repeat = False
@@ -93,8 +96,7 @@
 
     def open_jobs(self):
         with self.lock:
-            return [job for job in self.jobs
-                    if job.state not in ENDED + ("new", "rejected")]
+            return [job for job in self.jobs if job.state == "accepted"]
 
     def stop(self):
         self.stopped = True
@@ -159,8 +161,8 @@
                 job.repeat = True
                 return rng.uniform(0.5, 4)
             return POLL_S
-        if self.ending and job.attempts >= 20:
-            job.state = "rejected" if status in (429, 503) else "unknown"
+        if self.ending and job.attempts >= SUBMITS_MAX:
+            job.state = "given-up"
             return None
         return rng.uniform(0.1, 0.6)
 
--- a/scripts/soak/deployment.py
+++ b/scripts/soak/deployment.py
@@ -17,7 +17,8 @@
 BOUNDS = {"holdMaxMs": 6000, "stopMs": 900, "gangMs": 3000, "graceS": 6,
           "configApplyMs": 2000, "status_s": 120, "early_ms": 250}
 GRACE_S = BOUNDS["graceS"]
-STANDIN_START_S = 30
+CONTROL_ATTEMPTS = 5
+CONTROL_TIMEOUT_S = 10
 
 
 class EventLog:
@@ -164,22 +165,29 @@
             time.sleep(0.1)
         return not waiting
 
-    def control(self, body):
+    def request(self, method, path, body=None):
+        """Makes a request to the stand-in, which may be overloaded."""
         host, port = self.store.split(":")
-        connection = http.client.HTTPConnection(host, int(port), timeout=30)
-        connection.request("POST", "/faults", json.dumps(body))
-        status = connection.getresponse().status
-        connection.close()
-        if status != 200:
-            raise RuntimeError(f"/faults returned {status}")
+        for _ in range(CONTROL_ATTEMPTS):
+            connection = http.client.HTTPConnection(
+                host, int(port), timeout=CONTROL_TIMEOUT_S)
+            try:
+                connection.request(method, path, body)
+                response = connection.getresponse()
+                if response.status == 200:
+                    return json.loads(response.read())
+                raise RuntimeError(f"{path} returned {response.status}")
+            except OSError as error:
+                self.events.write("standin-late", f"{path}: {error}")
+            finally:
+                connection.close()
+        raise RuntimeError(f"{path}: no answer")
+
+    def control(self, body):
+        self.request("POST", "/faults", json.dumps(body))
 
     def state(self):
-        host, port = self.store.split(":")
-        connection = http.client.HTTPConnection(host, int(port), timeout=30)
-        connection.request("GET", "/state")
-        state = json.loads(connection.getresponse().read())
-        connection.close()
-        return state
+        return self.request("GET", "/state")
 
     def read_takeovers(self):
         """Reads the cell-taken lines that the VMs have logged since."""
--- a/scripts/soak/disturbances.py
+++ b/scripts/soak/disturbances.py
@@ -9,6 +9,9 @@
 
 DUTY_PERIOD_S = 0.1
 DUTY_STEP_S = 0.004
+# Of a process that was told to stop: released, with open requests, or killed
+# after the grace period.
+STOP_STATUSES = (0, 3, -signal.SIGKILL)
 
 
 class DutyCycle(threading.Thread):
@@ -101,12 +104,15 @@
         for vm in self.deployment.vms:
             if vm.stopping or vm.is_up():
                 continue
-            status = vm.process.returncode
-            self.unexpected_exits.append(f"{vm.name}: status {status}")
-            self.events.write("vm-exited", f"{vm.name} status {status}")
             vm.stopping = True
+            self.record_exit(vm)
             self.after(0.5, self.restart, vm)
 
+    def record_exit(self, vm):
+        text = f"{vm.name} status {vm.process.returncode}"
+        self.unexpected_exits.append(text)
+        self.events.write("vm-exited", text)
+
     def restart(self, vm):
         if not vm.is_up():
             self.events.write("vm-restart", vm.name)
@@ -179,6 +185,8 @@
                        restart_s)
             return
         vm.kill()
+        if process.returncode not in STOP_STATUSES:
+            self.record_exit(vm)
         self.after(restart_s, self.restart, vm)
 
     def restart_in_series(self):
--- a/standins/fake_fleet_http.c
+++ b/standins/fake_fleet_http.c
@@ -6,11 +6,13 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Timeout of a call to the simulated deployment, in virtual time. */
-#define CALL_TIMEOUT_US (10 * CS_SEC_US)
-/* A call whose outcome the caller must not learn is held open for longer than
-   its caller waits, also if it is suspended meanwhile. */
-#define UNANSWERED_S 90
+/* Timeout of a call to the simulated deployment, in virtual time. It is longer
+   than callers wait for an answer, and bounds the connections that they have
+   abandoned. */
+#define CALL_TIMEOUT_US (2500 * CS_MS_US)
+/* A caller learns nothing from it, unlike 503, which says that nothing was
+   done. */
+#define HTTP_STATUS_UNKNOWN 500
 
 static void
 reply_json(cs_http_request *request, int status, json_t *body)
@@ -22,22 +24,6 @@
     json_decref(body);
 }
 
-static gboolean
-give_up_request(gpointer user_data)
-{
-    reply_json(user_data, 503, json_object());
-    return G_SOURCE_REMOVE;
-}
-
-static void
-leave_unanswered(cs_http_request *request)
-{
-    if (cs_http_request_is_connected(request))
-        g_timeout_add_seconds(UNANSWERED_S, give_up_request, request);
-    else
-        give_up_request(request);
-}
-
 static json_t *
 encode_row(const cs_row *row)
 {
@@ -66,6 +52,8 @@
         return 410;
     case CS_E_INVALID:
         return 400;
+    case CS_E_OUTCOME_UNKNOWN:
+        return HTTP_STATUS_UNKNOWN;
     default:
         return 503;
     }
@@ -74,14 +62,9 @@
 static void
 on_store_answer(void *user_data, const cs_store_answer *answer)
 {
-    json_t *rows;
+    json_t *rows = json_array();
     size_t i;
 
-    if (answer->code == CS_E_OUTCOME_UNKNOWN) {
-        leave_unanswered(user_data);
-        return;
-    }
-    rows = json_array();
     for (i = 0; i < answer->row_count; i++)
         json_array_append_new(rows, encode_row(&answer->rows[i]));
     reply_json(user_data, http_status(answer->code),
@@ -269,12 +252,8 @@
         reply_refusal(user_data, answer);
         return;
     }
-    if (answer->code == CS_E_OUTCOME_UNKNOWN) {
-        leave_unanswered(user_data);
-        return;
-    }
     if (answer->code) {
-        reply_json(user_data, 503, json_object());
+        reply_json(user_data, http_status(answer->code), json_object());
         return;
     }
     reply_json(user_data, 200,
--- a/standins/standin_deployment.c
+++ b/standins/standin_deployment.c
@@ -19,6 +19,10 @@
 #include <string.h>
 
 #define TICK_MS 2
+/* With more workers than this, the main loop rests after each turn: a turn
+   polls thousands of descriptors, and took a full core at 1,100 workers. */
+#define RESTING_WORKERS 400
+#define REST_US 2000
 #define DEFAULT_WORKERS 8
 #define MAX_WORKERS 1200
 #define DEFAULT_WORKERS_PER_RACK 8
@@ -39,6 +43,7 @@
     uint32_t worker_count;
     fake_fleet *fleet;
     int64_t started_us;
+    bool stopped;
     bool go_on;    /* after a violation */
     bool reported; /* the first violation was printed */
 };
@@ -65,7 +70,7 @@
     fprintf(stderr, "violation %s\n", fake_fleet_violation(deployment->fleet));
     if (deployment->go_on)
         return G_SOURCE_CONTINUE;
-    g_main_loop_quit(deployment->loop);
+    deployment->stopped = true;
     return G_SOURCE_REMOVE;
 }
 
@@ -103,7 +108,9 @@
 static gboolean
 on_signal(gpointer user_data)
 {
-    g_main_loop_quit(user_data);
+    struct deployment *deployment = user_data;
+
+    deployment->stopped = true;
     return G_SOURCE_CONTINUE;
 }
 
@@ -139,6 +146,16 @@
     return rc;
 }
 
+static void
+run_loop(struct deployment *deployment)
+{
+    while (!deployment->stopped) {
+        g_main_context_iteration(NULL, TRUE);
+        if (deployment->worker_count > RESTING_WORKERS)
+            g_usleep(REST_US);
+    }
+}
+
 static void
 stop_servers(struct deployment *deployment)
 {
@@ -210,12 +227,12 @@
         fprintf(stderr, "%s\n", cs_error_last());
         return 1;
     }
-    g_unix_signal_add(SIGTERM, on_signal, deployment.loop);
-    g_unix_signal_add(SIGINT, on_signal, deployment.loop);
+    g_unix_signal_add(SIGTERM, on_signal, &deployment);
+    g_unix_signal_add(SIGINT, on_signal, &deployment);
     g_timeout_add(TICK_MS, on_tick, &deployment);
     printf("ready 127.0.0.1:%u\n", cs_http_server_port(deployment.store));
     fflush(stdout);
-    g_main_loop_run(deployment.loop);
+    run_loop(&deployment);
     if (fake_fleet_violation(deployment.fleet))
         status = 1;
     stop_servers(&deployment);
