--- a/src/dispatch/executor_pool.c
+++ b/src/dispatch/executor_pool.c
@@ -169,11 +169,9 @@
     const cs_peer_link_port *link = dispatch->settings.link;
 
     if (executor->up && !executor->draining) {
-        cs_log_event("executor-lost",
-                     "%s in zone %s with %u workers: %s, last order sent "
-                     "%" G_GINT64_FORMAT " ms ago",
+        cs_log_event("executor-lost", "%s in zone %s with %u workers: %s",
                      executor->address, executor->zone, executor->route_count,
-                     reason, (now_us - executor->last_sent_us) / CS_MS_US);
+                     reason);
         (*dispatch->executors_lost_total)++;
     }
     executor->up = false;
@@ -191,16 +189,20 @@
 void
 executor_pool_check_timeouts(cs_dispatch *dispatch, int64_t now_us)
 {
+    char reason[64];
     guint i;
 
     for (i = 0; i < dispatch->executors->len; i++) {
         struct remote_executor *executor =
             g_ptr_array_index(dispatch->executors, i);
+        int64_t unacked_us = now_us - executor->unacked_since_us;
 
-        if (executor->unacked_sequence &&
-            now_us - executor->unacked_since_us > ACK_TIMEOUT_US)
-            remote_executor_down(dispatch, executor, now_us,
-                                 "no acknowledgement");
+        if (!executor->unacked_sequence || unacked_us <= ACK_TIMEOUT_US)
+            continue;
+        g_snprintf(reason, sizeof(reason),
+                   "no acknowledgement for %" G_GINT64_FORMAT " ms",
+                   unacked_us / CS_MS_US);
+        remote_executor_down(dispatch, executor, now_us, reason);
     }
 }
 
