standins: the workers of a large deployment in processes of their own

Each 200 workers have a front now, a forked process that serves HTTP and passes requests to the process of the deployment.

--quota gives all VMs only the share of a core of their settings.

--- a/scripts/soak/deployment.py
+++ b/scripts/soak/deployment.py
@@ -53,6 +53,7 @@
         self.process = None
         self.freezes = 0  # open freezes; the process runs if there are none
         self.share = 1.0  # of a core, by the duty cycle
+        self.normal_share = 1.0  # while no disturbance starves the VM
         self.paused = False  # by the duty cycle
         self.stopping = False  # ends or is to be restarted by the driver
         self.lock = threading.Lock()
--- a/scripts/soak/disturbances.py
+++ b/scripts/soak/disturbances.py
@@ -217,6 +217,11 @@
         for vm in self.some_vms(self.rng.uniform(0.05, 0.4)):
             self.freeze(vm, self.freeze_s())
 
+    def set_quotas(self):
+        self.events.write("vms-starved", "all have the share of their settings")
+        for vm in self.deployment.vms:
+            vm.normal_share = vm.share = vm.share_of_settings()
+
     def starve_some(self):
         vms = self.some_vms(self.rng.uniform(0.1, 0.5))
         holder = self.deployment.holder()
@@ -226,8 +231,11 @@
         self.events.write("vms-starved", " ".join(vm.name for vm in vms) +
                           f" for {seconds:.2f} s")
         for vm in vms:
-            vm.share = self.rng.uniform(0.09, 0.5)
-            self.after(seconds, setattr, vm, "share", 1.0)
+            vm.share = min(vm.normal_share, self.rng.uniform(0.09, 0.5))
+            self.after(seconds, self.end_starvation, vm)
+
+    def end_starvation(self, vm):
+        vm.share = vm.normal_share
 
     def late_orders(self):
         self.for_a_while(self.rng.uniform(3, 15), "late_orders",
--- a/standins/fake_fleet.c
+++ b/standins/fake_fleet.c
@@ -647,6 +647,12 @@
               sizeof(deployment->workers[worker].address));
 }
 
+const char *
+fake_fleet_address(const fake_fleet *deployment, uint32_t worker)
+{
+    return deployment->workers[worker].address;
+}
+
 void
 fake_fleet_set_faults(fake_fleet *deployment, int32_t vm,
                       const fake_vm_faults *faults)
--- a/standins/fake_fleet.h
+++ b/standins/fake_fleet.h
@@ -124,6 +124,9 @@
 void fake_fleet_set_observer(fake_fleet *deployment, fake_observer observer,
                              void *user_data);
 
+/** @return the "IP:PORT" of a worker, owned by the deployment */
+const char *fake_fleet_address(const fake_fleet *deployment, uint32_t worker);
+
 /** Advances virtual time by a duration. */
 void fake_fleet_run(fake_fleet *deployment, int64_t us);
 /**
--- a/standins/fake_fleet_http.c
+++ b/standins/fake_fleet_http.c
@@ -198,8 +198,22 @@
     }
 }
 
+struct worker_call {
+    fake_worker_response done;
+    void *user_data;
+};
+
+/* Responds to an order and frees its call. */
+static void
+respond(struct worker_call *call, int status, json_t *body)
+{
+    call->done(call->user_data, status, body);
+    json_decref(body);
+    g_free(call);
+}
+
 static void
-reply_refusal(cs_http_request *request, const cs_worker_answer *answer)
+respond_refusal(struct worker_call *call, const cs_worker_answer *answer)
 {
     static const char *const names[] = {
         [CS_REFUSED_FENCED] = "fence",       [CS_REFUSED_OLD_RUN] = "old",
@@ -208,7 +222,7 @@
     };
     const char *name = names[answer->refusal];
 
-    reply_json(request, 409, json_pack("{s:s}", "reason", name ? name : ""));
+    respond(call, 409, json_pack("{s:s}", "reason", name ? name : ""));
 }
 
 static json_t *
@@ -249,18 +263,18 @@
 on_worker_answer(void *user_data, const cs_worker_answer *answer)
 {
     if (answer->code == CS_E_WORKER) {
-        reply_refusal(user_data, answer);
+        respond_refusal(user_data, answer);
         return;
     }
     if (answer->code) {
-        reply_json(user_data, http_status(answer->code), json_object());
+        respond(user_data, http_status(answer->code), json_object());
         return;
     }
-    reply_json(user_data, 200,
-               json_pack("{s:I,s:I,s:o,s:o}", "clockMs",
-                         (json_int_t)answer->clock_ms, "born",
-                         (json_int_t)answer->incarnation_ms, "running",
-                         encode_runs(answer), "ended", encode_ends(answer)));
+    respond(user_data, 200,
+            json_pack("{s:I,s:I,s:o,s:o}", "clockMs",
+                      (json_int_t)answer->clock_ms, "born",
+                      (json_int_t)answer->incarnation_ms, "running",
+                      encode_runs(answer), "ended", encode_ends(answer)));
 }
 
 static int64_t
@@ -270,16 +284,17 @@
 }
 
 void
-fake_fleet_http_worker(fake_fleet *deployment, cs_http_request *request,
-                       const char *address)
+fake_fleet_http_worker_call(fake_fleet *deployment, uint32_t worker,
+                            const char *path, const char *text,
+                            size_t size_bytes, fake_worker_response done,
+                            void *user_data)
 {
     const cs_worker_port *port = fake_fleet_workers(deployment);
-    const char *path = cs_http_request_path(request);
+    struct worker_call *call = g_new0(struct worker_call, 1);
     int64_t deadline_us = fake_fleet_now_us(deployment) + CALL_TIMEOUT_US;
-    cs_worker_target target = {address, "", false, NULL};
-    size_t size;
-    const char *text = cs_http_request_body(request, &size);
-    json_t *body = json_loadb(text, size, 0, NULL);
+    cs_worker_target target = {fake_fleet_address(deployment, worker), "",
+                               false, NULL};
+    json_t *body = json_loadb(text, size_bytes, 0, NULL);
     uint64_t epoch = (uint64_t)get_number(body, "fence");
     cs_start_order start = {.task = get_text(body, "task"),
                             .run = (uint32_t)get_number(body, "run"),
@@ -293,20 +308,40 @@
         epoch, (uint64_t)get_number(body, "seenUpto"),
         get_number(body, "untilMs"), get_number(body, "waitMs")};
 
+    call->done = done;
+    call->user_data = user_data;
     if (strcmp(path, "/run-start") == 0)
         port->start(port->self, &target, &start, deadline_us, on_worker_answer,
-                    request);
+                    call);
     else if (strcmp(path, "/run-stop") == 0)
         port->stop(port->self, &target, start.task, start.run, epoch,
-                   deadline_us, on_worker_answer, request);
+                   deadline_us, on_worker_answer, call);
     else if (strcmp(path, "/hold") == 0)
         port->heartbeat(port->self, &target, &heartbeat, deadline_us,
-                        on_worker_answer, request);
+                        on_worker_answer, call);
     else
-        reply_json(request, 404, json_object());
+        respond(call, 404, json_object());
     json_decref(body);
 }
 
+static void
+reply_to_request(void *user_data, int status, json_t *body)
+{
+    reply_json(user_data, status, json_incref(body));
+}
+
+void
+fake_fleet_http_worker(fake_fleet *deployment, cs_http_request *request,
+                       uint32_t worker)
+{
+    size_t size;
+    const char *body = cs_http_request_body(request, &size);
+
+    fake_fleet_http_worker_call(deployment, worker,
+                                cs_http_request_path(request), body, size,
+                                reply_to_request, request);
+}
+
 static void
 on_adviser_answer(void *user_data, const cs_advice *advice)
 {
--- a/standins/fake_fleet_http.h
+++ b/standins/fake_fleet_http.h
@@ -16,9 +16,19 @@
 /** Handles a request to the placement adviser. */
 void fake_fleet_http_adviser(fake_fleet *deployment, cs_http_request *request);
 
-/** Handles an order to the worker at an address ("IP:PORT"). */
+/** Receives the response to an order. The body is borrowed. */
+typedef void (*fake_worker_response)(void *user_data, int status,
+                                     json_t *body);
+
+/** Handles an order to a worker by its number, which came from elsewhere. */
+void fake_fleet_http_worker_call(fake_fleet *deployment, uint32_t worker,
+                                 const char *path, const char *body,
+                                 size_t size_bytes, fake_worker_response done,
+                                 void *user_data);
+
+/** Handles an order to a worker by its number. */
 void fake_fleet_http_worker(fake_fleet *deployment, cs_http_request *request,
-                            const char *address);
+                            uint32_t worker);
 
 /**
  * Handles a request to the controls of a deployment. GET /state returns what
--- a/standins/standin_deployment.c
+++ b/standins/standin_deployment.c
@@ -11,6 +11,7 @@
 #include "corianderstair/errors.h"
 #include "corianderstair/log.h"
 #include "corianderstair/settings.h"
+#include "fake_fleet_front.h"
 #include "fake_fleet_http.h"
 
 #include <glib-unix.h>
@@ -19,10 +20,9 @@
 #include <string.h>
 
 #define TICK_MS 2
-/* With more workers than this, the main loop rests after each turn: a turn
-   polls thousands of descriptors, and took a full core at 1,100 workers. */
-#define RESTING_WORKERS 400
-#define REST_US 2000
+/* Workers of a front; see fake_fleet_front.h. With fewer workers than this,
+   the process serves them itself. */
+#define WORKERS_PER_FRONT 200
 #define DEFAULT_WORKERS 8
 #define MAX_WORKERS 1200
 #define DEFAULT_WORKERS_PER_RACK 8
@@ -32,26 +32,28 @@
 struct worker_server {
     struct deployment *deployment;
     cs_http_server *server;
-    char address[48];
+    uint32_t number;
 };
 
 struct deployment {
     GMainLoop *loop;
     cs_net *net;
     cs_http_server *store;
-    struct worker_server *workers;
+    struct worker_server *workers; /* of this process */
+    fake_fleet_front **fronts;
+    uint32_t front_count;
     uint32_t worker_count;
     fake_fleet *fleet;
     int64_t started_us;
-    bool stopped;
     bool go_on;    /* after a violation */
     bool reported; /* the first violation was printed */
 };
 
 /* Advances virtual time to the time since the start of the process. */
 static void
-advance_to_now(struct deployment *deployment)
+advance_to_now(void *user_data)
 {
+    struct deployment *deployment = user_data;
     int64_t elapsed_us = cs_clock_boot_us() - deployment->started_us;
 
     fake_fleet_run(deployment->fleet,
@@ -70,7 +72,7 @@
     fprintf(stderr, "violation %s\n", fake_fleet_violation(deployment->fleet));
     if (deployment->go_on)
         return G_SOURCE_CONTINUE;
-    deployment->stopped = true;
+    g_main_loop_quit(deployment->loop);
     return G_SOURCE_REMOVE;
 }
 
@@ -101,16 +103,13 @@
     struct worker_server *worker = user_data;
 
     advance_to_now(worker->deployment);
-    fake_fleet_http_worker(worker->deployment->fleet, request,
-                           worker->address);
+    fake_fleet_http_worker(worker->deployment->fleet, request, worker->number);
 }
 
 static gboolean
 on_signal(gpointer user_data)
 {
-    struct deployment *deployment = user_data;
-
-    deployment->stopped = true;
+    g_main_loop_quit(user_data);
     return G_SOURCE_CONTINUE;
 }
 
@@ -118,19 +117,39 @@
 start_worker_server(struct deployment *deployment, uint32_t number)
 {
     struct worker_server *worker = &deployment->workers[number];
+    char address[32];
     int rc;
 
     worker->deployment = deployment;
+    worker->number = number;
     rc = cs_http_server_create(&worker->server, deployment->net, "127.0.0.1",
                                0, on_worker_request, worker);
     if (rc)
         return rc;
-    g_snprintf(worker->address, sizeof(worker->address), "127.0.0.1:%u",
+    g_snprintf(address, sizeof(address), "127.0.0.1:%u",
                cs_http_server_port(worker->server));
-    fake_fleet_set_address(deployment->fleet, number, worker->address);
+    fake_fleet_set_address(deployment->fleet, number, address);
     return 0;
 }
 
+/* To be called before the main loop and other sockets exist. */
+static int
+fork_fronts(struct deployment *deployment)
+{
+    uint32_t count = deployment->worker_count / WORKERS_PER_FRONT;
+    int rc = 0;
+
+    deployment->fronts = g_new0(fake_fleet_front *, count + 1);
+    while (!rc && deployment->front_count < count) {
+        rc = fake_fleet_front_fork(
+            &deployment->fronts[deployment->front_count],
+            deployment->front_count, count, deployment->worker_count);
+        if (!rc)
+            deployment->front_count++;
+    }
+    return rc;
+}
+
 static int
 start_servers(struct deployment *deployment)
 {
@@ -141,21 +160,16 @@
         rc = cs_http_server_create(&deployment->store, deployment->net,
                                    "127.0.0.1", 0, on_store_request,
                                    deployment);
-    for (i = 0; !rc && i < deployment->worker_count; i++)
+    for (i = 0; !rc && i < deployment->front_count; i++)
+        rc = fake_fleet_front_attach(deployment->fronts[i], deployment->fleet,
+                                     advance_to_now, deployment);
+    for (i = 0;
+         !rc && deployment->front_count == 0 && i < deployment->worker_count;
+         i++)
         rc = start_worker_server(deployment, i);
     return rc;
 }
 
-static void
-run_loop(struct deployment *deployment)
-{
-    while (!deployment->stopped) {
-        g_main_context_iteration(NULL, TRUE);
-        if (deployment->worker_count > RESTING_WORKERS)
-            g_usleep(REST_US);
-    }
-}
-
 static void
 stop_servers(struct deployment *deployment)
 {
@@ -167,6 +181,12 @@
     for (i = 0; i < deployment->worker_count; i++)
         cs_http_server_destroy(deployment->workers[i].server);
     g_free(deployment->workers);
+    /* A front has a copy of the sockets of those before it, which end when all
+       copies are closed. */
+    while (deployment->front_count > 0)
+        fake_fleet_front_destroy(
+            deployment->fronts[--deployment->front_count]);
+    g_free(deployment->fronts);
     g_main_loop_unref(deployment->loop);
 }
 
@@ -209,6 +229,10 @@
         return 0;
     signal(SIGPIPE, SIG_IGN);
     deployment.worker_count = (uint32_t)workers;
+    if (fork_fronts(&deployment)) {
+        fprintf(stderr, "%s\n", cs_error_last());
+        return 1;
+    }
     settings.workers = deployment.worker_count;
     settings.racks =
         (uint32_t)((workers + workers_per_rack - 1) / workers_per_rack);
@@ -227,12 +251,12 @@
         fprintf(stderr, "%s\n", cs_error_last());
         return 1;
     }
-    g_unix_signal_add(SIGTERM, on_signal, &deployment);
-    g_unix_signal_add(SIGINT, on_signal, &deployment);
+    g_unix_signal_add(SIGTERM, on_signal, deployment.loop);
+    g_unix_signal_add(SIGINT, on_signal, deployment.loop);
     g_timeout_add(TICK_MS, on_tick, &deployment);
     printf("ready 127.0.0.1:%u\n", cs_http_server_port(deployment.store));
     fflush(stdout);
-    run_loop(&deployment);
+    g_main_loop_run(deployment.loop);
     if (fake_fleet_violation(deployment.fleet))
         status = 1;
     stop_servers(&deployment);
