standins: slow worker clocks, long stops and handovers in series for the soak

The workers' steady clocks ran true and a stop took 300 ms, so that a lease that lasts 2% longer and a stop that uses most of its bound were never played. The soak of processes uses both now, and a holder after the other is restarted by SIGTERM.

--- a/scripts/soak/deployment.py
+++ b/scripts/soak/deployment.py
@@ -17,6 +17,7 @@
 BOUNDS = {"holdMaxMs": 6000, "stopMs": 900, "gangMs": 3000, "graceS": 6,
           "configApplyMs": 2000, "status_s": 120, "early_ms": 250}
 GRACE_S = BOUNDS["graceS"]
+STOP_MS = 800  # that the runs need, below stopMs
 CONTROL_ATTEMPTS = 5
 CONTROL_TIMEOUT_S = 10
 
@@ -144,7 +145,8 @@
                  "--events", "--workers", str(options.workers), "--rack",
                  str(options.rack), "--zones", str(options.zones), "--seed",
                  str(options.seed), "--organisations",
-                 str(options.organisations)],
+                 str(options.organisations), "--slow-clocks", "--stop-ms",
+                 str(STOP_MS)],
                 stdin=subprocess.DEVNULL, stdout=subprocess.PIPE, stderr=log,
                 text=True)
         line = self.standin.stdout.readline().split()
--- a/scripts/soak/disturbances.py
+++ b/scripts/soak/disturbances.py
@@ -42,7 +42,8 @@
 
     KINDS = {
         "kill_holder": 6, "kill_holders_in_series": 4, "kill_some": 4,
-        "kill_all": 1, "restart_in_series": 4, "freeze_holder": 5,
+        "kill_all": 1, "restart_in_series": 4,
+        "hand_over_in_series": 4, "freeze_holder": 5,
         "freeze_some": 5, "starve_some": 5, "late_orders": 4,
         "late_changes": 3, "unanswered_changes": 3, "store_outage": 2,
         "slow_store": 2, "crash_workers": 3, "expire_entries": 1,
@@ -198,6 +199,15 @@
         for i, vm in enumerate(vms):
             self.after(i * gap, self.terminate, vm, self.rng.uniform(0.1, 1))
 
+    def hand_over(self):
+        self.terminate(self.deployment.holder(), self.rng.uniform(0.1, 1))
+
+    def hand_over_in_series(self):
+        at = 0
+        for _ in range(self.rng.randint(3, 8)):
+            self.after(at, self.hand_over)
+            at += self.rng.uniform(0.2, 3)
+
     def freeze(self, vm, seconds):
         if vm is None or not vm.is_up():
             return
--- a/standins/fake_fleet.c
+++ b/standins/fake_fleet.c
@@ -489,6 +489,9 @@
     deployment->message_us = settings->message_us;
     deployment->worker_zones =
         settings->worker_zones ? settings->worker_zones : FAKE_ZONES;
+    deployment->stop_us =
+        settings->stop_us ? settings->stop_us : FAKE_DEFAULT_STOP_US;
+    deployment->slow_clocks = settings->slow_clocks;
     for (i = 0; i < FAKE_WORKER_ZONES_MAX; i++)
         deployment->evacuated_us[i] = -1;
     deployment->config_apply_ms =
--- a/standins/fake_fleet.h
+++ b/standins/fake_fleet.h
@@ -85,6 +85,10 @@
     /** Number of zones of the workers, at most FAKE_WORKER_ZONES_MAX; 0 means
         FAKE_ZONES. */
     uint32_t worker_zones;
+    /** Time that a run takes to stop; 0 means 300 ms. */
+    int64_t stop_us;
+    /** The steady clock of every second worker is 2% slow. */
+    bool slow_clocks;
 } fake_fleet_settings;
 
 /**
--- a/standins/fake_fleet_internal.h
+++ b/standins/fake_fleet_internal.h
@@ -15,8 +15,7 @@
 #define FAKE_WORKER_LEASE_MS 6000
 /* Bound for the last start in an evacuated zone. */
 #define FAKE_EVACUATE_MS 5000
-/* Time that a run takes to stop. */
-#define FAKE_STOP_TIME_US (300 * CS_MS_US)
+#define FAKE_DEFAULT_STOP_US (300 * CS_MS_US)
 /* A run of a gang ends if the gang is not complete after this time. */
 #define FAKE_GANG_TIMEOUT_US (3000 * CS_MS_US)
 /* Wall clock at virtual time 0. */
@@ -80,6 +79,7 @@
     char address[32];
     uint64_t incarnation_ms; /* wall clock at the start of the process */
     int64_t started_us;
+    double clock_rate;      /* of its steady clock, which counts its lease */
     uint64_t highest_epoch; /* orders with a lower epoch are refused */
     uint64_t next_sequence; /* of struct fake_ended_run */
     int64_t lease_end_us;   /* 0 without a lease */
@@ -164,6 +164,8 @@
     int64_t call_us;
     int64_t message_us;
     uint32_t worker_zones;
+    int64_t stop_us; /* time that a run takes to stop */
+    bool slow_clocks;
     bool zone_cut[FAKE_WORKER_ZONES_MAX]; /* see fake_fleet_cut_zone() */
     /* When the row of a zone was written, or -1. */
     int64_t evacuated_us[FAKE_WORKER_ZONES_MAX];
--- a/standins/fake_fleet_worker.c
+++ b/standins/fake_fleet_worker.c
@@ -13,6 +13,7 @@
 /* A run that fails does so this long after its work started. */
 #define FAILURE_DELAY_US (100 * CS_MS_US)
 
+#define SLOW_CLOCK_RATE 0.98
 /* Value of a worker's clock when its process starts. */
 #define CLOCK_START_MS 1000
 
@@ -51,7 +52,9 @@
 static int64_t
 clock_ms(const struct fake_fleet_worker *worker)
 {
-    return (worker->deployment->now_us - worker->started_us) / CS_MS_US +
+    int64_t elapsed_us = worker->deployment->now_us - worker->started_us;
+
+    return (int64_t)((double)elapsed_us * worker->clock_rate) / CS_MS_US +
            CLOCK_START_MS;
 }
 
@@ -93,6 +96,8 @@
         g_snprintf(worker->address, sizeof(worker->address), "10.9.%u.%u:80",
                    number / 200, number % 200 + 1);
     worker->started_us = deployment->now_us;
+    worker->clock_rate =
+        deployment->slow_clocks && number % 2 ? SLOW_CLOCK_RATE : 1;
     worker->incarnation_ms =
         (uint64_t)((FAKE_WALL_CLOCK_START_US + deployment->now_us) /
                    CS_MS_US) +
@@ -504,10 +509,13 @@
 static void
 extend_lease(struct fake_fleet_worker *worker, int64_t lease_end_ms)
 {
-    int64_t max_us =
-        worker->deployment->now_us + (int64_t)FAKE_WORKER_LEASE_MS * CS_MS_US;
+    int64_t max_us = worker->deployment->now_us +
+                     (int64_t)((double)(FAKE_WORKER_LEASE_MS * CS_MS_US) /
+                               worker->clock_rate);
     int64_t requested_us =
-        worker->started_us + (lease_end_ms - CLOCK_START_MS) * CS_MS_US;
+        worker->started_us +
+        (int64_t)((double)((lease_end_ms - CLOCK_START_MS) * CS_MS_US) /
+                  worker->clock_rate);
 
     worker->lease_end_us =
         MAX(worker->lease_end_us, MIN(requested_us, max_us));
@@ -621,7 +629,8 @@
         "task %s run %u worker %s epoch %" G_GUINT64_FORMAT ", present run %u",
         order->task, order->run, worker->id, order->epoch, run ? run->run : 0);
     if (run && run->run == order->run && !run->stop_us)
-        run->stop_us = worker->deployment->now_us + FAKE_STOP_TIME_US;
+        run->stop_us =
+            worker->deployment->now_us + worker->deployment->stop_us;
     else if (!run)
         g_hash_table_insert(worker->finished_runs, g_strdup(order->task),
                             GUINT_TO_POINTER(MAX(finished_run, order->run)));
--- a/standins/standin_deployment.c
+++ b/standins/standin_deployment.c
@@ -199,6 +199,7 @@
     int64_t workers_per_rack = DEFAULT_WORKERS_PER_RACK;
     int64_t zones = FAKE_ZONES;
     int64_t seed = 1;
+    int64_t stop_ms = 300;
     int64_t organisations = 1;
     bool events = false;
     const cs_setting options[] = {
@@ -212,6 +213,10 @@
          "seed of the faults"},
         {"organisations", CS_SETTING_NUMBER, &organisations, 1, 100, false,
          "number of organisations; number n has the key kn"},
+        {"stop-ms", CS_SETTING_NUMBER, &stop_ms, 1, 10000, false,
+         "time that a run takes to stop"},
+        {"slow-clocks", CS_SETTING_FLAG, &settings.slow_clocks, 0, 0, false,
+         "the steady clock of every second worker is 2% slow"},
         {"go-on", CS_SETTING_FLAG, &deployment.go_on, 0, 0, false,
          "runs on after a violation"},
         {"events", CS_SETTING_FLAG, &events, 0, 0, false,
@@ -238,6 +243,7 @@
         (uint32_t)((workers + workers_per_rack - 1) / workers_per_rack);
     settings.worker_zones = (uint32_t)zones;
     settings.seed = (uint64_t)seed;
+    settings.stop_us = stop_ms * CS_MS_US;
     deployment.workers = g_new0(struct worker_server, workers);
     deployment.fleet = fake_fleet_create(&settings);
     fake_fleet_set_organisations(deployment.fleet, (uint32_t)organisations);
