standins: orders that are slow or executed without an answer

Late orders took 2 to 12 s, so that none was carried out just after the VM's 900 ms for an answer, and none was carried out at once without one. Both are faults of the stand-in now, and disturbances of the soak.

--- a/scripts/soak/disturbances.py
+++ b/scripts/soak/disturbances.py
@@ -9,9 +9,9 @@
 
 DUTY_PERIOD_S = 0.1
 DUTY_STEP_S = 0.004
-# Of a process that was told to stop: released, with open requests, or killed
-# after the grace period.
-STOP_STATUSES = (0, 3, -signal.SIGKILL)
+# Of a process that was told to stop: released, with open requests, killed
+# after the grace period, or told before it handles signals.
+STOP_STATUSES = (0, 3, -signal.SIGKILL, -signal.SIGTERM)
 
 
 class DutyCycle(threading.Thread):
@@ -45,6 +45,7 @@
         "kill_all": 1, "restart_in_series": 4,
         "hand_over_in_series": 4, "freeze_holder": 5,
         "freeze_some": 5, "starve_some": 5, "late_orders": 4,
+        "unanswered_orders": 4, "slow_orders": 4,
         "late_changes": 3, "unanswered_changes": 3, "store_outage": 2,
         "slow_store": 2, "crash_workers": 3, "expire_entries": 1,
     }
@@ -85,7 +86,8 @@
         """Ends all disturbances; the VMs and the store work again."""
         self.healed = True
         self.actions = []
-        self.control(late_orders=0, late_changes=0, unanswered_changes=0,
+        self.control(late_orders=0, unanswered_orders=0, order_delay_ms=0,
+                     late_changes=0, unanswered_changes=0,
                      store_refuses=False, store_unreachable=False,
                      store_delay_ms=0)
         for vm in self.deployment.vms:
@@ -251,6 +253,15 @@
         self.for_a_while(self.rng.uniform(3, 15), "late_orders",
                          round(self.rng.uniform(0.02, 0.3), 3), 0)
 
+    def unanswered_orders(self):
+        self.for_a_while(self.rng.uniform(3, 15), "unanswered_orders",
+                         round(self.rng.uniform(0.02, 0.3), 3), 0)
+
+    def slow_orders(self):
+        # VMs wait up to 900 ms for an answer.
+        self.for_a_while(self.rng.uniform(3, 15), "order_delay_ms",
+                         self.rng.randint(200, 1500), 0)
+
     def late_changes(self):
         self.for_a_while(self.rng.uniform(3, 15), "late_changes",
                          round(self.rng.uniform(0.02, 0.3), 3), 0)
--- a/standins/fake_fleet.h
+++ b/standins/fake_fleet.h
@@ -38,6 +38,10 @@
     bool peers_unreachable;    /**< messages from and to other VMs are lost */
     double late_orders_share;  /**< share of orders executed seconds later and
                               never  answered */
+    double unanswered_orders_share; /**< share of orders executed but never
+                                       answered */
+    int64_t order_delay_us; /**< maximum delay of an order, which may be
+                               overtaken by later ones */
 } fake_vm_faults;
 
 /**
--- a/standins/fake_fleet_control.c
+++ b/standins/fake_fleet_control.c
@@ -49,19 +49,23 @@
 static void
 update_faults(fake_fleet *deployment, const json_t *body)
 {
-    const json_t *delay = json_object_get(body, "store_delay_ms");
+    const json_t *store_delay = json_object_get(body, "store_delay_ms");
+    const json_t *order_delay = json_object_get(body, "order_delay_ms");
     fake_vm_faults faults = deployment->vms[0].faults;
     uint32_t worker;
 
     update_share(&faults.late_orders_share, body, "late_orders");
+    update_share(&faults.unanswered_orders_share, body, "unanswered_orders");
     update_share(&faults.late_changes_share, body, "late_changes");
     update_share(&faults.unanswered_changes_share, body, "unanswered_changes");
     update_switch(&faults.store_refuses, body, "store_refuses");
     update_switch(&faults.store_unreachable, body, "store_unreachable");
+    if (json_is_integer(order_delay))
+        faults.order_delay_us = json_integer_value(order_delay) * CS_MS_US;
     fake_fleet_set_faults(deployment, -1, &faults);
-    if (json_is_integer(delay))
+    if (json_is_integer(store_delay))
         fake_fleet_set_store_delay(deployment,
-                                   json_integer_value(delay) * CS_MS_US);
+                                   json_integer_value(store_delay) * CS_MS_US);
     if (get_worker(&worker, deployment, body, "expire_entry"))
         fake_fleet_expire_entry(deployment, worker);
     if (get_worker(&worker, deployment, body, "crash_worker"))
--- a/standins/fake_fleet_http.h
+++ b/standins/fake_fleet_http.h
@@ -34,8 +34,9 @@
  * Handles a request to the controls of a deployment. GET /state returns what
  * the checker counts. POST /faults takes an object; the members that it names
  * change, the others keep their values:
- * - late_orders, late_changes, unanswered_changes: shares of orders to workers
- *   and of changes of the store
+ * - late_orders, unanswered_orders, late_changes, unanswered_changes: shares
+ * of orders to workers and of changes of the store
+ * - order_delay_ms: maximum delay of orders to workers
  * - store_refuses, store_unreachable: whether the store is down
  * - store_delay_ms: delay of the store's answers
  * - expire_entry: number of a worker whose entry is deleted once
