--- a/scripts/soak/disturbances.py
+++ b/scripts/soak/disturbances.py
@@ -9,9 +9,9 @@
 
 DUTY_PERIOD_S = 0.1
 DUTY_STEP_S = 0.004
-# Of a process that was told to stop: released, with open requests, or killed
-# after the grace period.
-STOP_STATUSES = (0, 3, -signal.SIGKILL)
+# Of a process that was told to stop: released, with open requests, killed
+# after the grace period, or told before it handles signals.
+STOP_STATUSES = (0, 3, -signal.SIGKILL, -signal.SIGTERM)
 
 
 class DutyCycle(threading.Thread):
@@ -42,8 +42,10 @@
 
     KINDS = {
         "kill_holder": 6, "kill_holders_in_series": 4, "kill_some": 4,
-        "kill_all": 1, "restart_in_series": 4, "freeze_holder": 5,
+        "kill_all": 1, "restart_in_series": 4,
+        "hand_over_in_series": 4, "freeze_holder": 5,
         "freeze_some": 5, "starve_some": 5, "late_orders": 4,
+        "unanswered_orders": 4, "slow_orders": 4,
         "late_changes": 3, "unanswered_changes": 3, "store_outage": 2,
         "slow_store": 2, "crash_workers": 3, "expire_entries": 1,
     }
@@ -84,7 +86,8 @@
         """Ends all disturbances; the VMs and the store work again."""
         self.healed = True
         self.actions = []
-        self.control(late_orders=0, late_changes=0, unanswered_changes=0,
+        self.control(late_orders=0, unanswered_orders=0, order_delay_ms=0,
+                     late_changes=0, unanswered_changes=0,
                      store_refuses=False, store_unreachable=False,
                      store_delay_ms=0)
         for vm in self.deployment.vms:
@@ -198,6 +201,15 @@
         for i, vm in enumerate(vms):
             self.after(i * gap, self.terminate, vm, self.rng.uniform(0.1, 1))
 
+    def hand_over(self):
+        self.terminate(self.deployment.holder(), self.rng.uniform(0.1, 1))
+
+    def hand_over_in_series(self):
+        at = 0
+        for _ in range(self.rng.randint(3, 8)):
+            self.after(at, self.hand_over)
+            at += self.rng.uniform(0.2, 3)
+
     def freeze(self, vm, seconds):
         if vm is None or not vm.is_up():
             return
@@ -217,6 +229,11 @@
         for vm in self.some_vms(self.rng.uniform(0.05, 0.4)):
             self.freeze(vm, self.freeze_s())
 
+    def set_quotas(self):
+        self.events.write("vms-starved", "all have the share of their settings")
+        for vm in self.deployment.vms:
+            vm.normal_share = vm.share = vm.share_of_settings()
+
     def starve_some(self):
         vms = self.some_vms(self.rng.uniform(0.1, 0.5))
         holder = self.deployment.holder()
@@ -226,13 +243,25 @@
         self.events.write("vms-starved", " ".join(vm.name for vm in vms) +
                           f" for {seconds:.2f} s")
         for vm in vms:
-            vm.share = self.rng.uniform(0.09, 0.5)
-            self.after(seconds, setattr, vm, "share", 1.0)
+            vm.share = min(vm.normal_share, self.rng.uniform(0.09, 0.5))
+            self.after(seconds, self.end_starvation, vm)
+
+    def end_starvation(self, vm):
+        vm.share = vm.normal_share
 
     def late_orders(self):
         self.for_a_while(self.rng.uniform(3, 15), "late_orders",
                          round(self.rng.uniform(0.02, 0.3), 3), 0)
 
+    def unanswered_orders(self):
+        self.for_a_while(self.rng.uniform(3, 15), "unanswered_orders",
+                         round(self.rng.uniform(0.02, 0.3), 3), 0)
+
+    def slow_orders(self):
+        # VMs wait up to 900 ms for an answer.
+        self.for_a_while(self.rng.uniform(3, 15), "order_delay_ms",
+                         self.rng.randint(200, 1500), 0)
+
     def late_changes(self):
         self.for_a_while(self.rng.uniform(3, 15), "late_changes",
                          round(self.rng.uniform(0.02, 0.3), 3), 0)
--- a/standins/fake_fleet.c
+++ b/standins/fake_fleet.c
@@ -491,6 +491,9 @@
     deployment->messages_wait = settings->messages_wait;
     deployment->worker_zones =
         settings->worker_zones ? settings->worker_zones : FAKE_ZONES;
+    deployment->stop_us =
+        settings->stop_us ? settings->stop_us : FAKE_DEFAULT_STOP_US;
+    deployment->slow_clocks = settings->slow_clocks;
     for (i = 0; i < FAKE_WORKER_ZONES_MAX; i++)
         deployment->evacuated_us[i] = -1;
     deployment->config_apply_ms =
@@ -651,6 +654,12 @@
               sizeof(deployment->workers[worker].address));
 }
 
+const char *
+fake_fleet_address(const fake_fleet *deployment, uint32_t worker)
+{
+    return deployment->workers[worker].address;
+}
+
 void
 fake_fleet_set_faults(fake_fleet *deployment, int32_t vm,
                       const fake_vm_faults *faults)
--- a/standins/fake_fleet.h
+++ b/standins/fake_fleet.h
@@ -39,6 +39,10 @@
     double late_orders_share;  /**< share of orders executed seconds later and
                               never  answered */
     int64_t late_order_us;     /**< how much later; 0 for a random delay */
+    double unanswered_orders_share; /**< share of orders executed but never
+                                       answered */
+    int64_t order_delay_us; /**< maximum delay of an order, which may be
+                               overtaken by later ones */
 } fake_vm_faults;
 
 /**
@@ -93,6 +97,10 @@
     /** Number of zones of the workers, at most FAKE_WORKER_ZONES_MAX; 0 means
         FAKE_ZONES. */
     uint32_t worker_zones;
+    /** Time that a run takes to stop; 0 means 300 ms. */
+    int64_t stop_us;
+    /** The steady clock of every second worker is 2% slow. */
+    bool slow_clocks;
 } fake_fleet_settings;
 
 /**
@@ -132,6 +140,9 @@
 void fake_fleet_set_observer(fake_fleet *deployment, fake_observer observer,
                              void *user_data);
 
+/** @return the "IP:PORT" of a worker, owned by the deployment */
+const char *fake_fleet_address(const fake_fleet *deployment, uint32_t worker);
+
 /** Advances virtual time by a duration. */
 void fake_fleet_run(fake_fleet *deployment, int64_t us);
 /**
--- a/standins/fake_fleet_http.h
+++ b/standins/fake_fleet_http.h
@@ -16,16 +16,27 @@
 /** Handles a request to the placement adviser. */
 void fake_fleet_http_adviser(fake_fleet *deployment, cs_http_request *request);
 
-/** Handles an order to the worker at an address ("IP:PORT"). */
+/** Receives the response to an order. The body is borrowed. */
+typedef void (*fake_worker_response)(void *user_data, int status,
+                                     json_t *body);
+
+/** Handles an order to a worker by its number, which came from elsewhere. */
+void fake_fleet_http_worker_call(fake_fleet *deployment, uint32_t worker,
+                                 const char *path, const char *body,
+                                 size_t size_bytes, fake_worker_response done,
+                                 void *user_data);
+
+/** Handles an order to a worker by its number. */
 void fake_fleet_http_worker(fake_fleet *deployment, cs_http_request *request,
-                            const char *address);
+                            uint32_t worker);
 
 /**
  * Handles a request to the controls of a deployment. GET /state returns what
  * the checker counts. POST /faults takes an object; the members that it names
  * change, the others keep their values:
- * - late_orders, late_changes, unanswered_changes: shares of orders to workers
- *   and of changes of the store
+ * - late_orders, unanswered_orders, late_changes, unanswered_changes: shares
+ * of orders to workers and of changes of the store
+ * - order_delay_ms: maximum delay of orders to workers
  * - store_refuses, store_unreachable: whether the store is down
  * - store_delay_ms: delay of the store's answers
  * - expire_entry: number of a worker whose entry is deleted once
