--- a/tests/test_fleet_faults.c
+++ b/tests/test_fleet_faults.c
@@ -632,15 +632,6 @@
     soak_all(LAG_SOAK_SEEDS, SOAK_WITH_LAG);
 }
 
-/* Guards against answers to a former process of the holder's VM: the holder
-   took adopted runs for absent, and their tasks ran twice. */
-static void
-fleet_faults__runs_survive_answers_to_a_former_holder(void **state)
-{
-    soak(699, SOAK_WITH_EXECUTORS);
-    soak(779, SOAK_WITH_EXECUTORS);
-}
-
 int
 main(void)
 {
@@ -657,8 +648,6 @@
         cmocka_unit_test(
             fleet_faults__random_faults_with_executors_violate_no_rule),
         cmocka_unit_test(fleet_faults__random_faults_while_reads_lag),
-        cmocka_unit_test(
-            fleet_faults__runs_survive_answers_to_a_former_holder),
     };
 
     if (!g_getenv("CS_TEST_LOG"))
