scripts/process-soak: holders that are killed soon after they have taken the cell

The numbers of orders begin anew in each process, and executors know a holder by its address only. The soak never killed a holder twice within seconds, with executors that are paused meanwhile, so that answers to a former process never met orders of the new one that have the same numbers.

kill_new_holders and kill_holder_beside_frozen play that. A line run-unknown about a worker that has never started the run fails a run now: the holder has taken the answer of another worker for this one's.

--- a/scripts/soak/deployment.py
+++ b/scripts/soak/deployment.py
@@ -216,6 +216,10 @@
             return max(self.holders, key=lambda taken: taken[1])[2] \
                 if self.holders else None
 
+    def epoch(self):
+        """Returns the newest epoch that holder() has seen."""
+        return max((taken[1] for taken in self.holders), default=0)
+
     def stop(self):
         """Ends all processes that this run has started."""
         for vm in self.vms:
--- a/scripts/soak/disturbances.py
+++ b/scripts/soak/disturbances.py
@@ -12,6 +12,8 @@
 # Of a process that was told to stop: released, with open requests, killed
 # after the grace period, or told before it handles signals.
 STOP_STATUSES = (0, 3, -signal.SIGKILL, -signal.SIGTERM)
+# From the end of a holder's process until it has taken the cell again.
+RETAKE_S = 1.76
 
 
 class DutyCycle(threading.Thread):
@@ -43,6 +45,8 @@
     KINDS = {
         "kill_holder": 6, "kill_holders_in_series": 4, "kill_some": 4,
         "kill_all": 1, "restart_in_series": 4,
+        "kill_holder_beside_frozen": 4,
+        "kill_new_holders": 4,
         "hand_over_in_series": 4, "freeze_holder": 5,
         "freeze_some": 5, "starve_some": 5, "late_orders": 4,
         "unanswered_orders": 4, "slow_orders": 4,
@@ -201,6 +205,52 @@
         for i, vm in enumerate(vms):
             self.after(i * gap, self.terminate, vm, self.rng.uniform(0.1, 1))
 
+    def kill_holder_beside_frozen(self):
+        """Restarts the holder while most other VMs are frozen, so that it takes
+        the cell again, and executors then go on with what they had from its
+        former process."""
+        holder = self.deployment.holder()
+        if holder is None:
+            return
+        others = [vm for vm in self.deployment.vms if vm is not holder]
+        for vm in self.rng.sample(others, max(
+                1, int(len(others) * self.rng.uniform(0.8, 1)))):
+            self.freeze(vm, self.rng.uniform(2, 10))
+        self.after(self.rng.uniform(0, 0.5), self.kill, holder,
+                   self.rng.uniform(0.2, 1))
+
+    def kill_new_holders(self, rounds=None):
+        """Kills the holder, and its successors soon after they have taken the
+        cell, while some executors are frozen. These go on when the next tenure
+        is as old as the former one was, so that its orders have the numbers of
+        those that they have left."""
+        if rounds is None:
+            rounds = self.rng.randint(2, 4)
+        holder = self.deployment.holder()
+        self.kill(holder, 0.2)
+        if rounds > 0:
+            self.after(0.05, self.await_successor, rounds - 1,
+                       self.deployment.epoch(), time.monotonic() + 20)
+
+    def await_successor(self, rounds, epoch, deadline):
+        if self.healed or time.monotonic() > deadline:
+            return
+        holder = self.deployment.holder()
+        if self.deployment.epoch() == epoch:
+            self.after(0.05, self.await_successor, rounds, epoch, deadline)
+            return
+        frozen_s = self.rng.uniform(0.1, 1)
+        killed_s = frozen_s + self.rng.uniform(0.05, 0.4)
+        self.after(frozen_s, self.freeze_executors, holder, killed_s +
+                   RETAKE_S + self.rng.uniform(-0.4, 0.8))
+        self.after(killed_s, self.kill_new_holders, rounds)
+
+    def freeze_executors(self, holder, seconds):
+        vms = [vm for vm in self.deployment.vms if vm is not holder]
+        for vm in self.rng.sample(vms, max(1, int(len(vms) *
+                                               self.rng.uniform(0.2, 0.7)))):
+            self.freeze(vm, seconds)
+
     def hand_over(self):
         self.terminate(self.deployment.holder(), self.rng.uniform(0.1, 1))
 
--- a/scripts/soak/record.py
+++ b/scripts/soak/record.py
@@ -35,6 +35,23 @@
                 yield line["time_us"], line["detail"]
 
 
+def foreign_runs(folder):
+    """Yields the lines in which a holder finds a run on a worker that has never
+    started it, so that it took the answer of another worker for this one's."""
+    pattern = re.compile(r"task (\S+) run (\d+) worker (\S+)")
+    started = set()
+    found = []
+    for time_us, _, event, detail in read_lines(folder):
+        match = pattern.match(detail)
+        if match and event == "worker-run-started":
+            started.add(match.groups())
+        elif match and event == "run-unknown":
+            found.append((match.groups(), time_us, detail))
+    for run, time_us, detail in found:
+        if run not in started:
+            yield time_us, "run of another worker: " + detail
+
+
 def task_of(detail):
     match = re.search(r"\b([0-9a-f]{16}(?:\.\d+){0,3})", detail)
     return match[1] if match else None
--- a/tests/test_process_soak.py
+++ b/tests/test_process_soak.py
@@ -1,7 +1,8 @@
 #!/usr/bin/env python3
 """Guards against a soak of processes that sees no violation: a task is started
 on a second worker behind the back of the VMs, which the stand-in must report
-and the record of the run must explain.
+and the record of the run must explain; and against one that overlooks a holder
+that takes the answer of one worker for that of another.
 usage: test_process_soak.py BUILD"""
 import argparse
 import base64
@@ -84,7 +85,26 @@
         assert text in lines, f"{text} is missing:\n{lines}"
 
 
+def write_log(folder, process, event, details):
+    with open(os.path.join(folder, process + ".log"), "a",
+              encoding="utf-8") as file:
+        for detail in details:
+            file.write(json.dumps({"time_us": 1, "process": process, "event":
+                                   event, "detail": detail}) + "\n")
+
+
+def check_foreign_runs(folder):
+    run = "task " + TASK + " run 1 worker "
+    write_log(folder, "standin", "worker-run-started", [run + "w-1 epoch 1"])
+    write_log(folder, "vm", "run-unknown", [run + "w-1 is stopped",
+                                            run + "w-2 is stopped"])
+    found = [detail for _, detail in record.foreign_runs(folder)]
+    assert len(found) == 1 and "worker w-2" in found[0], found
+
+
 def main():
+    with tempfile.TemporaryDirectory() as folder:
+        check_foreign_runs(folder)
     options = argparse.Namespace(build=sys.argv[1], vms=2, workers=4, zones=2,
                                  rack=2, organisations=1, seed=1,
                                  direct_workers=150)
