--- a/scripts/soak/disturbances.py
+++ b/scripts/soak/disturbances.py
@@ -14,6 +14,7 @@
 STOP_STATUSES = (0, 3, -signal.SIGKILL, -signal.SIGTERM)
 # From the end of a holder's process until it has taken the cell again.
 RETAKE_S = 1.76
+RESTART_S = 0.1
 
 
 class DutyCycle(threading.Thread):
@@ -221,13 +222,14 @@
 
     def kill_new_holders(self, rounds=None):
         """Kills the holder, and its successors soon after they have taken the
-        cell, while some executors are frozen. These go on when the next tenure
-        is as old as the former one was, so that its orders have the numbers of
-        those that they have left."""
+        cell, at times while some executors are frozen, which go on when the
+        next tenure is as old as the former one was. So its orders have the
+        numbers of those that executors answer late, such as heartbeats, which
+        workers hold for 2 s."""
         if rounds is None:
             rounds = self.rng.randint(2, 4)
         holder = self.deployment.holder()
-        self.kill(holder, 0.2)
+        self.kill(holder, RESTART_S)
         if rounds > 0:
             self.after(0.05, self.await_successor, rounds - 1,
                        self.deployment.epoch(), time.monotonic() + 20)
@@ -239,10 +241,11 @@
         if self.deployment.epoch() == epoch:
             self.after(0.05, self.await_successor, rounds, epoch, deadline)
             return
-        frozen_s = self.rng.uniform(0.1, 1)
+        frozen_s = self.rng.uniform(0.05, 0.8)
         killed_s = frozen_s + self.rng.uniform(0.05, 0.4)
-        self.after(frozen_s, self.freeze_executors, holder, killed_s +
-                   RETAKE_S + self.rng.uniform(-0.4, 0.8))
+        if self.rng.random() < 0.5:
+            self.after(frozen_s, self.freeze_executors, holder, killed_s +
+                       RETAKE_S + self.rng.uniform(-0.4, 0.8))
         self.after(killed_s, self.kill_new_holders, rounds)
 
     def freeze_executors(self, holder, seconds):
