--- a/scripts/soak/deployment.py
+++ b/scripts/soak/deployment.py
@@ -66,11 +66,14 @@
                        "ready": f"{self.ip}:{READY_PORT}",
                        "control": f"{self.ip}:{CONTROL_PORT}"},
             "portRange": PORT_RANGE, "seeds": seeds, "heartbeatMs": 1500,
-            "limits": {"cpuShare": self.share_of_settings(), "maxFds": 4100},
+            "limits": self.limits(),
             "platform": {"addr": store}, "advice": store, "bounds": BOUNDS}
         with open(self.settings_path, "w", encoding="utf-8") as file:
             json.dump(settings, file)
 
+    def limits(self):
+        return {"cpuShare": self.share_of_settings(), "maxFds": 4100}
+
     def share_of_settings(self):
         # The shares of the largest deployment are 0.09 to 0.5.
         return (0.09, 0.25, 0.5)[self.number // self.deployment.zones % 3]
@@ -81,13 +84,18 @@
                 [os.path.join(self.deployment.build, "cs-fleetd"),
                  "--settings", self.settings_path, "--direct-workers",
                  str(self.deployment.direct_workers)],
-                stdin=subprocess.DEVNULL, stdout=log, stderr=log)
+                stdin=subprocess.DEVNULL, stdout=log, stderr=log,
+                **self.process_options())
         with self.lock:
             self.process = process
             self.freezes = 0
             self.paused = False
             self.stopping = False
 
+    def process_options(self):
+        """Returns further arguments of Popen."""
+        return {}
+
     def is_up(self):
         return self.process is not None and self.process.poll() is None
 
@@ -123,6 +131,8 @@
 class Deployment:
     """The stand-in and the VMs of a run."""
 
+    vm_type = Vm
+
     def __init__(self, options, folder):
         self.build = options.build
         self.folder = folder
@@ -133,7 +143,7 @@
         self.standin_log = os.path.join(folder, "standin.log")
         self.standin = None
         self.store = None
-        self.vms = [Vm(self, n) for n in range(options.vms)]
+        self.vms = [self.vm_type(self, n) for n in range(options.vms)]
         self.log_offsets = {}
         self.holders = []  # (time_us, epoch, VM) of each takeover
         self.log_lock = threading.Lock()
