http: what a server holds for its clients is bounded in sum

Seen by callers: clients that announce bodies and hold them back end the process, which runs out of memory; bodies of an allowed size do so too, with more connections. So do jobs whose callers leave while the store is slow. With more connections than descriptors, no ordinary request is served, and calls to the store, to workers and to other VMs fail.

Cause: every limit was one of a connection or of a request, and none knew the machine.

A connection, a request while it is read, handled and answered, and what is unread of a response count. If the part is used up, the connection that has waited longest for its client is closed, so that a client which sends its request at once is served however many others hold theirs back. Without one the request is refused unread: with 504 on interfaces whose 503 also speaks for earlier calls with the same id, with 429 for peers, which then take another VM. A body that the configuration does not allow is refused before it is read.

--- a/include/corianderstair/http_server.h
+++ b/include/corianderstair/http_server.h
@@ -6,9 +6,9 @@
  *
  * What a server holds for its clients is bounded in sum (http_limits.h). If
  * that is used up, it closes the connections that have waited longest for
- * their clients, and refuses a request with status 503 if there are none. A
- * request that it refuses has not been passed to the handler; its connection
- * is closed after the response.
+ * their clients, and refuses a request if there are none. A request that it
+ * refuses has not been passed to the handler; its connection is closed after
+ * the response.
  */
 #ifndef CS_HTTP_SERVER_H
 #define CS_HTTP_SERVER_H
@@ -56,6 +56,13 @@
 void cs_http_server_set_limits(cs_http_server *server,
                                const cs_http_limits *limits);
 
+/**
+ * Sets the status of requests that are refused for want of room, 503 by
+ * default. An interface whose 503 also promises that no earlier request with
+ * the same id has run uses 504, which promises nothing.
+ */
+void cs_http_server_set_overload_status(cs_http_server *server, int status);
+
 /** Sets the length of a body from which on requests are refused with 413. */
 void cs_http_server_set_body_limit(cs_http_server *server, int64_t body_bytes);
 
--- a/include/corianderstair/process.h
+++ b/include/corianderstair/process.h
@@ -28,6 +28,8 @@
     int64_t poll_ms;          /**< time between polls of the table service */
     int64_t drain_ms;         /**< time to finish work after a stop signal */
     uint32_t max_connections; /**< maximum to one address, 1..64 */
+    int64_t memory_mb;        /**< memory of the machine; 0: as it reports */
+    int64_t descriptors;      /**< of the process; 0: as its limit says */
 } cs_process_settings;
 
 /** The behaviour that differs between daemons. */
--- a/include/corianderstair/vm_settings.h
+++ b/include/corianderstair/vm_settings.h
@@ -38,7 +38,8 @@
     char adviser_address[48]; /**< empty if there is no adviser */
     char seeds[3][48];        /**< peer addresses of some VMs; may be empty */
     int64_t
-        max_descriptors; /**< limit of open files and sockets; 0 if unknown */
+        max_descriptors;  /**< limit of open files and sockets; 0 if unknown */
+    int64_t memory_bytes; /**< memory of the VM; 0 if unknown */
     int64_t
         row_bytes;    /**< longest value of a row in the store; 0 if unknown */
     double cpu_share; /**< share of a core that the VM has; 0 if unknown */
--- a/src/http/connection.c
+++ b/src/http/connection.c
@@ -39,7 +39,7 @@
 
     connection->request = request_create(connection);
     if (!server_reserve(connection->server, 0, connection))
-        return stop_parser(parser, HTTP_STATUS_SERVICE_UNAVAILABLE);
+        return stop_parser(parser, connection->server->overload_status);
     return 0;
 }
 
@@ -133,8 +133,10 @@
 static int
 on_body(http_parser *parser, const char *at, size_t length)
 {
-    if (!request_append_body(request_of(parser), at, length))
-        return stop_parser(parser, HTTP_STATUS_SERVICE_UNAVAILABLE);
+    cs_http_request *request = request_of(parser);
+
+    if (!request_append_body(request, at, length))
+        return stop_parser(parser, request->server->overload_status);
     return 0;
 }
 
@@ -379,7 +381,7 @@
     cs_http_server *server = connection->server;
 
     if (!request_begin_handling(request)) {
-        refuse(connection, HTTP_STATUS_SERVICE_UNAVAILABLE,
+        refuse(connection, server->overload_status,
                "open requests hold the memory for clients");
         return;
     }
@@ -397,10 +399,10 @@
         return "body of unknown length";
     case HTTP_STATUS_REQUEST_HEADER_FIELDS_TOO_LARGE:
         return "headers too large";
-    case HTTP_STATUS_SERVICE_UNAVAILABLE:
-        return "bodies hold the memory for clients";
-    default:
+    case HTTP_STATUS_BAD_REQUEST:
         return "malformed address";
+    default:
+        return "requests hold the memory for clients";
     }
 }
 
--- a/src/http/request.c
+++ b/src/http/request.c
@@ -57,7 +57,7 @@
         body_bytes += COPIES_OF_A_HANDLED_BODY * request->body_capacity;
     bytes = (int64_t)(REQUEST_BYTES + request->url->allocated_len +
                       request->headers->allocated_len + body_bytes +
-                      request->response->allocated_len);
+                      request->response->len);
     if (request->head)
         bytes += (int64_t)request->head->allocated_len;
     server_charge(request->server, bytes - request->charged_bytes);
@@ -201,34 +201,49 @@
     return read_url(request);
 }
 
+/* Sets the error that the body of a refusal tells. */
+static void
+describe_refusal(int status, int *code, const char **message)
+{
+    switch (status) {
+    case HTTP_STATUS_BAD_REQUEST:
+        *code = CS_E_INVALID;
+        *message = "the request is malformed";
+        return;
+    case HTTP_STATUS_LENGTH_REQUIRED:
+        *code = CS_E_INVALID;
+        *message = "the length of the body is not stated";
+        return;
+    case HTTP_STATUS_PAYLOAD_TOO_LARGE:
+    case HTTP_STATUS_REQUEST_HEADER_FIELDS_TOO_LARGE:
+        *code = CS_E_TOO_LARGE;
+        *message = "the body or the headers are larger than allowed";
+        return;
+    default:
+        *code = CS_E_OVERLOAD;
+        *message = "too many requests are open";
+    }
+}
+
 void
 request_refuse(cs_http_request *request, int status)
 {
-    int code = CS_E_INVALID;
-    const char *message = "the request is malformed";
+    const char *message;
+    int code;
 
-    if (status == HTTP_STATUS_PAYLOAD_TOO_LARGE ||
-        status == HTTP_STATUS_REQUEST_HEADER_FIELDS_TOO_LARGE) {
-        code = CS_E_TOO_LARGE;
-        message = "the body or a header is larger than allowed";
-    }
-    else if (status == HTTP_STATUS_LENGTH_REQUIRED) {
-        message = "the length of the body is not stated";
-    }
-    else if (status == HTTP_STATUS_SERVICE_UNAVAILABLE) {
-        code = CS_E_OVERLOAD;
-        message = "too many requests are open";
-        request->retry_after_s = RETRY_AFTER_S;
-    }
+    describe_refusal(status, &code, &message);
     free_body(request);
+    if (code == CS_E_OVERLOAD)
+        request->retry_after_s = RETRY_AFTER_S;
     request->refusal = status;
     request->status = status;
     g_strlcpy(request->content_type, "application/json",
               sizeof(request->content_type));
-    g_string_printf(request->response,
-                    "{\"code\":%d,\"name\":\"%s\",\"message\":\"%s\","
-                    "\"run\":\"not-run\"}\n",
-                    code, cs_error_name(code), message);
+    g_string_printf(
+        request->response,
+        "{\"code\":%d,\"name\":\"%s\",\"message\":\"%s\",\"run\":\"%s\"}\n",
+        code, cs_error_name(code), message,
+        status == HTTP_STATUS_GATEWAY_TIMEOUT ? "unknown" : "not-run");
 }
 
 const char *
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -33,6 +33,9 @@
 #define CLOSING_DIVISOR 4
 /* Clients decide how many are refused, so that the lines are limited. */
 #define LINES_PER_S 10
+/* Parts of the machine for a server without limits of its own. */
+#define DEFAULT_MEMORY_PERCENT 12
+#define DEFAULT_DESCRIPTOR_PERCENT 36
 
 /* In the order in which connections are closed to make room. */
 static const connection_state evictable[] = {
@@ -339,18 +342,20 @@
                       uint16_t port, cs_http_handler handler, void *user_data)
 {
     cs_http_server *server = g_new0(cs_http_server, 1);
+    cs_machine machine;
     int i;
 
     server->net = net;
     server->poller = net_poller(net);
     server->handler = handler;
     server->user_data = user_data;
+    server->overload_status = HTTP_STATUS_SERVICE_UNAVAILABLE;
     for (i = 0; i < CONNECTION_STATES; i++)
         g_queue_init(&server->connections[i]);
     g_queue_init(&server->resumed);
-    server->limits.held_bytes = INT64_MAX;
-    server->limits.connections = INT64_MAX;
-    server->limits.body_bytes = CS_HTTP_BODY_MAX_BYTES;
+    cs_machine_read(&machine, 0, 0);
+    cs_http_limits_share(&server->limits, &machine, DEFAULT_MEMORY_PERCENT,
+                         DEFAULT_DESCRIPTOR_PERCENT);
     if (listen_on(server, ip, port)) {
         if (server->poll.fd >= 0)
             close(server->poll.fd);
@@ -369,6 +374,12 @@
     server->limits = *limits;
 }
 
+void
+cs_http_server_set_overload_status(cs_http_server *server, int status)
+{
+    server->overload_status = status;
+}
+
 void
 cs_http_server_set_body_limit(cs_http_server *server, int64_t body_bytes)
 {
--- a/src/http/server_internal.h
+++ b/src/http/server_internal.h
@@ -92,6 +92,7 @@
     cs_http_handler handler;
     void *user_data;
     cs_http_limits limits;
+    int overload_status; /* of requests for which there is no room */
     uint32_t open_requests;
     bool keepalive_disabled; /* each response closes its connection */
     bool accepting;          /* the listening socket is polled */
--- a/src/process/process.c
+++ b/src/process/process.c
@@ -14,6 +14,12 @@
 #include <sys/resource.h>
 
 #define TICK_MS 20
+#define BYTES_PER_MB 1000000
+/* Parts of the machine that clients may hold. */
+#define CLIENT_MEMORY_PERCENT 12
+#define CLIENT_DESCRIPTOR_PERCENT 36
+/* An earlier request with the same id may have run. */
+#define OVERLOAD_STATUS 504
 #define MIN_DRAIN_US CS_SEC_US
 #define CLOSE_TIMEOUT_US (2 * CS_SEC_US)
 #define EXIT_UNFINISHED 3 /* the drain deadline passed before work ended */
@@ -278,6 +284,21 @@
     cs_process_wake(process);
 }
 
+static void
+limit_clients(cs_process *process)
+{
+    cs_machine machine;
+    cs_http_limits limits;
+
+    cs_machine_read(&machine, process->settings.memory_mb * BYTES_PER_MB,
+                    process->settings.descriptors);
+    cs_http_limits_share(&limits, &machine, CLIENT_MEMORY_PERCENT,
+                         CLIENT_DESCRIPTOR_PERCENT);
+    cs_http_server_set_limits(process->server, &limits);
+    cs_http_server_set_overload_status(process->server, OVERLOAD_STATUS);
+    cs_http_server_set_counters(process->server, process->counters, "api");
+}
+
 static int
 create_http(cs_process *process)
 {
@@ -293,6 +314,8 @@
     if (!rc)
         rc = cs_http_client_create(&process->client, process->net,
                                    process->settings.max_connections);
+    if (!rc)
+        limit_clients(process);
     if (!rc)
         g_snprintf(process->api_address, sizeof(process->api_address), "%s:%u",
                    ip, cs_http_server_port(process->server));
--- a/src/programs/cs_entryd.c
+++ b/src/programs/cs_entryd.c
@@ -206,6 +206,14 @@
          "maximum time to finish open requests after SIGTERM, in ms"},
         {"follow", CS_SETTING_TEXT, &follow, 3, 3, false,
          "zones whose jobs are cached in memory: all, or own (see --zone)"},
+        {"memory-mb", CS_SETTING_NUMBER, &settings.memory_mb, 0, 1 << 24,
+         false,
+         "memory of the machine, in MB, 12% of which clients may "
+         "hold; 0: as the machine reports"},
+        {"descriptors", CS_SETTING_NUMBER, &settings.descriptors, 0, 1 << 20,
+         false,
+         "file descriptors, 36% of which clients may hold; "
+         "0: as the limit of the process says"},
         {"connections", CS_SETTING_NUMBER, &connections, 1, 64, false,
          "maximum number of connections to one address"},
     };
--- a/src/programs/cs_fleetd.c
+++ b/src/programs/cs_fleetd.c
@@ -25,6 +25,17 @@
 /* Part of the grace period that is reserved for closing connections and
    exiting. */
 #define EXIT_RESERVE_US (1000 * CS_MS_US)
+/* Parts of the machine that the clients of each listener may hold, together a
+   quarter of the memory. A third of the descriptors remains for the calls to
+   store, workers and peers. */
+#define CALLERS_MEMORY_PERCENT 12
+#define CALLERS_DESCRIPTOR_PERCENT 36
+#define PEERS_MEMORY_PERCENT 12
+#define PEERS_DESCRIPTOR_PERCENT 24
+#define READINESS_MEMORY_PERCENT 1
+#define READINESS_DESCRIPTOR_PERCENT 4
+/* Readiness checks have no body. */
+#define READINESS_BODY_BYTES 1024
 /* Exit status if requests were still open when the grace period ended. */
 #define EXIT_REQUESTS_CUT 3
 
@@ -82,6 +93,19 @@
                  new_settings.bounds.worker_lease_ms);
 }
 
+/* A body that the configuration does not allow is refused before it is read.
+ */
+static void
+apply_body_limit(struct daemon *daemon)
+{
+    const cs_fleet_config *config = daemon->state.config;
+
+    if (config)
+        cs_http_server_set_body_limit(
+            daemon->caller_server,
+            CLAMP(config->max_body_bytes, 0, CS_HTTP_BODY_MAX_BYTES));
+}
+
 static gboolean
 on_tick(gpointer user_data)
 {
@@ -91,6 +115,7 @@
         reload_settings(daemon);
     cs_members_tick(daemon->members);
     cs_config_follower_tick(daemon->config_follower);
+    apply_body_limit(daemon);
     cs_entry_tick(daemon->entry);
     cs_fleet_tick(daemon->fleet);
     if (daemon->peer_link)
@@ -122,17 +147,89 @@
     return G_SOURCE_CONTINUE;
 }
 
+/* A listener of the process. */
+struct listener {
+    cs_http_server **server;
+    const char *name; /* in counters and log lines */
+    const char *address;
+    uint32_t memory_percent; /* of the machine */
+    uint32_t descriptor_percent;
+    int64_t body_bytes;
+    int overload_status; /* see cs_http_server_set_overload_status */
+    cs_http_handler handler;
+    void *user_data;
+};
+
 static int
-create_server(cs_http_server **out, struct daemon *daemon, const char *address,
-              cs_http_handler handler, void *user_data)
+create_server(struct daemon *daemon, const struct listener *listener)
 {
+    cs_machine machine;
+    cs_http_limits limits;
     char ip[32];
     uint16_t port;
-    int rc = cs_address_split(ip, sizeof(ip), &port, address);
+    int rc = cs_address_split(ip, sizeof(ip), &port, listener->address);
 
     if (!rc)
-        rc = cs_http_server_create(out, daemon->net, ip, port, handler,
-                                   user_data);
+        rc = cs_http_server_create(listener->server, daemon->net, ip, port,
+                                   listener->handler, listener->user_data);
+    if (rc)
+        return rc;
+    cs_machine_read(&machine, daemon->settings.memory_bytes,
+                    daemon->settings.max_descriptors);
+    cs_http_limits_share(&limits, &machine, listener->memory_percent,
+                         listener->descriptor_percent);
+    limits.body_bytes = listener->body_bytes;
+    cs_http_server_set_limits(*listener->server, &limits);
+    cs_http_server_set_overload_status(*listener->server,
+                                       listener->overload_status);
+    cs_http_server_set_counters(*listener->server, daemon->counters,
+                                listener->name);
+    return 0;
+}
+
+static int
+create_servers(struct daemon *daemon)
+{
+    const cs_vm_settings *settings = &daemon->settings;
+    const struct listener callers = {
+        .server = &daemon->caller_server,
+        .name = "callers",
+        .address = settings->caller_address,
+        .memory_percent = CALLERS_MEMORY_PERCENT,
+        .descriptor_percent = CALLERS_DESCRIPTOR_PERCENT,
+        .body_bytes = CS_HTTP_BODY_MAX_BYTES,
+        .overload_status = PLATFORM_CALLER_OVERLOAD,
+        .handler = platform_callers_handle,
+        .user_data = daemon->entry};
+    const struct listener readiness = {
+        .server = &daemon->readiness_server,
+        .name = "readiness",
+        .address = settings->ready_address,
+        .memory_percent = READINESS_MEMORY_PERCENT,
+        .descriptor_percent = READINESS_DESCRIPTOR_PERCENT,
+        .body_bytes = READINESS_BODY_BYTES,
+        .overload_status = 503,
+        .handler = platform_ready_handle,
+        .user_data = daemon->entry};
+    const struct listener peers = {.server = &daemon->peer_server,
+                                   .name = "peers",
+                                   .address = settings->peer_address,
+                                   .memory_percent = PEERS_MEMORY_PERCENT,
+                                   .descriptor_percent =
+                                       PEERS_DESCRIPTOR_PERCENT,
+                                   .body_bytes = CS_HTTP_BODY_MAX_BYTES,
+                                   .overload_status = PLATFORM_RELAY_BUSY,
+                                   .handler = daemon_on_peer_request,
+                                   .user_data = daemon};
+    int rc = create_server(daemon, &callers);
+
+    if (!rc)
+        cs_http_server_set_deadline_header(daemon->caller_server,
+                                           PLATFORM_DEADLINE_HEADER);
+    if (!rc)
+        rc = create_server(daemon, &readiness);
+    if (!rc && settings->peer_address[0])
+        rc = create_server(daemon, &peers);
     return rc;
 }
 
@@ -252,20 +349,7 @@
         return rc;
     daemon_create_link(daemon);
     create_components(daemon);
-    rc = create_server(&daemon->caller_server, daemon,
-                       daemon->settings.caller_address,
-                       platform_callers_handle, daemon->entry);
-    if (!rc)
-        cs_http_server_set_deadline_header(daemon->caller_server,
-                                           PLATFORM_DEADLINE_HEADER);
-    if (!rc)
-        rc = create_server(&daemon->readiness_server, daemon,
-                           daemon->settings.ready_address,
-                           platform_ready_handle, daemon->entry);
-    if (!rc && daemon->settings.peer_address[0])
-        rc = create_server(&daemon->peer_server, daemon,
-                           daemon->settings.peer_address,
-                           daemon_on_peer_request, daemon);
+    rc = create_servers(daemon);
     if (!rc && daemon->peer_server)
         publish_peer_address(daemon);
     return rc;
--- a/src/programs/cs_schedd.c
+++ b/src/programs/cs_schedd.c
@@ -167,6 +167,14 @@
          "duration of the lease on the cell, in ms"},
         {"drain-ms", CS_SETTING_NUMBER, &settings.drain_ms, 0, 600000, false,
          "maximum time to hand the cell over after SIGTERM, in ms"},
+        {"memory-mb", CS_SETTING_NUMBER, &settings.memory_mb, 0, 1 << 24,
+         false,
+         "memory of the machine, in MB, 12% of which clients may "
+         "hold; 0: as the machine reports"},
+        {"descriptors", CS_SETTING_NUMBER, &settings.descriptors, 0, 1 << 20,
+         false,
+         "file descriptors, 36% of which clients may hold; "
+         "0: as the limit of the process says"},
         {"connections", CS_SETTING_NUMBER, &connections, 1, 64, false,
          "maximum number of connections to one address"},
     };
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -801,6 +801,69 @@
     fixture_dispose(&fixture);
 }
 
+/* Reads what has come on a connection, up to a size. */
+static char *
+read_text(int fd)
+{
+    char text[4096];
+    ssize_t size = recv(fd, text, sizeof(text), MSG_DONTWAIT);
+
+    return g_strndup(text, (gsize)MAX(size, 0));
+}
+
+/*
+ * While open requests use up the memory, a further one is refused without
+ * being passed on, with a status that promises nothing for earlier requests.
+ * Once they are answered, requests are served again.
+ */
+static void
+http__request_without_room_is_refused_without_a_promise(void **state)
+{
+    static const char post[] =
+        "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\ny";
+    const cs_http_limits limits = {
+        .held_bytes = 40000, .connections = 10, .body_bytes = 1000};
+    GPtrArray *held = g_ptr_array_new();
+    struct fixture fixture;
+    cs_http_server *server;
+    char *text;
+    int fds[8];
+    uint32_t i;
+
+    fixture_init(&fixture);
+    assert_int_equal(cs_http_server_create(&server, fixture.net, "127.0.0.1",
+                                           0, on_held_request, held),
+                     0);
+    cs_http_server_set_limits(server, &limits);
+    cs_http_server_set_overload_status(server, 504);
+    for (i = 0; i < G_N_ELEMENTS(fds); i++) {
+        fds[i] = connect_to(cs_http_server_port(server));
+        send_text(fds[i], post);
+        run_for(&fixture, 20);
+    }
+    assert_in_range(held->len, 1, G_N_ELEMENTS(fds) - 1);
+    text = read_text(fds[G_N_ELEMENTS(fds) - 1]);
+    assert_non_null(strstr(text, "HTTP/1.1 504 "));
+    assert_non_null(strstr(text, "\"run\":\"unknown\""));
+    g_free(text);
+    for (i = 0; i < held->len; i++)
+        cs_http_reply(g_ptr_array_index(held, i), 200, "text/plain", "x", 1);
+    run_for(&fixture, 20);
+    text = read_text(fds[0]);
+    assert_non_null(strstr(text, "HTTP/1.1 200 "));
+    g_free(text);
+    g_ptr_array_set_size(held, 0);
+    send_text(fds[0], post);
+    run_for(&fixture, 20);
+    assert_int_equal(held->len, 1);
+    cs_http_reply(g_ptr_array_index(held, 0), 200, "text/plain", "x", 1);
+    for (i = 0; i < G_N_ELEMENTS(fds); i++)
+        close(fds[i]);
+    fixture_dispose(&fixture);
+    cs_http_server_destroy(server);
+    g_ptr_array_free(held, TRUE);
+}
+
 /* Returns a request with random changes. */
 static GString *
 random_request(GRand *rand)
@@ -895,6 +958,8 @@
         cmocka_unit_test(
             http__exhausted_descriptors_do_not_keep_the_loop_busy),
         cmocka_unit_test(http__clients_leave_descriptors_for_own_calls),
+        cmocka_unit_test(
+            http__request_without_room_is_refused_without_a_promise),
         cmocka_unit_test(http__malformed_requests_do_no_harm),
         cmocka_unit_test(http__connection_with_an_unsent_body_is_not_reused),
         cmocka_unit_test(http__single_use_connection_is_closed),
