entry: a body is decoded only if the call is allowed, and its values are limited

Seen by callers: 16 complete bodies of 1 MiB of empty objects made a process grow by 139 MB, 16 of 240 KiB, an allowed size, by 36 MB.

Cause: the body of each POST was parsed before its route, key and length were looked at, and a parsed value takes over a hundred times the bytes of its text, so that the limit of the length bounds nothing.

Now the entry decodes a submission after it has found the queue, the organisation and the length to be allowed, and cs_json_check counts the values and levels of a text before jansson parses it, for jobs and for the resources of cs-entryd. The longest job that is allowed has about half of the limit.

--- a/include/corianderstair/entry.h
+++ b/include/corianderstair/entry.h
@@ -28,12 +28,15 @@
     cs_entry_call_type type;
     const char *host; /**< with path, selects the queue */
     const char *path;
-    const char *api_key;    /**< API key; NULL if the caller sent none */
-    cs_job_spec *spec;      /**< job to submit, disposed of by
-                                 cs_entry_handle(); NULL if not readable */
-    size_t body_bytes;      /**< size of the body of a submission */
-    const char *spec_error; /**< why spec is NULL, for the reply */
-    int64_t deadline_us;    /**< boot clock; when the caller stops waiting */
+    const char *api_key; /**< API key; NULL if the caller sent none */
+    cs_job_spec *spec;   /**< job to submit, disposed of by
+                              cs_entry_handle(); NULL to decode the body */
+    const char *body;    /**< of a submission without spec */
+    size_t body_bytes;   /**< size of the body of a submission */
+    /** Decodes the body, once the call is known to be allowed. Returns 0, or
+        an error that the reply tells. */
+    int (*decode)(cs_job_spec *out, const char *body, size_t size_bytes);
+    int64_t deadline_us; /**< boot clock; when the caller stops waiting */
 } cs_entry_call;
 
 typedef enum {
--- a/src/api/resources.c
+++ b/src/api/resources.c
@@ -1,11 +1,16 @@
 /* Lists, reads, creates, replaces and deletes resources. */
 #include "api_internal.h"
 #include "corianderstair/errors.h"
+#include "corianderstair/json_limits.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
+/* Of a resource that is created or replaced. */
+#define BODY_VALUES_MAX 16384
+#define BODY_DEPTH_MAX 32
+
 json_t *
 resource_to_json(const cs_resource_row *row)
 {
@@ -163,8 +168,12 @@
 {
     size_t size;
     const char *body = cs_http_request_body(request, &size);
+    const cs_json_limits limits = {BODY_VALUES_MAX, BODY_DEPTH_MAX};
     json_error_t error;
+    int rc = cs_json_check(body, size, &limits);
 
+    if (rc)
+        return rc;
     *out = json_loadb(body, size, JSON_REJECT_DUPLICATES, &error);
     if (*out)
         return 0;
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -557,31 +557,20 @@
 }
 
 static void
-submit(cs_entry *entry, const cs_entry_call *call,
-       const cs_queue_config *queue,
-       const cs_organisation_config *organisation, const char *id,
-       cs_entry_done done, void *user_data)
+submit_spec(cs_entry *entry, const cs_entry_call *call,
+            const cs_queue_config *queue,
+            const cs_organisation_config *organisation, const char *id,
+            cs_job_spec *spec, cs_entry_done done, void *user_data)
 {
-    cs_job_spec *spec = call->spec;
     struct request *request;
+    char *lower_id = g_ascii_strdown(id, -1);
 
-    if ((int64_t)call->body_bytes >
-        entry->fleet_state->config->max_body_bytes) {
-        (*entry->invalid)++;
-        reply_now(done, user_data, CS_REPLY_TOO_LARGE, CS_E_TOO_LARGE,
-                  "the body is larger than the configuration allows");
-        return;
-    }
-    if (spec) {
-        char *lower_id = g_ascii_strdown(id, -1);
-
-        g_strlcpy(spec->id, lower_id, sizeof(spec->id));
-        g_free(lower_id);
-    }
-    if (!spec || cs_job_spec_check(spec)) {
+    g_strlcpy(spec->id, lower_id, sizeof(spec->id));
+    g_free(lower_id);
+    if (cs_job_spec_check(spec)) {
         (*entry->invalid)++;
         reply_now(done, user_data, CS_REPLY_INVALID, CS_E_INVALID,
-                  spec ? cs_error_last() : call->spec_error);
+                  cs_error_last());
         return;
     }
     if (entry_outage_is_present(entry->outage) &&
@@ -612,6 +601,36 @@
     start_attempt(request);
 }
 
+static void
+submit(cs_entry *entry, const cs_entry_call *call,
+       const cs_queue_config *queue,
+       const cs_organisation_config *organisation, const char *id,
+       cs_entry_done done, void *user_data)
+{
+    cs_job_spec spec;
+
+    if ((int64_t)call->body_bytes >
+        entry->fleet_state->config->max_body_bytes) {
+        (*entry->invalid)++;
+        reply_now(done, user_data, CS_REPLY_TOO_LARGE, CS_E_TOO_LARGE,
+                  "the body is larger than the configuration allows");
+        return;
+    }
+    if (call->spec) {
+        submit_spec(entry, call, queue, organisation, id, call->spec, done,
+                    user_data);
+        return;
+    }
+    if (call->decode(&spec, call->body, call->body_bytes)) {
+        (*entry->invalid)++;
+        reply_now(done, user_data, CS_REPLY_INVALID, CS_E_INVALID,
+                  cs_error_last());
+        return;
+    }
+    submit_spec(entry, call, queue, organisation, id, &spec, done, user_data);
+    cs_job_spec_dispose(&spec);
+}
+
 static void
 handle_job(cs_entry *entry, const cs_entry_call *call,
            const cs_queue_config *queue,
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -414,7 +414,8 @@
 }
 
 static const char valid_settings[] =
-    "{\"node\":\"n1\",\"zone\":\"z\",\"listen\":{\"front\":\"10.0.0.1:1\","
+    "{\"node\":\"n1\",\"limits\":{\"memoryMb\":260,\"maxFds\":4100},"
+    "\"zone\":\"z\",\"listen\":{\"front\":\"10.0.0.1:1\","
     "\"ready\":\"10.0.0.1:2\",\"control\":\"10.0.0.1:3\"},\"seeds\":["
     "\"10.0.0.2:3\"],\"heartbeatMs\":1500,\"platform\":{\"addr\":"
     "\"10.0.0.9:4\"},\"new\":{},\"bounds\":{\"holdMaxMs\":6000,\"stopMs\":900,"
@@ -430,6 +431,8 @@
     assert_string_equal(settings.name, "n1");
     assert_string_equal(settings.peer_address, "10.0.0.1:3");
     assert_string_equal(settings.seeds[0], "10.0.0.2:3");
+    assert_int_equal(settings.memory_bytes, 260000000);
+    assert_int_equal(settings.max_descriptors, 4100);
     assert_int_equal(settings.bounds.grace_ms, 1500);
     assert_int_equal(settings.bounds.worker_lease_ms, 6000);
     assert_false(settings.bounds.evacuate_given);
@@ -475,6 +478,63 @@
     }
 }
 
+/* Returns a job of as many steps as allowed, all members present, each with
+   all steps before it as predecessors. */
+static GString *
+longest_job(void)
+{
+    GString *text = g_string_new("{\"spec\":\"[{,:}]\",\"repeatCount\":2,"
+                                 "\"startMs\":1,\"intervalMs\":1,\"steps\":[");
+    uint32_t step;
+    uint32_t i;
+
+    for (step = 0; step < CS_JOB_STEPS_MAX; step++) {
+        g_string_append_printf(
+            text,
+            "%s{\"count\":1,\"cpu\":1,\"memMb\":1,\"gpu\":1,"
+            "\"estimateMs\":1,\"targetMs\":1,\"gang\":true,\"sameRack\":true,"
+            "\"checkpoint\":true,\"speculative\":false,\"perpetual\":false,"
+            "\"fills\":false,\"maxPerServer\":1,\"maxUnavailable\":1,"
+            "\"requires\":\"a\",\"dataRack\":\"b\",\"image\":\"c\",\"after\":"
+            "[",
+            step ? "," : "");
+        for (i = 0; i < step; i++)
+            g_string_append_printf(text, "%s%u", i ? "," : "", i);
+        g_string_append(text, "]}");
+    }
+    return g_string_append(text, "]}");
+}
+
+/* Guards against bodies of many values, which take over a hundred times their
+   length once they are parsed. */
+static void
+platform__values_of_a_job_are_limited(void **state)
+{
+    GString *text = longest_job();
+    cs_job_spec spec;
+    uint32_t i;
+
+    assert_int_equal(platform_job_decode(&spec, text->str, text->len), 0);
+    assert_int_equal(spec.step_count, CS_JOB_STEPS_MAX);
+    assert_string_equal(spec.payload, "[{,:}]");
+    cs_job_spec_dispose(&spec);
+    g_string_assign(text, "{\"spec\":\"x\",\"more\":[0");
+    for (i = 0; i < 20000; i++)
+        g_string_append(text, ",{}");
+    g_string_append(text, "],\"steps\":[{\"count\":1}]}");
+    assert_int_equal(platform_job_decode(&spec, text->str, text->len),
+                     CS_E_TOO_LARGE);
+    g_string_assign(text, "");
+    for (i = 0; i < 1000; i++)
+        g_string_append(text, "[");
+    assert_int_equal(platform_job_decode(&spec, text->str, text->len),
+                     CS_E_TOO_LARGE);
+    g_string_assign(text, "{\"spec\":\"\\");
+    assert_int_equal(platform_job_decode(&spec, text->str, text->len),
+                     CS_E_JSON);
+    g_string_free(text, TRUE);
+}
+
 int
 main(void)
 {
@@ -490,6 +550,7 @@
         cmocka_unit_test(platform__heartbeat_lists_running_and_ended_runs),
         cmocka_unit_test(platform__store_reply_maps_to_result_code),
         cmocka_unit_test(platform__change_is_encoded),
+        cmocka_unit_test(platform__values_of_a_job_are_limited),
         cmocka_unit_test(platform__settings_are_decoded),
         cmocka_unit_test(platform__bound_of_evacuations_is_optional),
         cmocka_unit_test(platform__invalid_settings_name_the_field),
