fleet: accepted jobs of many tasks wait until the holder has room for them

Seen by callers: 24 submissions of 1.2 KB, each of 65,536 tasks as the limits allow, made the holder of the cell grow by 215 MB. The jobs are stored, so that each successor would have run out of memory as well.

Cause: the holder creates all tasks of a job that are due when it reads the job, about 130 bytes each, whatever the memory of its VM.

Now a step that is due is created once its tasks fit into a third of the memory, in the order of acceptance; later steps of the same job wait with it. Steps of more than 512 tasks leave a quarter of the room to others. While room is short, the tasks of ended jobs are freed 30 s after the end instead of with the job. Tasks that have begun are always kept. A VM of 128 MB has room for 231,000 tasks at a time, any VM for 8,192 at least.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -108,6 +108,8 @@
     fleet->former.read_pending = false;
     fleet->headroom.used_accelerators = 0;
     fleet->starts_held = false;
+    fleet->deferred_steps = 0;
+    *fleet->deferred_gauge = 0;
 }
 
 cs_fleet *
@@ -118,6 +120,8 @@
     fleet->state = state;
     fleet->tenure = TENURE_FOLLOWING;
     fleet->created_us = fleet_now(fleet).boot_us;
+    fleet->max_tasks = job_max_tasks(state->settings.memory_bytes);
+    fleet->deferred_gauge = cs_fleet_state_counter(state, "cs_steps_deferred");
     create_tables(fleet);
     fleet->ledger = ledger_create();
     feeds_init(fleet);
@@ -142,14 +146,11 @@
 run_timed_work(cs_fleet *fleet)
 {
     cs_now now = fleet_now(fleet);
-    guint i;
 
     if (now.boot_us < fleet->next_timed_work_us)
         return;
     fleet->next_timed_work_us = now.boot_us + TIMED_WORK_INTERVAL_US;
-    for (i = 0; i < fleet->active_jobs->len; i++)
-        job_create_due_steps(fleet, g_ptr_array_index(fleet->active_jobs, i),
-                             now.wall_us / CS_MS_US);
+    job_create_all_due_steps(fleet, now.wall_us / CS_MS_US);
     evacuate_tick(fleet);
     cs_headroom_advance(&fleet->headroom,
                         TIMED_WORK_INTERVAL_US / (double)CS_SEC_US);
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -205,6 +205,7 @@
 };
 
 struct job {
+    cs_fleet *fleet;
     cs_job_spec spec;
     uint64_t row_version; /* of its row in CS_TABLE_JOBS */
     cs_progress_state state;
@@ -215,7 +216,8 @@
     int64_t ended_ms;
     uint64_t sequence;     /* in order of acceptance */
     uint32_t occurrences;  /* at least 1 */
-    struct step **steps;   /* by occurrence and number; NULL until due */
+    struct step **steps;   /* by occurrence and number; NULL until due, and
+                              until the holder has room for its tasks */
     uint32_t steps_done;   /* of all occurrences */
     uint32_t active_tasks; /* placed on workers */
     bool has_started;      /* a start of one of its tasks was sent */
@@ -334,6 +336,10 @@
     int64_t next_speeds_write_us;
     uint32_t next_speed_group; /* to be written */
     uint64_t next_sequence;
+    uint64_t task_count;     /* of all steps of all jobs */
+    uint64_t max_tasks;      /* that the memory of the VM has room for */
+    uint32_t deferred_steps; /* due, but without room, at the last check */
+    int64_t *deferred_gauge;
     int64_t last_submission_ms; /* when the newest job was accepted */
     uint64_t heartbeat_serial;
     bool cycle_requested;     /* a scheduling cycle is due */
@@ -496,6 +502,10 @@
 void job_update_restored(cs_fleet *fleet);
 /* Creates the steps of the occurrences that are due. */
 void job_create_due_steps(cs_fleet *fleet, struct job *job, int64_t wall_ms);
+/* The same for all jobs that have not ended, in the order of acceptance. */
+void job_create_all_due_steps(cs_fleet *fleet, int64_t wall_ms);
+/* Returns how many tasks a holder has room for; memory_bytes 0 if unknown. */
+uint64_t job_max_tasks(int64_t memory_bytes);
 /* Returns whether all steps that the step depends on are done. */
 bool job_step_is_ready(const struct job *job, const struct step *step);
 bool job_is_final(const struct job *job);
--- a/src/fleet/job.c
+++ b/src/fleet/job.c
@@ -4,12 +4,49 @@
  */
 #include "fleet_internal.h"
 
+#include <inttypes.h>
 #include <stdlib.h>
 
 /* Ended jobs are retained for this long beyond the time in which their states
    may be requested. */
 #define RETENTION_EXTRA_US (60 * CS_SEC_US)
 
+/* Part of the memory of the VM that the tasks of all jobs may take. */
+#define TASKS_MEMORY_DIVISOR 3
+/* Of a checkpoint, with the overhead of its allocation. */
+#define CHECKPOINT_BYTES 64
+/* Calls about the tasks of an ended job have ended after this time. */
+#define ENDED_STEPS_MS 30000
+/* The largest step always fits. */
+#define TASKS_MIN (2 * CS_JOB_TASKS_MAX)
+/* Steps with more tasks than this, the longest gang, leave a quarter of the
+   room to others. */
+#define LARGE_STEP_TASKS 512
+
+uint64_t
+job_max_tasks(int64_t memory_bytes)
+{
+    if (memory_bytes <= 0)
+        return UINT64_MAX;
+    return MAX((uint64_t)memory_bytes / TASKS_MEMORY_DIVISOR /
+                   (sizeof(struct task) + CHECKPOINT_BYTES),
+               TASKS_MIN);
+}
+
+/* Returns whether the tasks of a further step fit into the memory. */
+static bool
+has_room(const cs_fleet *fleet, uint32_t task_count)
+{
+    uint64_t max_tasks = fleet->max_tasks;
+
+    /* The tasks that have begun are read after the jobs, and always kept. */
+    if (fleet->tenure == TENURE_LOADING)
+        max_tasks /= 2;
+    if (task_count > LARGE_STEP_TASKS)
+        max_tasks -= max_tasks / 4;
+    return fleet->task_count + task_count <= max_tasks;
+}
+
 bool
 job_is_final(const struct job *job)
 {
@@ -27,6 +64,7 @@
 {
     struct job *job = g_new0(struct job, 1);
 
+    job->fleet = fleet;
     job->spec = *spec;
     job->sequence = ++fleet->next_sequence;
     fleet->last_submission_ms =
@@ -49,6 +87,7 @@
         return;
     for (i = 0; i < step->spec->task_count; i++)
         g_free(step->tasks[i].checkpoint);
+    step->job->fleet->task_count -= step->spec->task_count;
     g_free(step->tasks);
     g_free(step->reserved_workers);
     advice_free(step->advice);
@@ -87,6 +126,7 @@
     step->number = number;
     step->first_task = progress_first_task(job, occurrence, number);
     step->waiting_count = step->spec->task_count;
+    job->fleet->task_count += step->spec->task_count;
     step->tasks = g_new0(struct task, step->spec->task_count);
     for (i = 0; i < step->spec->task_count; i++) {
         step->tasks[i].step = step;
@@ -106,11 +146,58 @@
         if (job->spec.repeats > 0 &&
             wall_ms < job->spec.start_ms + k * job->spec.interval_ms)
             return;
-        for (s = 0; s < job->spec.step_count; s++)
+        for (s = 0; s < job->spec.step_count; s++) {
+            if (!job->steps[k * job->spec.step_count + s] &&
+                !has_room(fleet, job->spec.steps[s].task_count)) {
+                /* Later steps may depend on this one and must not take the
+                   room that it needs. */
+                fleet->deferred_steps++;
+                return;
+            }
             ensure_step(job, k, s);
+        }
+    }
+}
+
+/* Frees the tasks of jobs whose end is recorded and that no call is about. */
+static void
+free_ended_steps(cs_fleet *fleet, int64_t wall_ms)
+{
+    guint i;
+    uint32_t k;
+
+    for (i = 0; i < fleet->final_jobs->len; i++) {
+        struct job *job = g_ptr_array_index(fleet->final_jobs, i);
+
+        if (wall_ms - job->ended_ms < ENDED_STEPS_MS ||
+            job->active_tasks > 0 || !progress_is_recorded(job))
+            continue;
+        for (k = 0; k < job_total_steps(job); k++)
+            g_clear_pointer(&job->steps[k], step_free);
     }
 }
 
+void
+job_create_all_due_steps(cs_fleet *fleet, int64_t wall_ms)
+{
+    bool were_deferred = fleet->deferred_steps > 0;
+    guint i;
+
+    if (were_deferred)
+        free_ended_steps(fleet, wall_ms);
+    fleet->deferred_steps = 0;
+    for (i = 0; i < fleet->active_jobs->len; i++)
+        job_create_due_steps(fleet, g_ptr_array_index(fleet->active_jobs, i),
+                             wall_ms);
+    *fleet->deferred_gauge = fleet->deferred_steps;
+    if (were_deferred != (fleet->deferred_steps > 0))
+        cs_log_event(were_deferred ? "tasks-have-room" : "tasks-deferred",
+                     "%" PRIu64 " tasks of %u jobs, room for %" PRIu64
+                     ", %u steps wait for room",
+                     fleet->task_count, fleet->active_jobs->len,
+                     fleet->max_tasks, fleet->deferred_steps);
+}
+
 bool
 job_step_is_ready(const struct job *job, const struct step *step)
 {
--- a/src/programs/cs_fleetd.c
+++ b/src/programs/cs_fleetd.c
@@ -163,7 +163,8 @@
 static int
 create_server(struct daemon *daemon, const struct listener *listener)
 {
-    cs_machine machine;
+    const cs_machine machine = {daemon->settings.memory_bytes,
+                                daemon->settings.max_descriptors};
     cs_http_limits limits;
     char ip[32];
     uint16_t port;
@@ -174,8 +175,6 @@
                                    listener->handler, listener->user_data);
     if (rc)
         return rc;
-    cs_machine_read(&machine, daemon->settings.memory_bytes,
-                    daemon->settings.max_descriptors);
     cs_http_limits_share(&limits, &machine, listener->memory_percent,
                          listener->descriptor_percent);
     limits.body_bytes = listener->body_bytes;
@@ -328,11 +327,25 @@
     daemon->fleet = cs_fleet_create(&daemon->state);
 }
 
+/* Sets what the settings do not state, or state above what the system reports.
+ */
+static void
+complete_settings(cs_vm_settings *settings)
+{
+    cs_machine machine;
+
+    cs_machine_read(&machine, settings->memory_bytes,
+                    settings->max_descriptors);
+    settings->memory_bytes = machine.memory_bytes;
+    settings->max_descriptors = machine.descriptors;
+}
+
 static int
 create_daemon(struct daemon *daemon)
 {
     int rc;
 
+    complete_settings(&daemon->settings);
     daemon->loop = g_main_loop_new(NULL, FALSE);
     daemon->counters = cs_counters_create();
     rc = cs_net_create(&daemon->net, daemon->loop);
--- a/standins/fake_fleet.c
+++ b/standins/fake_fleet.c
@@ -173,6 +173,7 @@
                vm->number % FAKE_ZONES);
     settings.cpu_share = (double)vm->cpu_milli / 1000.0;
     settings.row_bytes = vm->deployment->row_bytes;
+    settings.memory_bytes = vm->deployment->memory_bytes;
     settings.worker_heartbeat_ms = ENTRY_INTERVAL_US / CS_MS_US;
     vm->busy_until_us = 0;
     vm->counters = cs_counters_create();
@@ -501,6 +502,7 @@
     deployment->store_kbps = settings->store_kbps;
     deployment->store_reads_per_s = settings->store_reads_per_s;
     deployment->feed_rows_max = settings->feed_rows_max;
+    deployment->memory_bytes = settings->memory_bytes;
     deployment->evacuate_not_given = settings->evacuate_not_given;
     deployment->late_orders_outlive_workers =
         settings->late_orders_outlive_workers;
--- a/standins/fake_fleet.h
+++ b/standins/fake_fleet.h
@@ -89,6 +89,8 @@
     uint32_t feed_rows_max;
     /** Maximum bytes of a row's value in a change; 0 means 65,536. */
     int64_t row_bytes;
+    /** Memory of a VM by its settings; 0 if they do not contain it. */
+    int64_t memory_bytes;
     /** Orders that are executed late reach the next incarnation of a worker,
         which has the same id. They are lost with the former one otherwise. */
     bool late_orders_outlive_workers;
--- a/standins/fake_fleet_internal.h
+++ b/standins/fake_fleet_internal.h
@@ -189,6 +189,7 @@
     uint32_t store_reads_per_s;
     uint32_t feed_rows_max;
     int64_t row_bytes;
+    int64_t memory_bytes;
     bool evacuate_not_given;
     bool late_orders_outlive_workers;
     bool shutting_down;               /* messages are freed, not delivered */
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -107,6 +107,20 @@
             time.sleep(0.1)
         return False
 
+    def waiting(self):
+        """Returns the number of waiting jobs of the first queue."""
+        address, path = self.ordinary
+        connection = http.client.HTTPConnection(*address, timeout=10)
+        try:
+            connection.request("GET", path, headers={
+                "Host": "h", "Authorization": "Token k0"})
+            return json.loads(connection.getresponse().read()).get("waiting",
+                                                                   0)
+        except (OSError, ValueError, http.client.HTTPException):
+            return 0
+        finally:
+            connection.close()
+
     def begin(self):
         assert self.is_served(), "not served before the crowd"
         self.base_mb = self.memory_mb("VmRSS")
@@ -175,15 +189,16 @@
         return re.findall(rb"HTTP/1\.1 (\d+)", self.received)
 
 
-def run_crowd(clients, reads=True):
-    """Lets the clients send until all have sent everything or have ended, or
-    none can go on."""
+def run_crowd(clients, reads=True, until_answered=False):
+    """Lets the clients send until all have ended, or with until_answered have
+    an answer, or none can go on."""
     by_fd = {client.socket.fileno(): client for client in clients}
     deadline = time.monotonic() + HANG_S
     quiet_from = time.monotonic()
     while time.monotonic() < min(deadline, quiet_from + QUIET_S):
         poll = select.poll()
-        active = [c for c in clients if not c.ended]
+        active = [c for c in clients if not c.ended and
+                  not (until_answered and c.received)]
         if not active:
             break
         for client in active:
@@ -360,6 +375,42 @@
         client.proceed(select.POLLOUT, False)
 
 
+def large_jobs(target):
+    """Jobs of as many tasks as allowed, which all wait."""
+    step = {"count": 4096, "cpu": 100, "gpu": 8, "estimateMs": 60000}
+    body = json.dumps({"spec": "x", "steps": [step] * 16}).encode()
+    for number in range(24):
+        client = Client(target.addresses["front"],
+                        post(len(body), 0x2000 + number), body, len(body))
+        run_crowd([client])
+        leave([client])
+    # Some may have begun.
+    wait_until_known(target, 20)
+    target.check("with all jobs accepted")
+
+
+def many_jobs(target):
+    """Small jobs of as many steps as allowed, which all wait."""
+    steps = [{"count": 1, "cpu": 10 ** 6, "estimateMs": 60000}]
+    steps += [{"count": 1, "after": [i]} for i in range(63)]
+    body = json.dumps({"spec": "x", "steps": steps}).encode()
+    count = 1500
+    for first in range(0, count, 50):
+        leave(run_crowd([Client(target.addresses["front"],
+                                post(len(body), 0x3000 + first + i), body,
+                                len(body)) for i in range(50)],
+                        until_answered=True))
+    target.check("with all jobs sent")
+
+
+def wait_until_known(target, jobs):
+    """Waits until the holder has read the jobs."""
+    deadline = time.monotonic() + HANG_S
+    while target.waiting() < jobs:
+        assert time.monotonic() < deadline, "jobs are not known"
+        time.sleep(0.2)
+
+
 # Connections.
 
 def idle(listener, head=b""):
@@ -457,6 +508,8 @@
     "complete-brackets": complete(16, MIB, b"", b"["),
     "byte-at-a-time": byte_at_a_time,
     "left-in-an-outage": left_in_an_outage,
+    "large-jobs": large_jobs,
+    "many-jobs": many_jobs,
     "idle": idle("front"),
     "idle-ready": idle("ready"),
     "idle-control": idle("control"),
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -122,6 +122,38 @@
     fake_fleet_destroy(deployment);
 }
 
+/*
+ * Guards against a holder, and each of its successors, that runs out of memory
+ * by the tasks of accepted jobs. Those for which there is no room wait, also
+ * over a takeover, and run in the end.
+ */
+static void
+fleet__tasks_beyond_the_memory_wait_for_room(void **state)
+{
+    fake_fleet_settings settings = {.vms = 4,
+                                    .workers = 16,
+                                    .racks = 2,
+                                    .seed = 47,
+                                    .memory_bytes = 1000000};
+    fake_fleet *deployment = fake_fleet_create(&settings);
+    uint32_t former;
+    uint32_t id;
+
+    fake_fleet_run(deployment, 2 * CS_SEC_US);
+    for (id = 1; id <= 6; id++)
+        submit(deployment, 0, id, 2, 2200, 0, false);
+    fake_fleet_run(deployment, CS_SEC_US);
+    former = (uint32_t)fake_fleet_holder(deployment);
+    assert_in_range(
+        fake_fleet_counter(deployment, former, "cs_steps_deferred"), 1, 5);
+    fake_fleet_kill(deployment, former, 2 * CS_SEC_US);
+    fake_fleet_run(deployment, 150 * CS_SEC_US);
+    for (id = 1; id <= 6; id++)
+        expect_state(deployment, id, CS_PROGRESS_COMPLETED);
+    expect_no_violation(deployment);
+    fake_fleet_destroy(deployment);
+}
+
 /* Guards against tasks that a successor starts again because it has read only
    some of the rows of a large job, and against rows that are never removed. */
 static void
@@ -1580,6 +1612,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(fleet__job_is_completed),
         cmocka_unit_test(fleet__job_larger_than_a_row_is_completed),
+        cmocka_unit_test(fleet__tasks_beyond_the_memory_wait_for_room),
         cmocka_unit_test(fleet__successor_adopts_a_job_of_many_rows),
         cmocka_unit_test(fleet__ends_beyond_an_answer_are_not_taken_for_lost),
         cmocka_unit_test(fleet__single_row_of_a_former_build_is_split),
