process-soak: runs of other workers are judged by id and incarnation

The check is wrong and is replaced by a stricter one: the stand-in writes the incarnation too, and both must agree, so that the answer of a former incarnation counts as well. The test checks a known run, one of another worker and one of another incarnation, and the lines that the programs write; it fails with the former stand-in.

--- a/scripts/soak/record.py
+++ b/scripts/soak/record.py
@@ -36,9 +36,10 @@
 
 
 def foreign_runs(folder):
-    """Yields the lines in which a holder finds a run on a worker that has never
-    started it, so that it took the answer of another worker for this one's."""
-    pattern = re.compile(r"task (\S+) run (\d+) worker (\S+)")
+    """Yields the lines in which a holder finds a run on an incarnation of a
+    worker that has never started it, so that it took the answer of another
+    worker, or of another incarnation, for this one's."""
+    pattern = re.compile(r"task (\S+) run (\d+) worker (\S+/\d+)\b")
     started = set()
     found = []
     for time_us, _, event, detail in read_lines(folder):
--- a/standins/fake_fleet_worker.c
+++ b/standins/fake_fleet_worker.c
@@ -609,9 +609,10 @@
     g_ptr_array_add(worker->runs, run);
     extend_lease(worker, order->lease_end_ms);
     fake_observe(worker->deployment, "worker-run-started",
-                 "task %s run %u worker %s epoch %" G_GUINT64_FORMAT
-                 " late %" G_GINT64_FORMAT " ms",
-                 run->task, run->run, worker->id, run->epoch,
+                 "task %s run %u worker %s/%" G_GUINT64_FORMAT
+                 " epoch %" G_GUINT64_FORMAT " late %" G_GINT64_FORMAT " ms",
+                 run->task, run->run, worker->id, worker->incarnation_ms,
+                 run->epoch,
                  (worker->deployment->now_us - order->ordered_us) / CS_MS_US);
     fake_check_start(worker->deployment, worker, run, order->ordered_us);
     start_work_if_complete(worker, run);
--- a/tests/test_process_soak.py
+++ b/tests/test_process_soak.py
@@ -52,7 +52,7 @@
     """Returns the worker that has started the task, or None."""
     for _, _, event, detail in record.read_lines(folder):
         if event == "worker-run-started" and TASK in detail:
-            return re.search(r"worker (\S+)", detail)[1]
+            return re.search(r"worker ([^\s/]+)/\d+ ", detail)[1]
     return None
 
 
@@ -76,6 +76,7 @@
                      "/run-start", {"task": TASK, "run": 7, "spec": "x",
                                     "untilMs": 10**9, "fence": 1000})
     assert status == 200, status
+    check_logged_workers(folder, worker)
     assert deployment.state()["violations"] == 1
     found = list(record.violations(folder))
     assert len(found) == 1 and TASK in found[0][1], found
@@ -94,12 +95,33 @@
 
 
 def check_foreign_runs(folder):
+    """Lines as the stand-in and a holder write them: only the run of the
+    incarnation that has started it is known."""
     run = "task " + TASK + " run 1 worker "
-    write_log(folder, "standin", "worker-run-started", [run + "w-1 epoch 1"])
-    write_log(folder, "vm", "run-unknown", [run + "w-1 is stopped",
-                                            run + "w-2 is stopped"])
+    write_log(folder, "standin", "worker-run-started",
+              [run + "w-1/1700000000001 epoch 1 late 4 ms"])
+    write_log(folder, "vm", "run-unknown",
+              [run + worker + " is stopped, no such task"
+               for worker in ("w-1/1700000000001", "w-2/1700000000001",
+                              "w-1/1700000000002")])
     found = [detail for _, detail in record.foreign_runs(folder)]
-    assert len(found) == 1 and "worker w-2" in found[0], found
+    assert len(found) == 2, found
+    assert "worker w-2/1700000000001" in found[0], found
+    assert "worker w-1/1700000000002" in found[1], found
+
+
+def check_logged_workers(folder, worker):
+    """The stand-in's own line of a start must fit the check: a run-unknown of
+    the same incarnation is known, one of the next is not."""
+    started = [detail for _, _, event, detail in record.read_lines(folder)
+               if event == "worker-run-started" and TASK in detail]
+    name = re.search(r"worker (" + worker + r"/\d+) ", started[0])[1]
+    run = f"task {TASK} run 1 worker {name}"
+    write_log(folder, "check", "run-unknown", [run + " is stopped",
+                                               run + "0 is stopped"])
+    found = [detail for _, detail in record.foreign_runs(folder)
+             if TASK in detail]
+    assert len(found) == 1 and run + "0" in found[0], found
 
 
 def main():
