http: a stream that gets a line after a pause is not taken for stalled

A stream counts as stalled if it has queued bytes and made no progress for 20 s. The first line after a pause of 20 s was judged by the time of the last one, if the check ran before the line was sent. No test; found by reading.

--- a/src/http/request.c
+++ b/src/http/request.c
@@ -386,6 +386,10 @@
     if (queued > 0 &&
         server->held_bytes + (int64_t)size_bytes > server->limits.held_bytes)
         return CS_E_OVERLOAD;
+    /* Until now there was nothing that the caller could have read. */
+    if (queued == 0 && request->connection &&
+        request->connection->state == CONNECTION_STREAMING)
+        server_set_state(request->connection, CONNECTION_STREAMING);
     g_string_append_len(request->response, text, (gssize)size_bytes);
     request_update_charge(request);
     if (request->connection)
