--- a/review/6/case.py
+++ b/review/6/case.py
@@ -13,7 +13,7 @@
     {"count": 1, "cpu": 1000, "memMb": 256, "estimateMs": 5000},
     {"count": 1, "cpu": 1000, "memMb": 256, "estimateMs": 5000,
      "after": [0]}]}
-FREEZE_S = 4.0      # node_freeze of the site's troubles: for_s = 4.0
+FREEZE_S = 3.9      # node_freeze of the site's troubles: for_s = 4.0
 CLIENT_S = 3.0      # time limit of the client, as in the site file
 WATCH_S = 20.0
 
@@ -28,10 +28,15 @@
     holder = deployment.holder()
     frozen, other = [m for m in deployment.machines if m is not holder][:2]
     deployment.note_job(PATH, BODY, plan)
-    wake = None
+    woken = []
+
+    def wake():
+        frozen.wake()
+        woken.append(record.now())
+
     if deployment.trouble:
         frozen.freeze()
-        wake = asyncio.get_running_loop().call_later(FREEZE_S, frozen.wake)
+        asyncio.get_running_loop().call_later(FREEZE_S, wake)
     # The client waits for its whole time limit, then gives the job up.
     await deployment.request(frozen, "POST", PATH, BODY, CLIENT_S)
     status, _ = await deployment.until_answered("DELETE", PATH,
@@ -45,8 +50,7 @@
     late = [start for start in deployment.starts
             if start[1].startswith(JOB) and
             start[0] > acknowledged + BOUNDS["cancel_ms"] / 1000]
-    calm = acknowledged + FREEZE_S - CLIENT_S + \
-        BOUNDS["stableWindowMs"] / 1000 + 0.5
+    calm = max(woken + [acknowledged]) + BOUNDS["stableWindowMs"] / 1000
     for time, task, run, runner, _ in late:
         record.write("started %.1f s after the acknowledgement%s: %s" % (
             time - acknowledged,
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -45,13 +45,16 @@
         if state in ("completed", "failed", "canceled", 410):
             break
         await asyncio.sleep(0.5)
-    failures = [end for end in deployment.ends
-                if end[1] == JOB + ".0.0.0" and end[3] == "failed"]
-    record.write("the job is shown as %s; subtask 0 has ended failed %d "
-                 "times, attempts is %d" % (state, len(failures), ATTEMPTS))
-    if state != "completed" and len(failures) < ATTEMPTS:
+    # Only ends `failed` of one subtask count as its attempts. A job that is
+    # still shown as running breaks nothing here.
+    failures = max(sum(end[1] == task and end[3] == "failed"
+                       for end in deployment.ends)
+                   for task in (JOB + ".0.0.0", JOB + ".0.0.1"))
+    record.write("the job is shown as %s; a subtask has ended failed %d "
+                 "times at most, attempts is %d" % (state, failures, ATTEMPTS))
+    if state in ("failed", "canceled") and failures < ATTEMPTS:
         return "LOST: an accepted job that nobody has cancelled is shown as " \
-            "%s after %d of %d attempts" % (state, len(failures), ATTEMPTS)
+            "%s after %d of %d attempts" % (state, failures, ATTEMPTS)
     return None
 
 
--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -34,6 +34,7 @@
     "moveS": 1.5, "upkeepS": 2, "requireFencing": False, "leaseMs": 3000,
     "thawSlackMs": 300, "paceMs": 100, "harmMs": 4000, "reclaimMs": 3400}
 HEARTBEAT_S = 1.5
+SILENCE_S = 3 * HEARTBEAT_S     # then the platform removes an entry
 STORE_S = 0.004         # an answer of the store
 TX_S = 0.005            # a transaction; a part takes one after another
 ENDS_MAX = 500
@@ -316,6 +317,7 @@
         self.state = "ready"
         self.remaining_ms = None
         self.seq = 0
+        self.written = 0.0
         self.fence = 0
         self.until_ms = 0
         self.running = {}       # task to Run
@@ -337,6 +339,7 @@
 
     def write_entry(self):
         self.seq += 1
+        self.written = time.monotonic()
         entry = {"service": SERVICE, "addr": self.server.address,
                  "zone": self.zone, "version": "v1", "slots": 8,
                  "state": self.state, "coldLeftMs": 0, "seq": self.seq,
@@ -612,6 +615,17 @@
         self.starts = []        # (time, task, run, runner, kind)
         self.ends = []          # (time, task, run, how, runner)
 
+    async def expire_entries(self):
+        """Removes the entries of runners that have been silent."""
+        while True:
+            for runner in self.runners:
+                if self.store.version_of(("servers", "", runner.id)) and \
+                        time.monotonic() - runner.written > SILENCE_S:
+                    self.store.remove("servers", "", runner.id)
+                    self.record.write("platform: the entry of %s is removed" %
+                                      runner.id)
+            await asyncio.sleep(0.05)
+
     # what the runners do
 
     def job_of(self, task):
@@ -719,6 +733,7 @@
             self.runners.append(Runner(self, *spec))
         for runner in self.runners:
             await runner.start()
+        self.expiry = asyncio.create_task(self.expire_entries())
         counts = {"palermo": 3, "catania": 2, "trapani": 2}
         for zone in ZONES:
             for number in range(1, counts[zone] + 1):
