entry: log a cancel that finds no job, and when a job was stored

A job that ran after its cancel had been answered with 410 could have been stored late by the entry, stored late by the store, or cancelled in vain by the holder. The log said nothing of such a cancel.

"cancel-of-none" gives the store's version at which the row was absent, "job-accepted" the version at which it was stored and how long ago its request was read; cs_cancels_of_none_total counts the former.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -44,6 +44,7 @@
     int64_t *invalid;
     int64_t *status_calls;
     int64_t *cancel_calls;
+    int64_t *cancels_of_none; /* of jobs that are not stored */
     int64_t *unknown_queues;
     int64_t *unknown_keys;
     int64_t *undecided; /* of both, with an old configuration */
@@ -187,6 +188,15 @@
     g_ptr_array_add(request->entry->backing_off, request);
 }
 
+/* Returns how long ago the request was read. */
+static int64_t
+elapsed_ms(const struct request *request)
+{
+    return (cs_fleet_state_now(request->entry->fleet_state).boot_us -
+            request->started_us) /
+           CS_MS_US;
+}
+
 static void
 on_insert(struct request *request, const cs_store_answer *answer)
 {
@@ -211,8 +221,11 @@
             (*entry->accepted)++;
         else
             (*entry->duplicates)++;
-        cs_log_event("job-accepted", "job %s%s", request->id,
-                     answer->code ? " was stored before" : "");
+        cs_log_event("job-accepted",
+                     "job %s%s, store at version %" PRIu64
+                     ", received %" PRId64 " ms ago",
+                     request->id, answer->code ? " was stored before" : "",
+                     answer->version, elapsed_ms(request));
         finish_with_type(request, CS_REPLY_ACCEPTED);
         return;
     }
@@ -337,6 +350,9 @@
     if (answer->row_count == 0 ||
         cs_job_spec_decode(&spec, answer->rows[0].value,
                            answer->rows[0].size_bytes)) {
+        (*request->entry->cancels_of_none)++;
+        cs_log_event("cancel-of-none", "job %s has no row at version %" PRIu64,
+                     request->id, answer->version);
         finish_with_type(request, CS_REPLY_NOT_FOUND);
         return;
     }
@@ -848,6 +864,8 @@
         cs_fleet_state_counter(fleet_state, "cs_status_calls_total");
     entry->cancel_calls =
         cs_fleet_state_counter(fleet_state, "cs_cancel_calls_total");
+    entry->cancels_of_none =
+        cs_fleet_state_counter(fleet_state, "cs_cancels_of_none_total");
     entry->unknown_queues = cs_fleet_state_counter(
         fleet_state, "cs_calls_refused_total{reason=\"queue\"}");
     entry->undecided =
