entry: a cancel that finds no job keeps its id from being stored later

Cause: a cancel that found no row wrote nothing, so that an insert of the id that was still on its way took effect later.

Such a cancel now writes a tombstone in the row's place and is answered once it is stored. All inserts have the absence of the row as their condition, so none of them can take effect; their callers get 503 (-205). The holder keeps no job for a tombstone and removes its row after the retention of jobs, by the store's clock, over takeovers. Former builds read a tombstone as a cancelled job.

The fake store's checker takes a tombstone for no job; its soak expects that no job with one has run. The entry's bench in test_admit answers a conflict with the row, as the store does: without one the entry now reads it.

--- a/include/corianderstair/errors.h
+++ b/include/corianderstair/errors.h
@@ -26,6 +26,7 @@
     CS_E_EXISTS = -202,    /**< the resource exists already */
     CS_E_TOO_OLD = -203,   /**< the version is too old; list again */
     CS_E_IN_USE = -204,    /**< another resource refers to it */
+    CS_E_CANCELLED = -205, /**< cancelled before it was stored */
     CS_E_GUARANTEE = -300, /**< the guarantee cannot be honoured */
     CS_E_NEVER_RUNNABLE = -301, /**< the job can never run */
     CS_E_NO_SPACE = -302,       /**< no sufficient free capacity at present */
--- a/include/corianderstair/fleet_state.h
+++ b/include/corianderstair/fleet_state.h
@@ -52,6 +52,10 @@
     uint64_t forecast_serial; /**< raised whenever forecast is replaced */
 } cs_cell_view;
 
+/** Rows of ended jobs are retained for this long beyond the time in which
+   their states may be requested. */
+#define CS_RETENTION_EXTRA_MS 60000
+
 /** Size of a name that stands for the hash of a queue's name. */
 #define CS_QUEUE_HASH_NAME_BYTES 12
 
@@ -118,6 +122,15 @@
 /** @return the current time on both clocks */
 cs_now cs_fleet_state_now(const cs_fleet_state *state);
 
+/**
+ * How long the row of an ended job, or a tombstone, is retained. An insert of
+ * the same id must not arrive later: a caller may wait for 60 s, the store may
+ * carry a change out seconds after that, and a VM may stand still for seconds
+ * before it reads a request.
+ * @return milliseconds
+ */
+int64_t cs_fleet_state_retention_ms(const cs_fleet_state *state);
+
 /** @return the counter of a name, created if need be; owned by the counters */
 int64_t *cs_fleet_state_counter(const cs_fleet_state *state, const char *name);
 
--- a/include/corianderstair/job_spec.h
+++ b/include/corianderstair/job_spec.h
@@ -67,10 +67,25 @@
     bool cancelled;
     char entry_zone[CS_JOB_NAME_BYTES]; /**< zone of the VM that accepted it;
                                            empty if unknown */
+    /**
+     * No job: the id was cancelled before a job of it was stored, and is taken
+     * so that an insert that arrives later fails.
+     */
+    bool tombstone;
+    int64_t tombstone_ms; /**< the store's clock when the tombstone was last
+                               written; 0 if unknown */
 } cs_job_spec;
 
 /** Initializes an empty job. */
 void cs_job_spec_init(cs_job_spec *spec);
+/**
+ * Initializes a tombstone. Builds that do not know tombstones read it as a
+ * cancelled job.
+ * @param organisation that cancels the id; empty for anonymous callers
+ * @param store_ms the store's clock; 0 if unknown
+ */
+void cs_job_spec_init_tombstone(cs_job_spec *spec, const char *id,
+                                const char *organisation, int64_t store_ms);
 /** Frees what a job owns, not the struct itself. */
 void cs_job_spec_dispose(cs_job_spec *spec);
 
--- a/scripts/soak/callers.py
+++ b/scripts/soak/callers.py
@@ -14,6 +14,8 @@
 # A request arrives again, seconds after it was accepted, with this share.
 REPEATED_SHARE = 0.03
 CANCELLED_SHARE = 0.02
+# A submission that got no answer is cancelled with this share, else repeated.
+WITHDRAWN_SHARE = 0.3
 ENDED = ("completed", "failed", "canceled")
 
 
@@ -24,7 +26,8 @@
         self.body = body
         self.key = key
         # "new", then "accepted" and a state of ENDED; or "given-up", if no VM
-        # has accepted it.
+        # has accepted it; or "withdrawing" and "withdrawn", if it was cancelled
+        # after no answer and is no job.
         self.state = "new"
         self.attempts = 0
         self.cancelled = False
@@ -96,7 +99,12 @@
 
     def open_jobs(self):
         with self.lock:
-            return [job for job in self.jobs if job.state == "accepted"]
+            return [job for job in self.jobs
+                    if job.state in ("accepted", "withdrawing")]
+
+    def withdrawn_ids(self):
+        with self.lock:
+            return {job.id for job in self.jobs if job.state == "withdrawn"}
 
     def stop(self):
         self.stopped = True
@@ -136,6 +144,8 @@
         vm = rng.choice(self.deployment.vms)
         if job.state == "new" or job.repeat:
             return self.submit(rng, connections, vm, job)
+        if job.state == "withdrawing":
+            return self.withdraw(connections, vm, job)
         if job.state == "accepted" and not job.cancelled and \
                 rng.random() < CANCELLED_SHARE:
             job.cancelled = True
@@ -161,11 +171,25 @@
                 job.repeat = True
                 return rng.uniform(0.5, 4)
             return POLL_S
+        if status is None and rng.random() < WITHDRAWN_SHARE:
+            job.state = "withdrawing"
+            return 0.05
         if self.ending and job.attempts >= SUBMITS_MAX:
             job.state = "given-up"
             return None
         return rng.uniform(0.1, 0.6)
 
+    def withdraw(self, connections, vm, job):
+        status, _ = self.call(connections, vm, "DELETE", job, None)
+        if status == 410:
+            job.state = "withdrawn"
+            return None
+        if status == 200:
+            job.state = "accepted"
+            job.cancelled = True
+            return POLL_S
+        return 0.3
+
     def call(self, connections, vm, method, job, body):
         connection = connections.get(vm.number)
         if connection is None:
--- a/scripts/soak/record.py
+++ b/scripts/soak/record.py
@@ -53,6 +53,15 @@
             yield time_us, "run of another worker: " + detail
 
 
+def withdrawn_runs(folder, jobs):
+    """Yields the starts of jobs whose cancel was answered with "no such job".
+    """
+    for time_us, _, event, detail in read_lines(folder):
+        if event == "worker-run-started" and \
+                (task_of(detail) or "")[:16] in jobs:
+            yield time_us, "run of a cancelled job: " + detail
+
+
 def task_of(detail):
     match = re.search(r"\b([0-9a-f]{16}(?:\.\d+){0,3})", detail)
     return match[1] if match else None
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -1,7 +1,9 @@
 /*
  * Handles submissions, status queries and cancellations of jobs. A submission
  * inserts the job's row on the condition that it does not exist. A job
- * exists if and only if its row does, so an id is the same job on every VM.
+ * exists if and only if its row does, so an id is the same job on every VM. A
+ * cancel of an id without a row writes a tombstone in its place, so that an
+ * insert that is still on its way fails.
  * States are read from the progress rows that the holder of the cell writes.
  */
 #include "entry_internal.h"
@@ -29,6 +31,9 @@
 #define RETRY_AFTER_S 1
 /* Callers decide how many calls are refused, so that the lines are limited. */
 #define REFUSAL_LINES_PER_S 50
+/* A further cancel writes an older tombstone anew, so that the id stays taken
+   for the time in which states may be requested after each cancel. */
+#define TOMBSTONE_RENEWAL_AGE_MS CS_RETENTION_EXTRA_MS
 
 struct cs_entry {
     cs_fleet_state *fleet_state;
@@ -36,10 +41,12 @@
     uint32_t open_count;    /* requests without a reply */
     struct entry_admit *admit;
     struct entry_outage *outage;
+    struct entry_tombstones *tombstones;
     /* Counters. */
     int64_t *accepted;
     int64_t *duplicates;
     int64_t *rejected;
+    int64_t *rejected_cancelled;
     int64_t *unknown;
     int64_t *invalid;
     int64_t *status_calls;
@@ -61,7 +68,8 @@
     STAGE_PROGRESS_ROW, /* reading the progress row for a status query */
     STAGE_JOB_ROW,      /* reading the job row, as there is no progress row */
     STAGE_CANCEL_READ,  /* reading the job row to be marked as cancelled */
-    STAGE_CANCEL_WRITE  /* writing the job row marked as cancelled */
+    STAGE_CANCEL_WRITE, /* writing the job row marked as cancelled */
+    STAGE_TOMBSTONE     /* writing a tombstone, as there is no job row */
 } stage;
 
 struct request {
@@ -77,6 +85,8 @@
     int64_t timeout_ms;            /* of the caller */
     struct entry_verdict *verdict; /* why the job is to be rejected; or NULL */
     bool outcome_unknown;          /* a write was sent and not confirmed */
+    bool tombstone_reserved;       /* entry_tombstones_reserve() was called */
+    char *organisation;            /* of the caller of a cancel */
     cs_entry_done done;
     void *user_data;
 };
@@ -93,6 +103,7 @@
     if (request->record)
         g_byte_array_free(request->record, TRUE);
     g_free(request->verdict);
+    g_free(request->organisation);
     g_free(request);
 }
 
@@ -188,6 +199,43 @@
     g_ptr_array_add(request->entry->backing_off, request);
 }
 
+/* Returns whether the answer with the row of an id shows a tombstone. */
+static bool
+shows_tombstone(const cs_store_answer *answer)
+{
+    cs_job_spec spec;
+    bool tombstone;
+
+    if (answer->row_count == 0 ||
+        cs_job_spec_decode(&spec, answer->rows[0].value,
+                           answer->rows[0].size_bytes))
+        return false;
+    tombstone = spec.tombstone;
+    cs_job_spec_dispose(&spec);
+    return tombstone;
+}
+
+/*
+ * Rejects a submission whose id was cancelled. No write of it takes effect any
+ * more: each fails on the tombstone. There is no hint to come back.
+ */
+static void
+reject_cancelled(struct request *request, uint64_t version)
+{
+    cs_entry_reply reply = {.type = CS_REPLY_REJECTED,
+                            .code = CS_E_CANCELLED,
+                            .message =
+                                "the job was cancelled before it was stored"};
+
+    (*request->entry->rejected)++;
+    (*request->entry->rejected_cancelled)++;
+    cs_log_event("job-rejected",
+                 "job %s was cancelled before, tombstone found at version "
+                 "%" PRIu64,
+                 request->id, version);
+    request_finish(request, &reply);
+}
+
 /* Returns how long ago the request was read. */
 static int64_t
 elapsed_ms(const struct request *request)
@@ -203,6 +251,16 @@
     cs_entry *entry = request->entry;
     bool stored = answer->code == 0 || answer->code == CS_E_CONFLICT;
 
+    if (answer->code == CS_E_CONFLICT && answer->row_count == 0) {
+        /* What stands in the way is not known. */
+        request->stage = STAGE_VERIFY;
+        start_attempt(request);
+        return;
+    }
+    if (answer->code == CS_E_CONFLICT && shows_tombstone(answer)) {
+        reject_cancelled(request, answer->version);
+        return;
+    }
     if (stored || answer->code == CS_E_OUTCOME_UNKNOWN)
         cs_fleet_state_record_write_time(
             entry->fleet_state,
@@ -235,6 +293,10 @@
 static void
 on_verify(struct request *request, const cs_store_answer *answer)
 {
+    if (answer->code == 0 && shows_tombstone(answer)) {
+        reject_cancelled(request, answer->version);
+        return;
+    }
     if (answer->code == 0 && answer->row_count > 0) {
         (*request->entry->accepted)++;
         entry_admit_note_stored(request->entry->admit, request->id);
@@ -264,6 +326,10 @@
         retry_later(request);
         return;
     }
+    if (shows_tombstone(answer)) {
+        reject_cancelled(request, answer->version);
+        return;
+    }
     if (answer->row_count > 0)
         entry_admit_note_stored(entry->admit, request->id);
     /* Another call of the same caller may have stored the job after the read
@@ -325,7 +391,7 @@
         retry_later(request);
         return;
     }
-    if (answer->row_count == 0) {
+    if (answer->row_count == 0 || shows_tombstone(answer)) {
         finish_with_type(request, CS_REPLY_NOT_FOUND);
         return;
     }
@@ -338,6 +404,57 @@
     reply_status(request, state);
 }
 
+/* Writes a row over one of a version; 0: there is none. Frees what spec owns.
+ */
+static void
+write_row(struct request *request, stage next, cs_job_spec *spec,
+          uint64_t version)
+{
+    if (request->record)
+        g_byte_array_free(request->record, TRUE);
+    request->record = g_byte_array_new();
+    cs_job_spec_encode(request->record, spec);
+    cs_job_spec_dispose(spec);
+    request->version = version;
+    request->stage = next;
+    start_attempt(request);
+}
+
+/* Writes a tombstone over a row of a version; 0: there is none. */
+static void
+write_tombstone(struct request *request, uint64_t version,
+                const cs_store_answer *answer)
+{
+    cs_entry *entry = request->entry;
+    cs_job_spec spec;
+
+    if (!request->tombstone_reserved &&
+        !entry_tombstones_reserve(entry->tombstones, request->organisation)) {
+        cs_entry_reply reply = {
+            .type = CS_REPLY_REJECTED,
+            .retry_after_s = RETRY_AFTER_S,
+            .code = CS_E_OVERLOAD,
+            .message = "too many ids without a job are being cancelled"};
+
+        request_finish(request, &reply);
+        return;
+    }
+    request->tombstone_reserved = true;
+    cs_job_spec_init_tombstone(&spec, request->id, request->organisation,
+                               answer->now_ms);
+    write_row(request, STAGE_TOMBSTONE, &spec, version);
+}
+
+static void
+on_tombstone_read(struct request *request, const cs_job_spec *tombstone,
+                  const cs_store_answer *answer)
+{
+    if (answer->now_ms - tombstone->tombstone_ms < TOMBSTONE_RENEWAL_AGE_MS)
+        finish_with_type(request, CS_REPLY_NOT_FOUND);
+    else
+        write_tombstone(request, answer->rows[0].version, answer);
+}
+
 static void
 on_cancel_read(struct request *request, const cs_store_answer *answer)
 {
@@ -347,29 +464,45 @@
         retry_later(request);
         return;
     }
-    if (answer->row_count == 0 ||
-        cs_job_spec_decode(&spec, answer->rows[0].value,
+    if (answer->row_count == 0) {
+        write_tombstone(request, 0, answer);
+        return;
+    }
+    if (cs_job_spec_decode(&spec, answer->rows[0].value,
                            answer->rows[0].size_bytes)) {
-        (*request->entry->cancels_of_none)++;
-        cs_log_event("cancel-of-none", "job %s has no row at version %" PRIu64,
-                     request->id, answer->version);
+        cs_log_event("job-unreadable", "job %s: %s", request->id,
+                     cs_error_last());
         finish_with_type(request, CS_REPLY_NOT_FOUND);
         return;
     }
+    if (spec.tombstone) {
+        on_tombstone_read(request, &spec, answer);
+        cs_job_spec_dispose(&spec);
+        return;
+    }
     if (spec.cancelled) {
         cs_job_spec_dispose(&spec);
         finish_with_type(request, CS_REPLY_CANCELLED);
         return;
     }
     spec.cancelled = true;
-    request->version = answer->rows[0].version;
-    if (request->record)
-        g_byte_array_free(request->record, TRUE);
-    request->record = g_byte_array_new();
-    cs_job_spec_encode(request->record, &spec);
-    cs_job_spec_dispose(&spec);
-    request->stage = STAGE_CANCEL_WRITE;
-    start_attempt(request);
+    write_row(request, STAGE_CANCEL_WRITE, &spec, answer->rows[0].version);
+}
+
+static void
+on_tombstone_write(struct request *request, const cs_store_answer *answer)
+{
+    if (answer->code == 0) {
+        (*request->entry->cancels_of_none)++;
+        cs_log_event("cancel-of-none",
+                     "job %s has no row, tombstone stored at version %" PRIu64,
+                     request->id, answer->version);
+        finish_with_type(request, CS_REPLY_NOT_FOUND);
+        return;
+    }
+    /* After a conflict there is a job to be cancelled, or a tombstone. */
+    request->stage = STAGE_CANCEL_READ;
+    retry_later(request);
 }
 
 static void
@@ -390,8 +523,9 @@
 on_store_answer(void *user_data, const cs_store_answer *answer)
 {
     struct request *request = user_data;
-    bool writes =
-        request->stage == STAGE_INSERT || request->stage == STAGE_CANCEL_WRITE;
+    bool writes = request->stage == STAGE_INSERT ||
+                  request->stage == STAGE_CANCEL_WRITE ||
+                  request->stage == STAGE_TOMBSTONE;
 
     cs_fleet_state_record_store_answer(request->entry->fleet_state,
                                        answer->code);
@@ -422,6 +556,9 @@
     case STAGE_CANCEL_WRITE:
         on_cancel_write(request, answer);
         break;
+    case STAGE_TOMBSTONE:
+        on_tombstone_write(request, answer);
+        break;
     }
 }
 
@@ -486,6 +623,7 @@
         write_job(request, write_deadline_us);
         break;
     case STAGE_CANCEL_WRITE:
+    case STAGE_TOMBSTONE:
         write_job(request, write_deadline_us);
         break;
     case STAGE_PROGRESS_ROW:
@@ -647,6 +785,19 @@
     cs_job_spec_dispose(&spec);
 }
 
+static void
+cancel(cs_entry *entry, const cs_entry_call *call,
+       const cs_organisation_config *organisation, const char *id,
+       cs_entry_done done, void *user_data)
+{
+    struct request *request =
+        request_create(entry, STAGE_CANCEL_READ, id, call, done, user_data);
+
+    (*entry->cancel_calls)++;
+    request->organisation = g_strdup(organisation ? organisation->name : "");
+    start_attempt(request);
+}
+
 static void
 handle_job(cs_entry *entry, const cs_entry_call *call,
            const cs_queue_config *queue,
@@ -671,9 +822,7 @@
     case CS_ENTRY_CANCEL:
         if (!cs_job_id_is_valid(id))
             break;
-        (*entry->cancel_calls)++;
-        start_attempt(request_create(entry, STAGE_CANCEL_READ, id, call, done,
-                                     user_data));
+        cancel(entry, call, organisation, id, done, user_data);
         return;
     case CS_ENTRY_OTHER:
         reply_now(done, user_data, CS_REPLY_METHOD_NOT_ALLOWED, CS_E_METHOD,
@@ -850,12 +999,15 @@
     entry->backing_off = g_ptr_array_new();
     entry->admit = entry_admit_create(fleet_state);
     entry->outage = entry_outage_create(fleet_state);
+    entry->tombstones = entry_tombstones_create(fleet_state);
     entry->accepted =
         cs_fleet_state_counter(fleet_state, "cs_jobs_accepted_total");
     entry->duplicates =
         cs_fleet_state_counter(fleet_state, "cs_jobs_duplicate_total");
     entry->rejected =
         cs_fleet_state_counter(fleet_state, "cs_jobs_rejected_total");
+    entry->rejected_cancelled = cs_fleet_state_counter(
+        fleet_state, "cs_jobs_rejected_cancelled_total");
     entry->unknown =
         cs_fleet_state_counter(fleet_state, "cs_jobs_unknown_total");
     entry->invalid =
@@ -885,5 +1037,6 @@
     g_ptr_array_free(entry->backing_off, TRUE);
     entry_admit_destroy(entry->admit);
     entry_outage_destroy(entry->outage);
+    entry_tombstones_destroy(entry->tombstones);
     g_free(entry);
 }
--- a/src/entry/entry_internal.h
+++ b/src/entry/entry_internal.h
@@ -44,6 +44,16 @@
 /* Returns whether this process has found lately that the job is stored. */
 bool entry_admit_is_stored(const struct entry_admit *admit, const char *id);
 
+/* entry_tombstones.c: limits of the tombstones that this process writes. */
+struct entry_tombstones;
+
+struct entry_tombstones *entry_tombstones_create(cs_fleet_state *fleet_state);
+void entry_tombstones_destroy(struct entry_tombstones *tombstones);
+/* Counts a tombstone that is to be written for an organisation's cancel.
+   Returns false if there is no room for it. */
+bool entry_tombstones_reserve(struct entry_tombstones *tombstones,
+                              const char *organisation);
+
 /* entry_outage.c: outages of the store. */
 struct entry_outage;
 
--- a/src/fleet/feeds.c
+++ b/src/fleet/feeds.c
@@ -4,6 +4,7 @@
  * jobs and of workers' entries.
  */
 #include "ledger.h"
+#include "tombstones.h"
 
 /* The store delays its answer until a job changes, for up to this long. */
 #define JOBS_FOLLOW_WAIT_MS 1000
@@ -29,8 +30,10 @@
     cs_job_spec spec;
     bool cancelled;
 
-    if (row->deleted)
+    if (row->deleted) {
+        tombstones_forget(fleet, row->key);
         return;
+    }
     if (cs_job_spec_decode(&spec, row->value, row->size_bytes)) {
         cs_log_event("job-unreadable", "job %.60s: %s", row->key,
                      cs_error_last());
@@ -38,6 +41,11 @@
         fleet_increment_counter(fleet, "cs_rows_unreadable_total");
         return;
     }
+    if (spec.tombstone) {
+        tombstones_note(fleet, row, &spec);
+        cs_job_spec_dispose(&spec);
+        return;
+    }
     /* All changes up to this version were applied, so that the job was known
        and is removed. Pages that are read again may still show it. */
     if (!job && row->version <= fleet->job_feed.followed_version) {
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -1,6 +1,7 @@
 /* Creation of a fleet, its periodic work, and state shared by its files. */
 #include "ledger.h"
 #include "reserve.h"
+#include "tombstones.h"
 
 /* Interval of the work that depends on the time only. */
 #define TIMED_WORK_INTERVAL_US (100 * CS_MS_US)
@@ -61,6 +62,7 @@
     fleet->stored_speeds =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     fleet->reserve = reserve_create();
+    fleet->tombstones = tombstones_create();
     g_queue_init(&fleet->dirty_rows);
     g_queue_init(&fleet->expired_jobs);
     g_queue_init(&fleet->expired_progress);
@@ -90,6 +92,7 @@
     g_hash_table_destroy(fleet->stored_speeds);
     g_hash_table_destroy(fleet->unwanted_tasks);
     reserve_free(fleet->reserve);
+    tombstones_free(fleet->tombstones);
 }
 
 void
@@ -110,6 +113,7 @@
     fleet->starts_held = false;
     fleet->deferred_steps = 0;
     *fleet->deferred_gauge = 0;
+    *cs_fleet_state_counter(fleet->state, "cs_tombstones") = 0;
 }
 
 cs_fleet *
@@ -156,6 +160,7 @@
                         TIMED_WORK_INTERVAL_US / (double)CS_SEC_US);
     job_queue_expired(fleet);
     job_remove_expired(fleet);
+    tombstones_remove_expired(fleet);
     fleet->cycle_requested = true;
 }
 
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -57,6 +57,7 @@
 struct advice;
 struct ledger;
 struct reserve;
+struct tombstones;
 
 /* A run that a worker lists and that is not, or no longer, wanted there. */
 struct unwanted_run {
@@ -353,6 +354,7 @@
     struct forecaster *forecaster; /* NULL until the first forecast of the
                                       tenure */
     struct reserve *reserve;       /* for waiting gangs, see reserve.h */
+    struct tombstones *tombstones; /* of cancelled ids, see tombstones.h */
 };
 
 /* Run times of the tasks of a queue. */
--- a/src/fleet/job.c
+++ b/src/fleet/job.c
@@ -7,10 +7,6 @@
 #include <inttypes.h>
 #include <stdlib.h>
 
-/* Ended jobs are retained for this long beyond the time in which their states
-   may be requested. */
-#define RETENTION_EXTRA_US (60 * CS_SEC_US)
-
 /* Part of the memory of the VM that the tasks of all jobs may take. */
 #define TASKS_MEMORY_DIVISOR 3
 /* Of a checkpoint, with the overhead of its allocation. */
@@ -421,8 +417,7 @@
 job_queue_expired(cs_fleet *fleet)
 {
     int64_t now_ms = fleet_now(fleet).wall_us / CS_MS_US;
-    int64_t retention_ms = fleet->state->settings.bounds.retention_ms +
-                           RETENTION_EXTRA_US / CS_MS_US;
+    int64_t retention_ms = cs_fleet_state_retention_ms(fleet->state);
 
     while (fleet->final_jobs->len > 0) {
         struct job *job = g_ptr_array_index(fleet->final_jobs, 0);
--- a/src/model/fleet_state.c
+++ b/src/model/fleet_state.c
@@ -40,6 +40,12 @@
     drop_forecast(&state->cell);
 }
 
+int64_t
+cs_fleet_state_retention_ms(const cs_fleet_state *state)
+{
+    return state->settings.bounds.retention_ms + CS_RETENTION_EXTRA_MS;
+}
+
 uint32_t
 cs_cell_view_queue_hash(const char *queue)
 {
--- a/src/model/job_spec.c
+++ b/src/model/job_spec.c
@@ -5,7 +5,7 @@
 #include <string.h>
 
 #define RECORD_VERSION 1
-#define JOB_FIELDS 12
+#define JOB_FIELDS 14
 #define STEP_FIELDS 15
 /* Maximum of each resource: thousandths of a core, MB, accelerators. */
 #define DEMAND_MAX INT64_C(1000000000)
@@ -26,6 +26,23 @@
     memset(spec, 0, sizeof(*spec));
 }
 
+void
+cs_job_spec_init_tombstone(cs_job_spec *spec, const char *id,
+                           const char *organisation, int64_t store_ms)
+{
+    cs_job_spec_init(spec);
+    g_strlcpy(spec->id, id, sizeof(spec->id));
+    g_strlcpy(spec->organisation, organisation, sizeof(spec->organisation));
+    spec->cancelled = true;
+    spec->tombstone = true;
+    spec->tombstone_ms = store_ms;
+    /* The least that is a valid job. */
+    spec->payload = g_strdup("");
+    spec->step_count = 1;
+    spec->steps = g_new0(cs_job_step, 1);
+    spec->steps[0].task_count = 1;
+}
+
 void
 cs_job_spec_dispose(cs_job_spec *spec)
 {
@@ -169,6 +186,8 @@
     for (i = 0; i < spec->step_count; i++)
         encode_step(&packer, &spec->steps[i]);
     cs_record_pack_text(&packer, spec->entry_zone);
+    msgpack_pack_int64(&packer, spec->tombstone);
+    msgpack_pack_int64(&packer, spec->tombstone_ms);
 }
 
 static void
@@ -235,10 +254,15 @@
     spec->accepted_ms = cs_record_read_int(reader);
     spec->cancelled = cs_record_read_int(reader) != 0;
     decode_steps(spec, reader);
-    /* Records of older versions end here. */
+    /* Records of older versions end here, */
     if (!reader->failed && reader->next < reader->count)
         cs_record_read_text(reader, spec->entry_zone,
                             sizeof(spec->entry_zone));
+    /* or here. */
+    if (!reader->failed && reader->next < reader->count) {
+        spec->tombstone = cs_record_read_int(reader) != 0;
+        spec->tombstone_ms = cs_record_read_int(reader);
+    }
     return !reader->failed;
 }
 
--- a/src/util/errors.c
+++ b/src/util/errors.c
@@ -38,6 +38,7 @@
     {CS_E_EXISTS, "exists"},
     {CS_E_TOO_OLD, "too-old"},
     {CS_E_IN_USE, "in-use"},
+    {CS_E_CANCELLED, "cancelled"},
     {CS_E_GUARANTEE, "guarantee"},
     {CS_E_NEVER_RUNNABLE, "never-runnable"},
     {CS_E_NO_SPACE, "no-space"},
--- a/standins/fake_fleet.c
+++ b/standins/fake_fleet.c
@@ -937,6 +937,7 @@
         *reply = -1;
     if (record)
         record->cancelled = true;
+    pending->record = record;
     pending->reply = reply;
     send_call(deployment, vm, CS_ENTRY_CANCEL,
               record ? record->job.spec.queue : "q0", id, NULL, pending);
@@ -982,13 +983,34 @@
     return (int32_t)progress.state;
 }
 
-bool
-fake_fleet_job_is_stored(const fake_fleet *deployment, const char *id)
+/* Returns whether the store has a row under the id, a tombstone or a job. */
+static bool
+has_job_row(const fake_fleet *deployment, const char *id, bool tombstone)
 {
+    const struct fake_row *row;
     char part[CS_JOB_PART_BYTES];
+    cs_job_spec spec;
+    bool is_tombstone;
 
     cs_job_part(part, id);
-    return fake_store_get(deployment, CS_TABLE_JOBS, part, id) != NULL;
+    row = fake_store_get(deployment, CS_TABLE_JOBS, part, id);
+    if (!row || cs_job_spec_decode(&spec, row->value->data, row->value->len))
+        return row && !tombstone;
+    is_tombstone = spec.tombstone;
+    cs_job_spec_dispose(&spec);
+    return is_tombstone == tombstone;
+}
+
+bool
+fake_fleet_job_is_stored(const fake_fleet *deployment, const char *id)
+{
+    return has_job_row(deployment, id, false);
+}
+
+bool
+fake_fleet_has_tombstone(const fake_fleet *deployment, const char *id)
+{
+    return has_job_row(deployment, id, true);
 }
 
 uint32_t
--- a/standins/fake_fleet.h
+++ b/standins/fake_fleet.h
@@ -317,6 +317,9 @@
 /** @return whether the store has a row for the job */
 bool fake_fleet_job_is_stored(const fake_fleet *deployment, const char *id);
 
+/** @return whether the store has a tombstone for the id, which is no job */
+bool fake_fleet_has_tombstone(const fake_fleet *deployment, const char *id);
+
 /** @return number of runs that workers of a zone have started */
 uint32_t fake_fleet_zone_starts(const fake_fleet *deployment, uint32_t zone);
 
--- a/standins/fake_fleet_check.c
+++ b/standins/fake_fleet_check.c
@@ -195,6 +195,11 @@
         fake_record_violation(deployment, "job row cannot be decoded");
         return;
     }
+    /* A tombstone is not a job. */
+    if (job.spec.tombstone) {
+        cs_job_spec_dispose(&job.spec);
+        return;
+    }
     record = fake_job_record_find(deployment, job.spec.id);
     if (record) {
         record->cancelled = record->cancelled || job.spec.cancelled;
--- a/tests/test_admit.c
+++ b/tests/test_admit.c
@@ -646,7 +646,11 @@
         cs_store_answer answer = {.code = calls.is_write[i] ? write_code
                                                             : read_code,
                                   .rows = &row,
-                                  .row_count = calls.is_write[i] ? 0 : rows};
+                                  .row_count = rows};
+
+        /* A conflict is answered with the row that exists. */
+        if (calls.is_write[i])
+            answer.row_count = write_code == CS_E_CONFLICT;
 
         calls.done[i](calls.user_data[i], &answer);
     }
--- a/tests/test_fleet_faults.c
+++ b/tests/test_fleet_faults.c
@@ -206,6 +206,9 @@
             fake_fleet_job_state(deployment, id) < CS_PROGRESS_COMPLETED)
             return g_strdup_printf("job %s is in state %d", id,
                                    fake_fleet_job_state(deployment, id));
+        if (fake_fleet_has_tombstone(deployment, id) &&
+            fake_fleet_start_count(deployment, id) > 0)
+            return g_strdup_printf("job %s ran, but no cancel found it", id);
     }
     if (!fake_fleet_is_idle(deployment))
         return g_strdup_printf("runs or ends are left on %s",
--- a/tests/test_process.c
+++ b/tests/test_process.c
@@ -211,6 +211,26 @@
                      401);
 }
 
+/* Guards against a cancelled job that runs, and against one that is shown: it
+   is submitted to one VM after another has answered its cancel. */
+static void
+process__job_cancelled_before_its_submission_is_rejected(void **state)
+{
+    json_t *response = NULL;
+
+    assert_int_equal(call_vm(1, "DELETE", "/q0/00000000000000dd", NULL, NULL),
+                     410);
+    assert_int_equal(
+        call_vm(0, "POST", "/q0/00000000000000dd", GANG_JOB, &response), 503);
+    assert_string_equal(json_string_value(json_object_get(response, "error")),
+                        "cancelled");
+    json_decref(response);
+    assert_int_equal(call_vm(0, "GET", "/q0/00000000000000dd", NULL, NULL),
+                     410);
+    assert_int_equal(call_vm(0, "DELETE", "/q0/00000000000000dd", NULL, NULL),
+                     410);
+}
+
 static void
 process__oversized_body_is_rejected(void **state)
 {
@@ -247,6 +267,8 @@
         cmocka_unit_test(process__job_with_dependent_steps_completes),
         cmocka_unit_test(process__job_of_advised_queue_completes),
         cmocka_unit_test(process__requests_return_their_http_status),
+        cmocka_unit_test(
+            process__job_cancelled_before_its_submission_is_rejected),
         cmocka_unit_test(process__oversized_body_is_rejected),
         cmocka_unit_test(process__running_job_can_be_cancelled),
     };
