--- a/src/fleet/job.c
+++ b/src/fleet/job.c
@@ -378,6 +378,29 @@
     return false;
 }
 
+/* Logs why a job fails, with what decided on it. */
+static void
+log_exhausted(const cs_fleet *fleet, const struct step *step,
+              uint32_t attempts)
+{
+    const struct job *job = step->job;
+    const cs_fleet_config *config = fleet->state->config;
+    uint32_t failures = step->failures;
+    uint32_t i;
+
+    for (i = 0; i < step->spec->task_count; i++)
+        failures = MAX(failures, step->tasks[i].failures);
+    cs_log_event("job-exhausted",
+                 "job %s step %u.%u: %u failed runs of a task, %u attempts, "
+                 "queue %s %s configuration version %" PRIu64,
+                 job->spec.id, step->occurrence, step->number, failures,
+                 attempts, job->spec.queue,
+                 config && cs_fleet_config_queue(config, job->spec.queue)
+                     ? "in"
+                     : "not in",
+                 config ? config->version : 0);
+}
+
 void
 job_update(cs_fleet *fleet, struct job *job)
 {
@@ -392,6 +415,7 @@
     }
     for (i = 0; i < job_total_steps(job); i++) {
         if (job->steps[i] && step_is_exhausted(job->steps[i], attempts)) {
+            log_exhausted(fleet, job->steps[i], attempts);
             finish_job(fleet, job, CS_PROGRESS_FAILED);
             return;
         }
