fleet: a job keeps its terms while its queue is not in the configuration

Cause: at the end of a task the attempts of the job's queue were taken for 1 where the configuration did not have the queue ("job-exhausted": 1 failed runs of a task, 1 attempts, queue ranking not in configuration version 4). Six more places answered the same question, each its own way: urgent work and the guarantee were counted otherwise after a takeover, and while such tasks ran.

A job keeps the attempts and the priority that the holder last saw in its queue, or else those at its acceptance, which its row now holds; a row of a former build holds none, and its job does not fail before the queue is back. Nothing is started meanwhile, as before. If the queue returns with fewer attempts than runs have failed, the job fails before a further start; the same holds where the attempts are lowered.

The checker of the fakes compares the failed runs of a failed job with the attempts, instead of asking for one failed run, and their configuration may lack a queue. csctl fleet shows jobs without their queue.

--- a/include/corianderstair/job_spec.h
+++ b/include/corianderstair/job_spec.h
@@ -67,6 +67,9 @@
     bool cancelled;
     char entry_zone[CS_JOB_NAME_BYTES]; /**< zone of the VM that accepted it;
                                            empty if unknown */
+    uint32_t max_attempts; /**< of its queue when it was accepted; 0 if not
+                                known, as priority then */
+    uint32_t priority;     /**< of its queue when it was accepted */
     /**
      * No job: the id was cancelled before a job of it was stored, and is taken
      * so that an insert that arrives later fails.
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -738,6 +738,8 @@
     if (request->verdict)
         request->stage = STAGE_ADMIT_READ;
     g_strlcpy(spec->queue, queue->name, sizeof(spec->queue));
+    spec->max_attempts = queue->max_attempts;
+    spec->priority = queue->priority;
     g_strlcpy(spec->organisation, organisation ? organisation->name : "",
               sizeof(spec->organisation));
     g_strlcpy(spec->entry_zone, entry->fleet_state->settings.zone,
--- a/src/fleet/cycle_order.c
+++ b/src/fleet/cycle_order.c
@@ -140,11 +140,13 @@
 static void
 collect_from_job(struct cycle *cycle, struct job *job)
 {
-    const cs_queue_config *queue =
-        cs_fleet_config_queue(cycle->fleet->state->config, job->spec.queue);
+    const cs_queue_config *queue = job_queue(cycle->fleet, job);
     struct candidate template = {.queue = queue};
     uint32_t i;
 
+    /* What a job without its queue holds is taken from the guarantee. */
+    if (!queue && job->priority == 0 && job->active_tasks > 0)
+        job_is_guaranteed(cycle, job);
     if (!queue || (queue->needs_ticket && !cycle->fleet->state->ports.adviser))
         return;
     template.guaranteed =
--- a/src/fleet/cycle_preempt.c
+++ b/src/fleet/cycle_preempt.c
@@ -119,10 +119,9 @@
 add_group(struct cycle *cycle, const struct task *task)
 {
     const struct step *step = task->step;
-    const cs_queue_config *queue = cs_fleet_config_queue(
-        cycle->fleet->state->config, step->job->spec.queue);
+    const cs_queue_config *queue = job_queue(cycle->fleet, step->job);
     struct running_group group = {.step = step,
-                                  .priority = queue ? queue->priority : 0,
+                                  .priority = step->job->priority,
                                   .stoppable = queue &&
                                                !step->spec->perpetual &&
                                                !job_is_final(step->job),
--- a/src/fleet/feeds.c
+++ b/src/fleet/feeds.c
@@ -520,7 +520,7 @@
     fleet->tenure = TENURE_HOLDING;
     fleet->cycle_requested = true;
     job_finish_cancelled(fleet);
-    job_update_restored(fleet);
+    job_update_all(fleet);
     /* A new holder has no past use to average; it begins with what it has
        adopted. */
     fleet->headroom.mean_used = MAX(fleet->headroom.mean_used,
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -113,6 +113,8 @@
     fleet->starts_held = false;
     fleet->deferred_steps = 0;
     *fleet->deferred_gauge = 0;
+    fleet->terms_version = 0;
+    *cs_fleet_state_counter(fleet->state, "cs_jobs_without_queue") = 0;
     *cs_fleet_state_counter(fleet->state, "cs_tombstones") = 0;
 }
 
@@ -155,6 +157,7 @@
         return;
     fleet->next_timed_work_us = now.boot_us + TIMED_WORK_INTERVAL_US;
     job_create_all_due_steps(fleet, now.wall_us / CS_MS_US);
+    job_terms_count(fleet);
     evacuate_tick(fleet);
     cs_headroom_advance(&fleet->headroom,
                         TIMED_WORK_INTERVAL_US / (double)CS_SEC_US);
@@ -173,12 +176,14 @@
     case TENURE_ACQUIRING:
         return;
     case TENURE_LOADING:
+        job_terms_tick(fleet);
         feeds_tick(fleet);
         if (fleet->tenure == TENURE_HOLDING)
             run_log_adopted(fleet);
         commit_tick(fleet);
         return;
     case TENURE_HOLDING:
+        job_terms_tick(fleet);
         feeds_tick(fleet);
         former_holder_tick(fleet);
         heartbeat_tick(fleet);
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -222,6 +222,9 @@
     uint32_t steps_done;   /* of all occurrences */
     uint32_t active_tasks; /* placed on workers */
     bool has_started;      /* a start of one of its tasks was sent */
+    uint32_t max_attempts; /* see job_terms.c, as the next two */
+    uint32_t priority;
+    bool has_queue; /* in the configuration that was applied last */
 };
 
 /* The change to the store that is being written. */
@@ -342,6 +345,8 @@
     uint32_t deferred_steps; /* due, but without room, at the last check */
     int64_t *deferred_gauge;
     int64_t last_submission_ms; /* when the newest job was accepted */
+    uint64_t terms_version; /* of the configuration that the jobs' terms are
+                               from; 0 none yet */
     uint64_t heartbeat_serial;
     bool cycle_requested;     /* a scheduling cycle is due */
     uint32_t idle_heartbeats; /* in flight to unverified workers without
@@ -499,9 +504,9 @@
 void job_finish_cancelled(cs_fleet *fleet);
 /* Ends the job if all its steps are done or one is out of attempts. */
 void job_update(cs_fleet *fleet, struct job *job);
-/* Ends the jobs that a former holder has left without doing so: the rows of a
-   job may have been written one after another. */
-void job_update_restored(cs_fleet *fleet);
+/* The same for all jobs. A former holder may have left some without doing so:
+   the rows of a job may have been written one after another. */
+void job_update_all(cs_fleet *fleet);
 /* Creates the steps of the occurrences that are due. */
 void job_create_due_steps(cs_fleet *fleet, struct job *job, int64_t wall_ms);
 /* The same for all jobs that have not ended, in the order of acceptance. */
@@ -522,6 +527,17 @@
 /* Writes a task's name to out, a buffer of TASK_NAME_BYTES. */
 void task_name(char *out, const struct task *task);
 
+/* job_terms.c */
+/* Sets the terms of a new job. */
+void job_terms_init(const cs_fleet *fleet, struct job *job);
+/* Applies a new version of the configuration to the terms of all jobs. */
+void job_terms_tick(cs_fleet *fleet);
+/* Counts the jobs that wait for their queue, for the metrics and the log. */
+void job_terms_count(cs_fleet *fleet);
+/* Returns the job's queue; NULL while the configuration does not have it, so
+   that nothing of the job may start. */
+const cs_queue_config *job_queue(const cs_fleet *fleet, const struct job *job);
+
 /* progress.c */
 /* Returns the store's limit of a row's value. */
 size_t progress_max_row_bytes(const cs_fleet *fleet);
--- a/src/fleet/forecast.c
+++ b/src/fleet/forecast.c
@@ -287,11 +287,11 @@
 add_job(const cs_fleet *fleet, cs_forecast *forecast, GHashTable *indexes,
         const struct job *job)
 {
-    const cs_queue_config *config =
-        cs_fleet_config_queue(fleet->state->config, job->spec.queue);
+    const cs_queue_config *config = job_queue(fleet, job);
     cs_forecast_queue *queue;
     uint32_t i;
 
+    /* Without its queue the job does not compete for workers. */
     if (!config || config->needs_ticket)
         return;
     for (i = 0; i < job_total_steps(job); i++) {
--- a/src/fleet/job.c
+++ b/src/fleet/job.c
@@ -66,6 +66,7 @@
     fleet->last_submission_ms =
         MAX(fleet->last_submission_ms, spec->accepted_ms);
     job->occurrences = MAX(spec->repeats, 1);
+    job_terms_init(fleet, job);
     job->steps = g_new0(struct step *, job_total_steps(job));
     progress_init(job, progress_default_row_tasks(fleet));
     g_hash_table_insert(fleet->jobs, job->spec.id, job);
@@ -349,21 +350,10 @@
     }
 }
 
-static uint32_t
-max_attempts(const cs_fleet *fleet, const struct job *job)
-{
-    const cs_fleet_config *config = fleet->state->config;
-    const cs_queue_config *queue = NULL;
-
-    if (config)
-        queue = cs_fleet_config_queue(config, job->spec.queue);
-    /* The queue may have been removed from the configuration. */
-    return queue ? queue->max_attempts : 1;
-}
-
 static bool
-step_is_exhausted(const struct step *step, uint32_t attempts)
+step_is_exhausted(const struct step *step)
 {
+    uint32_t attempts = step->job->max_attempts;
     uint32_t i;
 
     if (step->spec->perpetual)
@@ -380,8 +370,7 @@
 
 /* Logs why a job fails, with what decided on it. */
 static void
-log_exhausted(const cs_fleet *fleet, const struct step *step,
-              uint32_t attempts)
+log_exhausted(const cs_fleet *fleet, const struct step *step)
 {
     const struct job *job = step->job;
     const cs_fleet_config *config = fleet->state->config;
@@ -394,17 +383,14 @@
                  "job %s step %u.%u: %u failed runs of a task, %u attempts, "
                  "queue %s %s configuration version %" PRIu64,
                  job->spec.id, step->occurrence, step->number, failures,
-                 attempts, job->spec.queue,
-                 config && cs_fleet_config_queue(config, job->spec.queue)
-                     ? "in"
-                     : "not in",
+                 job->max_attempts, job->spec.queue,
+                 job_queue(fleet, job) ? "in" : "not in",
                  config ? config->version : 0);
 }
 
 void
 job_update(cs_fleet *fleet, struct job *job)
 {
-    uint32_t attempts = max_attempts(fleet, job);
     uint32_t i;
 
     if (job_is_final(job))
@@ -414,8 +400,8 @@
         return;
     }
     for (i = 0; i < job_total_steps(job); i++) {
-        if (job->steps[i] && step_is_exhausted(job->steps[i], attempts)) {
-            log_exhausted(fleet, job->steps[i], attempts);
+        if (job->steps[i] && step_is_exhausted(job->steps[i])) {
+            log_exhausted(fleet, job->steps[i]);
             finish_job(fleet, job, CS_PROGRESS_FAILED);
             return;
         }
@@ -423,18 +409,12 @@
 }
 
 void
-job_update_restored(cs_fleet *fleet)
+job_update_all(cs_fleet *fleet)
 {
     guint i = fleet->active_jobs->len;
 
-    while (i-- > 0) {
-        struct job *job = g_ptr_array_index(fleet->active_jobs, i);
-
-        /* The attempts of a queue that was removed are not known. */
-        if (fleet->state->config &&
-            cs_fleet_config_queue(fleet->state->config, job->spec.queue))
-            job_update(fleet, job);
-    }
+    while (i-- > 0)
+        job_update(fleet, g_ptr_array_index(fleet->active_jobs, i));
 }
 
 void
--- a/src/fleet/status.c
+++ b/src/fleet/status.c
@@ -57,8 +57,8 @@
     int64_t now_us = fleet_now(fleet).boot_us;
 
     return json_pack(
-        "{s:s,s:s,s:s,s:I,s:s,s:I,s:I,s:b,s:i,s:i,s:i,s:b,s:o,s:o,s:o,s:o,"
-        "s:o*}",
+        "{s:s,s:s,s:s,s:I,s:s,s:I,s:I,s:b,s:i,s:i,s:i,s:I,s:I,s:b,s:o,s:o,s:o,"
+        "s:o,s:o*}",
         "vm", state->settings.name, "zone", state->settings.zone, "tenure",
         tenure_name(fleet->tenure), "epoch", (json_int_t)state->cell.epoch,
         "holder", state->cell.holder, "config",
@@ -68,8 +68,11 @@
         "draining", state->draining, "active_jobs",
         (int)fleet->active_jobs->len, "ended_jobs",
         (int)fleet->final_jobs->len, "unrecorded_jobs",
-        (int)g_queue_get_length((GQueue *)&fleet->dirty_rows), "starts_held",
-        fleet->starts_held, "evacuations",
+        (int)g_queue_get_length((GQueue *)&fleet->dirty_rows),
+        "jobs_without_queue",
+        (json_int_t)*cs_fleet_state_counter(state, "cs_jobs_without_queue"),
+        "urgent_accelerators", (json_int_t)fleet->headroom.used_accelerators,
+        "starts_held", fleet->starts_held, "evacuations",
         cs_evacuations_status(state->evacuations, now_us), "workers",
         list_workers(fleet), "organisations", ledger_list_organisations(fleet),
         "zones", ledger_list_zones(fleet), "forecast", forecast_status(fleet));
@@ -122,6 +125,8 @@
             unwanted_holds(fleet, &step->tasks[i]))
             return "a worker still lists a run that is being stopped";
     }
+    if (!job_queue(fleet, job))
+        return "the configuration does not have its queue";
     if (!job_step_is_ready(job, step))
         return "an earlier step is not done";
     if (fleet->starts_held)
--- a/src/fleet/task.c
+++ b/src/fleet/task.c
@@ -38,17 +38,6 @@
     task->checkpoint = g_strdup(checkpoint);
 }
 
-static bool
-is_urgent(const cs_fleet *fleet, const struct task *task)
-{
-    const cs_queue_config *queue = NULL;
-
-    if (fleet->state->config)
-        queue = cs_fleet_config_queue(fleet->state->config,
-                                      task->step->job->spec.queue);
-    return queue && queue->priority == 0;
-}
-
 void
 task_place(cs_fleet *fleet, struct task *task, struct worker *worker,
            uint32_t run)
@@ -60,7 +49,7 @@
     task->progress_percent = 0;
     task->started_us = 0;
     task->confirmed_us = 0;
-    task->urgent = is_urgent(fleet, task);
+    task->urgent = task->step->job->priority == 0;
     if (task->urgent)
         fleet->headroom.used_accelerators +=
             task->step->spec->demand.accelerators;
--- a/src/model/job_spec.c
+++ b/src/model/job_spec.c
@@ -5,7 +5,8 @@
 #include <string.h>
 
 #define RECORD_VERSION 1
-#define JOB_FIELDS 14
+#define JOB_FIELDS 15
+#define TERMS_FIELDS 2
 #define STEP_FIELDS 15
 /* Maximum of each resource: thousandths of a core, MB, accelerators. */
 #define DEMAND_MAX INT64_C(1000000000)
@@ -188,6 +189,9 @@
     cs_record_pack_text(&packer, spec->entry_zone);
     msgpack_pack_int64(&packer, spec->tombstone);
     msgpack_pack_int64(&packer, spec->tombstone_ms);
+    msgpack_pack_array(&packer, TERMS_FIELDS);
+    msgpack_pack_uint32(&packer, spec->max_attempts);
+    msgpack_pack_uint32(&packer, spec->priority);
 }
 
 static void
@@ -238,6 +242,20 @@
         decode_step(&spec->steps[i], &list->via.array.ptr[i], &reader->failed);
 }
 
+static void
+decode_terms(cs_job_spec *spec, cs_record_reader *reader)
+{
+    const msgpack_object *item = cs_record_read_item(reader);
+    cs_record_reader terms;
+
+    if (!item)
+        return;
+    cs_record_reader_init(&terms, item);
+    spec->max_attempts = (uint32_t)cs_record_read_int(&terms);
+    spec->priority = (uint32_t)cs_record_read_int(&terms);
+    reader->failed = reader->failed || terms.failed;
+}
+
 static bool
 decode_fields(cs_job_spec *spec, cs_record_reader *reader)
 {
@@ -263,6 +281,8 @@
         spec->tombstone = cs_record_read_int(reader) != 0;
         spec->tombstone_ms = cs_record_read_int(reader);
     }
+    if (!reader->failed && reader->next < reader->count)
+        decode_terms(spec, reader);
     return !reader->failed;
 }
 
--- a/src/programs/csctl_fleet.c
+++ b/src/programs/csctl_fleet.c
@@ -192,8 +192,10 @@
            json_is_true(json_object_get(body, "relayed")) ? " through a peer"
                                                           : "",
            integer_member(body, "open_requests"));
-    printf("jobs: %d active, %d ended, %d not recorded yet\n",
+    printf("jobs: %d active, %d of them without their queue, %d ended, %d not "
+           "recorded yet\n",
            integer_member(body, "active_jobs"),
+           integer_member(body, "jobs_without_queue"),
            integer_member(body, "ended_jobs"),
            integer_member(body, "unrecorded_jobs"));
     print_evacuations(body);
--- a/standins/fake_fleet.c
+++ b/standins/fake_fleet.c
@@ -371,35 +371,66 @@
     return g_string_free(text, FALSE);
 }
 
+void
+fake_fleet_set_queue(fake_fleet *deployment, uint32_t queue, uint32_t attempts)
+{
+    deployment->queue_attempts[queue] = attempts;
+    if (attempts)
+        deployment->min_attempts = MIN(deployment->min_attempts, attempts);
+}
+
+/* Returns the queues of a configuration as a list in JSON. */
+static GString *
+queues_text(const fake_fleet *deployment)
+{
+    static const struct {
+        uint32_t priority;
+        const char *stretch;
+        uint32_t target_ms;
+        const char *more;
+    } queues[FAKE_QUEUES] = {
+        {0, "1.5", 250, ""},
+        {1, "3.0", 1000, ""},
+        {2, "3.0", 3000, ""},
+        {1, "3.0", 1000,
+         ",\"advice\":{\"decideMs\":50,\"eachMs\":2,\"validMs\":3000}"},
+    };
+    GString *text = g_string_new("");
+    uint32_t i;
+
+    for (i = 0; i < FAKE_QUEUES; i++) {
+        if (!deployment->queue_attempts[i])
+            continue;
+        g_string_append_printf(
+            text,
+            "%s{\"name\":\"q%u\",\"host\":\"h\",\"pathPrefix\":\"/q%u/\","
+            "\"service\":\"lab\",\"priority\":%u,\"attempts\":%u,"
+            "\"stretch\":%s,\"targetLatencyMs\":%u%s}",
+            text->len ? "," : "", i, i, queues[i].priority,
+            deployment->queue_attempts[i], queues[i].stretch,
+            queues[i].target_ms, queues[i].more);
+    }
+    return text;
+}
+
 void
 fake_fleet_configure_queues(fake_fleet *deployment, uint64_t version,
                             uint32_t further_queues)
 {
     char *more = further_queues_text(further_queues);
     GString *further = further_organisations(deployment);
+    GString *queues = queues_text(deployment);
     char *text = g_strdup_printf(
-        "{\"version\":%" G_GUINT64_FORMAT ",\"routes\":["
-        "{\"name\":\"q0\",\"host\":\"h\",\"pathPrefix\":\"/q0/\",\"service\":"
-        "\"lab\",\"priority\":0,\"attempts\":3,\"stretch\":1.5,"
-        "\"targetLatencyMs\":250},"
-        "{\"name\":\"q1\",\"host\":\"h\",\"pathPrefix\":\"/q1/\",\"service\":"
-        "\"lab\",\"priority\":1,\"attempts\":3,\"stretch\":3.0,"
-        "\"targetLatencyMs\":1000},"
-        "{\"name\":\"q2\",\"host\":\"h\",\"pathPrefix\":\"/q2/\",\"service\":"
-        "\"lab\",\"priority\":2,\"attempts\":3,\"stretch\":3.0,"
-        "\"targetLatencyMs\":3000},"
-        "{\"name\":\"q3\",\"host\":\"h\",\"pathPrefix\":\"/q3/\",\"service\":"
-        "\"lab\",\"priority\":1,\"attempts\":3,\"stretch\":3.0,"
-        "\"targetLatencyMs\":1000,\"advice\":{\"decideMs\":50,"
-        "\"eachMs\":2,\"validMs\":3000}}%s],"
+        "{\"version\":%" G_GUINT64_FORMAT ",\"routes\":[%s%s],"
         "\"services\":[{\"name\":\"lab\",\"admissionControl\":true}],"
         "\"limits\":{\"maxBodyBytes\":262144},"
         "\"tenants\":[{\"name\":\"t0\",\"apiKeys\":[\"k0\"],"
         "\"guaranteed\":{\"gpu\":64}}%s]}",
-        version, more, further->str);
+        version, queues->str, more, further->str);
 
     fake_store_put(deployment, PLATFORM_CONFIG_TABLE, "", PLATFORM_CONFIG_KEY,
                    text, strlen(text));
+    g_string_free(queues, TRUE);
     g_string_free(further, TRUE);
     g_free(text);
     g_free(more);
@@ -509,6 +540,9 @@
     deployment->row_bytes =
         settings->row_bytes ? settings->row_bytes : DEFAULT_ROW_BYTES;
     fake_store_init(deployment);
+    deployment->min_attempts = FAKE_MAX_ATTEMPTS;
+    for (i = 0; i < FAKE_QUEUES; i++)
+        deployment->queue_attempts[i] = FAKE_MAX_ATTEMPTS;
     fake_fleet_configure(deployment, 1);
     for (i = 0; i < deployment->worker_count; i++) {
         fake_fleet_worker_init(deployment, i);
--- a/standins/fake_fleet.h
+++ b/standins/fake_fleet.h
@@ -180,6 +180,12 @@
 /** Sets the number of organisations of configurations that are written from
  * now on; the first has a guarantee. It is 1 before. */
 void fake_fleet_set_organisations(fake_fleet *deployment, uint32_t count);
+/** Queues of a configuration: "q0" and so on. */
+#define FAKE_QUEUES 4
+/** Sets the attempts of a queue in configurations that are written from now
+ * on; it is not in them with 0. They are 3 before. */
+void fake_fleet_set_queue(fake_fleet *deployment, uint32_t queue,
+                          uint32_t attempts);
 /** Writes an entry among those of the workers, as another writer may. */
 void fake_fleet_put_entry(fake_fleet *deployment, const char *key,
                           const char *text);
--- a/standins/fake_fleet_check.c
+++ b/standins/fake_fleet_check.c
@@ -221,6 +221,20 @@
     return total;
 }
 
+/* Returns the failed runs of all tasks of a job. */
+static guint
+count_failures(const struct fake_job_record *record)
+{
+    guint count = 0;
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, record->failure_counts);
+    while (g_hash_table_iter_next(&iter, NULL, &value))
+        count += GPOINTER_TO_UINT(value);
+    return count;
+}
+
 void
 fake_check_progress(fake_fleet *deployment, const char *id,
                     const GByteArray *value)
@@ -256,10 +270,10 @@
         fake_record_violation(
             deployment, "lost job: %s is cancelled without a cancel request",
             id);
-    if (progress.state == CS_PROGRESS_FAILED && !record->job.always_fails &&
-        g_hash_table_size(record->failure_counts) == 0)
+    if (progress.state == CS_PROGRESS_FAILED &&
+        count_failures(record) < deployment->min_attempts)
         fake_record_violation(
-            deployment, "lost job: %s is failed, but none of its runs failed",
-            id);
+            deployment, "lost job: %s is failed after %u of %u attempts", id,
+            count_failures(record), deployment->min_attempts);
     cs_job_progress_dispose(&progress);
 }
--- a/standins/fake_fleet_internal.h
+++ b/standins/fake_fleet_internal.h
@@ -173,6 +173,8 @@
     uint32_t rack_count;
     fake_disabled_protection disabled_protection;
     uint32_t organisations; /* see fake_fleet_set_organisations() */
+    uint32_t queue_attempts[FAKE_QUEUES]; /* see fake_fleet_set_queue() */
+    uint32_t min_attempts; /* of any queue in any configuration */
     uint32_t max_direct_workers;
     int64_t call_us;
     int64_t message_us;
--- a/tests/test_cancel.c
+++ b/tests/test_cancel.c
@@ -426,10 +426,10 @@
     assert_true(copy.tombstone);
     assert_int_equal(copy.tombstone_ms, 5);
     cs_job_spec_dispose(&copy);
-    /* Cuts off the last two of the 14 items. */
-    assert_int_equal(bytes->data[0], 0x9e);
+    /* Cuts off the last three of the 15 items. */
+    assert_int_equal(bytes->data[0], 0x9f);
     bytes->data[0] = 0x9c;
-    g_byte_array_set_size(bytes, bytes->len - 2);
+    g_byte_array_set_size(bytes, bytes->len - 5);
     assert_int_equal(cs_job_spec_decode(&copy, bytes->data, bytes->len), 0);
     assert_false(copy.tombstone);
     assert_true(copy.cancelled);
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -1595,10 +1595,10 @@
     assert_int_equal(cs_job_spec_decode(&copy, bytes->data, bytes->len), 0);
     assert_string_equal(copy.entry_zone, "z");
     cs_job_spec_dispose(&copy);
-    /* Cuts off the last three of the 14 items. */
-    assert_int_equal(bytes->data[0], 0x9e);
+    /* Cuts off the last four of the 15 items. */
+    assert_int_equal(bytes->data[0], 0x9f);
     bytes->data[0] = 0x9b;
-    g_byte_array_set_size(bytes, bytes->len - 4);
+    g_byte_array_set_size(bytes, bytes->len - 7);
     assert_int_equal(cs_job_spec_decode(&copy, bytes->data, bytes->len), 0);
     assert_string_equal(copy.entry_zone, "");
     cs_job_spec_dispose(&copy);
--- a/tests/test_fleet_faults.c
+++ b/tests/test_fleet_faults.c
@@ -541,15 +541,48 @@
 typedef enum {
     SOAK_DIRECT,         /* the holder calls the workers */
     SOAK_WITH_EXECUTORS, /* and messages wait for a connection */
-    SOAK_WITH_LAG        /* reads and polls of the store lag */
+    SOAK_WITH_LAG,       /* reads and polls of the store lag */
+    SOAK_WITH_QUEUES     /* queues are removed and return, workers fail runs */
 } soak_kind;
 
+#define SOAK_QUEUES 3
+#define SOAK_ATTEMPTS 3
+
+/* Removes a queue, or lets it return, and lets a worker fail its runs, or not.
+ */
+static void
+change_queues(fake_fleet *deployment, GRand *random, uint32_t number)
+{
+    fake_fleet_set_worker_failing(
+        deployment, (uint32_t)g_rand_int_range(random, 0, WORKERS),
+        g_rand_int_range(random, 0, 2));
+    if (g_rand_int_range(random, 0, 3))
+        return;
+    fake_fleet_set_queue(deployment,
+                         (uint32_t)g_rand_int_range(random, 0, SOAK_QUEUES),
+                         g_rand_int_range(random, 0, 2) ? SOAK_ATTEMPTS : 0);
+    fake_fleet_configure(deployment, 10 + number);
+}
+
+static void
+restore_queues(fake_fleet *deployment, uint32_t number)
+{
+    uint32_t i;
+
+    for (i = 0; i < WORKERS; i++)
+        fake_fleet_set_worker_failing(deployment, i, false);
+    for (i = 0; i < SOAK_QUEUES; i++)
+        fake_fleet_set_queue(deployment, i, SOAK_ATTEMPTS);
+    fake_fleet_configure(deployment, 10 + number);
+}
+
 /* Runs random jobs and faults, then lets everything settle without faults. */
 static void
 soak(uint32_t seed, soak_kind kind)
 {
     GRand *random = g_rand_new_with_seed(seed);
     GRand *lag_random = g_rand_new_with_seed(seed);
+    GRand *queue_random = g_rand_new_with_seed(seed);
     bool with_executors = kind == SOAK_WITH_EXECUTORS;
     fake_fleet_settings settings = {
         .vms = VMS,
@@ -580,11 +613,15 @@
             fake_fleet_compact(deployment);
         if (kind == SOAK_WITH_LAG)
             set_random_lag(deployment, lag_random);
+        if (kind == SOAK_WITH_QUEUES)
+            change_queues(deployment, queue_random, number);
         fake_fleet_run(deployment,
                        g_rand_int_range(random, 50, 700) * CS_MS_US);
         expect_no_violation(deployment);
     }
     clear_faults(deployment);
+    if (kind == SOAK_WITH_QUEUES)
+        restore_queues(deployment, number);
     fake_fleet_run(deployment, SETTLE_US);
     failure = describe_unsettled(deployment, SOAK_JOBS);
     if (failure)
@@ -593,6 +630,7 @@
     fake_fleet_destroy(deployment);
     g_rand_free(random);
     g_rand_free(lag_random);
+    g_rand_free(queue_random);
 }
 
 #define SOAK_SEEDS 60
@@ -635,6 +673,13 @@
     soak_all(LAG_SOAK_SEEDS, SOAK_WITH_LAG);
 }
 
+/* Guards against jobs that fail, or never end, as their queue was away. */
+static void
+fleet_faults__random_faults_while_queues_are_removed(void **state)
+{
+    soak_all(SOAK_SEEDS, SOAK_WITH_QUEUES);
+}
+
 int
 main(void)
 {
@@ -651,6 +696,7 @@
         cmocka_unit_test(
             fleet_faults__random_faults_with_executors_violate_no_rule),
         cmocka_unit_test(fleet_faults__random_faults_while_reads_lag),
+        cmocka_unit_test(fleet_faults__random_faults_while_queues_are_removed),
     };
 
     if (!g_getenv("CS_TEST_LOG"))
