--- a/src/model/job_spec.c
+++ b/src/model/job_spec.c
@@ -5,7 +5,8 @@
 #include <string.h>
 
 #define RECORD_VERSION 1
-#define JOB_FIELDS 12
+#define JOB_FIELDS 15
+#define TERMS_FIELDS 2
 #define STEP_FIELDS 15
 /* Maximum of each resource: thousandths of a core, MB, accelerators. */
 #define DEMAND_MAX INT64_C(1000000000)
@@ -26,6 +27,23 @@
     memset(spec, 0, sizeof(*spec));
 }
 
+void
+cs_job_spec_init_tombstone(cs_job_spec *spec, const char *id,
+                           const char *organisation, int64_t store_ms)
+{
+    cs_job_spec_init(spec);
+    g_strlcpy(spec->id, id, sizeof(spec->id));
+    g_strlcpy(spec->organisation, organisation, sizeof(spec->organisation));
+    spec->cancelled = true;
+    spec->tombstone = true;
+    spec->tombstone_ms = store_ms;
+    /* The least that is a valid job. */
+    spec->payload = g_strdup("");
+    spec->step_count = 1;
+    spec->steps = g_new0(cs_job_step, 1);
+    spec->steps[0].task_count = 1;
+}
+
 void
 cs_job_spec_dispose(cs_job_spec *spec)
 {
@@ -169,6 +187,11 @@
     for (i = 0; i < spec->step_count; i++)
         encode_step(&packer, &spec->steps[i]);
     cs_record_pack_text(&packer, spec->entry_zone);
+    msgpack_pack_int64(&packer, spec->tombstone);
+    msgpack_pack_int64(&packer, spec->tombstone_ms);
+    msgpack_pack_array(&packer, TERMS_FIELDS);
+    msgpack_pack_uint32(&packer, spec->max_attempts);
+    msgpack_pack_uint32(&packer, spec->priority);
 }
 
 static void
@@ -219,6 +242,20 @@
         decode_step(&spec->steps[i], &list->via.array.ptr[i], &reader->failed);
 }
 
+static void
+decode_terms(cs_job_spec *spec, cs_record_reader *reader)
+{
+    const msgpack_object *item = cs_record_read_item(reader);
+    cs_record_reader terms;
+
+    if (!item)
+        return;
+    cs_record_reader_init(&terms, item);
+    spec->max_attempts = (uint32_t)cs_record_read_int(&terms);
+    spec->priority = (uint32_t)cs_record_read_int(&terms);
+    reader->failed = reader->failed || terms.failed;
+}
+
 static bool
 decode_fields(cs_job_spec *spec, cs_record_reader *reader)
 {
@@ -235,10 +272,17 @@
     spec->accepted_ms = cs_record_read_int(reader);
     spec->cancelled = cs_record_read_int(reader) != 0;
     decode_steps(spec, reader);
-    /* Records of older versions end here. */
+    /* Records of older versions end here, */
     if (!reader->failed && reader->next < reader->count)
         cs_record_read_text(reader, spec->entry_zone,
                             sizeof(spec->entry_zone));
+    /* or here. */
+    if (!reader->failed && reader->next < reader->count) {
+        spec->tombstone = cs_record_read_int(reader) != 0;
+        spec->tombstone_ms = cs_record_read_int(reader);
+    }
+    if (!reader->failed && reader->next < reader->count)
+        decode_terms(spec, reader);
     return !reader->failed;
 }
 
--- a/standins/fake_fleet.h
+++ b/standins/fake_fleet.h
@@ -180,6 +180,12 @@
 /** Sets the number of organisations of configurations that are written from
  * now on; the first has a guarantee. It is 1 before. */
 void fake_fleet_set_organisations(fake_fleet *deployment, uint32_t count);
+/** Queues of a configuration: "q0" and so on. */
+#define FAKE_QUEUES 4
+/** Sets the attempts of a queue in configurations that are written from now
+ * on; it is not in them with 0. They are 3 before. */
+void fake_fleet_set_queue(fake_fleet *deployment, uint32_t queue,
+                          uint32_t attempts);
 /** Writes an entry among those of the workers, as another writer may. */
 void fake_fleet_put_entry(fake_fleet *deployment, const char *key,
                           const char *text);
@@ -317,6 +323,9 @@
 /** @return whether the store has a row for the job */
 bool fake_fleet_job_is_stored(const fake_fleet *deployment, const char *id);
 
+/** @return whether the store has a tombstone for the id, which is no job */
+bool fake_fleet_has_tombstone(const fake_fleet *deployment, const char *id);
+
 /** @return number of runs that workers of a zone have started */
 uint32_t fake_fleet_zone_starts(const fake_fleet *deployment, uint32_t zone);
 
