entry: a tombstone of unknown age is renewed by a further cancel

A store that does not tell its clock, or starts it anew, makes the age of a tombstone negative. It counted as new, so that a further cancel could have been answered shortly before the row was removed. test_cancel passes.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -449,7 +449,10 @@
 on_tombstone_read(struct request *request, const cs_job_spec *tombstone,
                   const cs_store_answer *answer)
 {
-    if (answer->now_ms - tombstone->tombstone_ms < TOMBSTONE_RENEWAL_AGE_MS)
+    int64_t age_ms = answer->now_ms - tombstone->tombstone_ms;
+
+    /* A negative age is not known. */
+    if (age_ms >= 0 && age_ms < TOMBSTONE_RENEWAL_AGE_MS)
         finish_with_type(request, CS_REPLY_NOT_FOUND);
     else
         write_tombstone(request, answer->rows[0].version, answer);
