fleet: log for whom a new holder waits, and until when

The holder now logs, 2 s after the takeover and each 5 s, how many tasks and workers wait, the former holder, and the remaining time.

--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -278,6 +278,7 @@
     int64_t older_until_us;   /* nor do the others after */
     bool read_pending;
     int64_t next_read_us;
+    int64_t next_log_us;
 };
 
 struct cs_fleet {
--- a/src/fleet/former_holder.c
+++ b/src/fleet/former_holder.c
@@ -8,6 +8,9 @@
 #include "corianderstair/members.h"
 
 #define READ_INTERVAL_US CS_SEC_US
+/* Workers that are reached at all answer a new holder within this time. */
+#define FIRST_WAIT_LOG_US (2 * CS_SEC_US)
+#define WAIT_LOG_INTERVAL_US (5 * CS_SEC_US)
 
 /* Returns the length of the VM's name in an incarnation, see
    cs_fleet_state_init(). */
@@ -57,6 +60,7 @@
 
     memset(former, 0, sizeof(*former));
     former->older_until_us = older_until_us;
+    former->next_log_us = fleet_now(fleet).boot_us + FIRST_WAIT_LOG_US;
     if (!*incarnation)
         return;
     g_strlcpy(former->incarnation, incarnation, sizeof(former->incarnation));
@@ -97,19 +101,53 @@
     note_end(fleet);
 }
 
-/* Returns whether tasks are on a worker that a former holder may order. */
-static bool
-has_unfenced_tasks(const cs_fleet *fleet)
+/* Tasks on workers that have not answered this holder, so that a former one
+   may still order them. */
+struct unfenced {
+    guint workers;
+    guint tasks;
+};
+
+static struct unfenced
+count_unfenced(const cs_fleet *fleet)
 {
+    struct unfenced count = {0};
     guint i;
 
     for (i = 0; i < fleet->worker_list->len; i++) {
         const struct worker *worker = g_ptr_array_index(fleet->worker_list, i);
 
-        if (!worker->fenced && worker->tasks->len > 0)
-            return true;
+        if (worker->fenced || worker->tasks->len == 0)
+            continue;
+        count.workers++;
+        count.tasks += worker->tasks->len;
     }
-    return false;
+    return count;
+}
+
+/* Logs what waits for former holders, for whom, and until when. */
+static void
+log_wait(cs_fleet *fleet, const struct unfenced *waiting, int64_t now_us)
+{
+    struct former_holder *former = &fleet->former;
+    int64_t end_us =
+        worker_lease_end_us(fleet, former_holder_extends_until_us(fleet));
+
+    if (now_us < former->next_log_us || now_us >= end_us)
+        return;
+    former->next_log_us = now_us + WAIT_LOG_INTERVAL_US;
+    cs_log_event(
+        "former-holder-wait",
+        "%u tasks on %u workers that have not answered, epoch %" PRIu64
+        ", former holder %s; its leases have ended in %" PRId64
+        " ms, those of earlier holders in %" PRId64 " ms",
+        waiting->tasks, waiting->workers, fleet->epoch,
+        former->incarnation[0] ? former->incarnation : "has ended",
+        (end_us - now_us) / CS_MS_US,
+        former->older_until_us
+            ? (worker_lease_end_us(fleet, former->older_until_us) - now_us) /
+                  CS_MS_US
+            : 0);
 }
 
 void
@@ -122,9 +160,13 @@
     cs_row_range range = {
         .table = CS_TABLE_MEMBERS, .part = "", .from = name, .limit = 1};
 
+    struct unfenced waiting = count_unfenced(fleet);
+
+    if (waiting.tasks == 0)
+        return;
+    log_wait(fleet, &waiting, now_us);
     if (!former->incarnation[0] || former->read_pending ||
-        now_us < former->next_read_us || now_us >= former->extends_until_us ||
-        !has_unfenced_tasks(fleet))
+        now_us < former->next_read_us || now_us >= former->extends_until_us)
         return;
     former->read_pending = true;
     former->next_read_us = now_us + READ_INTERVAL_US;
