fleet: a process whose tenure has ended writes so, and is waited for no longer

Cause: a worker that has not answered a new holder may still get its leases extended by the former one, for up to 15 s after its last renewal, and then for a lease. The former holder knows within milliseconds after it wakes, or is back from a cut, that it has lost the cell; it told nobody.

The row is written after the next read of the epoch row, which tells the store's clock, and again each 0.5 s until the store confirms it or nobody waits any more. A new holder reads the rows once a second while tasks wait for former holders.

Why no task runs twice: the row names a tenure, by the epoch that is held once and by the incarnation, so what it says of the past stays true whatever is carried out late, and says nothing of a later tenure of the same process. The ends of leases are those that the former holder has itself accounted for, on a clock 2% slow; each order names that end on the worker's clock, so orders that are still in a link, an executor or a worker, or are carried out seconds late, let no lease end later. Starts among them are refused as late.

--- a/include/corianderstair/job_progress.h
+++ b/include/corianderstair/job_progress.h
@@ -16,6 +16,7 @@
 #define CS_TABLE_JOBS "job"
 #define CS_TABLE_PROGRESS "progress"
 #define CS_TABLE_SPEEDS "speed"
+#define CS_TABLE_TENURES "tenure"
 
 /** Partition of the rows of the fleet's cell. */
 #define CS_CELL_PART "0"
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -109,6 +109,7 @@
     fleet->advice_pending = false;
     fleet->idle_heartbeats = 0;
     fleet->former.member_read_pending = false;
+    fleet->former.tenure_read_pending = false;
     fleet->headroom.used_accelerators = 0;
     fleet->starts_held = false;
     fleet->deferred_steps = 0;
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -283,7 +283,7 @@
     bool ended;            /* it is known to extend no further ones */
 };
 
-/* What the epoch row says of a former holder. */
+/* What the rows of the cell and of ended tenures say of a former holder. */
 struct former_record {
     char incarnation[96];  /* empty for an unknown one, or several */
     uint64_t epoch;        /* 0 if incarnation is empty */
@@ -295,10 +295,20 @@
     uint32_t count;
     uint32_t next_member; /* in list, whose VM's row is read next */
     bool member_read_pending;
+    bool tenure_read_pending;
     int64_t next_read_us;
     int64_t next_log_us;
 };
 
+/* The last ended tenure of this process, until it is in the store. */
+struct ended_tenure {
+    uint64_t epoch;        /* 0 for none */
+    int64_t leases_end_us; /* all leases that it has extended have ended */
+    int64_t expires_us;    /* no successor waits for it after */
+    int64_t next_write_us;
+    uint64_t written_epoch; /* in the write that is in flight; 0 for none */
+};
+
 struct cs_fleet {
     cs_fleet_state *state; /* of the process; borrowed */
     tenure_state tenure;
@@ -308,9 +318,11 @@
     uint64_t known_version; /* the highest of the store that an answer to this
                                tenure's reads and changes has shown */
     uint64_t last_ended_epoch; /* of this process's last ended tenure */
+    struct ended_tenure ended_tenure;
     /* Stand-by. */
     bool cell_read_pending;
     int64_t next_cell_read_us;
+    int64_t cell_read_sent_us;
     uint64_t lease_version;  /* last seen of the lease row */
     int64_t lease_change_us; /* when lease_version was first seen; 0 unknown */
     bool renewal_seen; /* the lease row has changed since the process began */
@@ -441,8 +453,8 @@
 /* Returns until when former holders extend leases, for builds that do not know
    them by name. */
 int64_t former_holder_extend_until_us(const cs_fleet *fleet);
-/* Packs the former holders into the epoch row; the store's clock shows
-   store_ms at now_us. */
+/* Packs the former holders into the epoch row. The store's clock has shown
+   store_ms at now_us or later. */
 void former_holder_encode(const cs_fleet *fleet, msgpack_packer *packer,
                           int64_t store_ms, int64_t now_us);
 /*
@@ -454,6 +466,19 @@
 /* Finds out which former holders have ended. */
 void former_holder_tick(cs_fleet *fleet);
 
+/* ended_tenure.c */
+/* Notes that this process's tenure ends, before its state is dropped. */
+void ended_tenure_note(cs_fleet *fleet);
+/*
+ * Writes the ended tenure to the store if it is not there yet.
+ * store_ms: the store's clock in the answer to a read
+ * read_sent_us: when that read was sent
+ */
+void ended_tenure_publish(cs_fleet *fleet, int64_t store_ms,
+                          int64_t read_sent_us);
+/* Reads the row of an ended tenure. Returns whether it is valid. */
+bool ended_tenure_decode(struct former_record *out, const cs_row *row);
+
 /* feeds.c */
 void feeds_init(cs_fleet *fleet);
 void feeds_tick(cs_fleet *fleet);
--- a/src/fleet/former_holder.c
+++ b/src/fleet/former_holder.c
@@ -3,9 +3,10 @@
  * the store, or was frozen, may not know that it has lost the cell and extend
  * leases of workers that have not answered its successor. Without further
  * knowledge it does so until EXTEND_WITHOUT_STORE_US after its last renewal.
- * The wait for it ends sooner once its VM is known to run a later process. The
- * epoch row carries the former holders over takeovers that follow one another,
- * each under its name, so that none is waited for after it has ended.
+ * The wait for it ends sooner once it has written that its tenure has ended,
+ * see ended_tenure.c, or its VM is known to run a later process. The epoch row
+ * carries the former holders over takeovers that follow one another, each
+ * under its name, so that none is waited for after it has ended.
  */
 #include "fleet_internal.h"
 #include "corianderstair/members.h"
@@ -178,6 +179,51 @@
         MAX(former->leases_end_us - fleet_now(fleet).boot_us, 0) / CS_MS_US);
 }
 
+/* Applies the row of an ended tenure. */
+static void
+apply_tenure_row(cs_fleet *fleet, const cs_row *row, int64_t store_ms)
+{
+    struct former_record record;
+    int64_t end_us;
+    uint32_t i;
+
+    if (!ended_tenure_decode(&record, row)) {
+        cs_log_event("tenure-unreadable", "row %.20s", row->key);
+        return;
+    }
+    end_us = fleet_now(fleet).boot_us +
+             (record.leases_end_ms - store_ms) * CS_MS_US;
+    for (i = 0; i < fleet->former.count; i++) {
+        struct former_holder *former = &fleet->former.list[i];
+
+        if (former->ended || former->epoch != record.epoch ||
+            strcmp(former->incarnation, record.incarnation) != 0)
+            continue;
+        former->leases_end_us = MIN(former->leases_end_us, end_us);
+        former->ended = true;
+        log_end(fleet, former, "it has written so");
+    }
+}
+
+static void
+on_tenure_rows(void *user_data, const cs_store_answer *answer)
+{
+    struct call *call = user_data;
+    cs_fleet *fleet = call->fleet;
+    bool stale = call_is_stale(call);
+    size_t i;
+
+    g_free(call);
+    if (stale)
+        return;
+    fleet->former.tenure_read_pending = false;
+    /* Without the store's clock the rows tell no time. */
+    if (answer->code || answer->now_ms <= 0)
+        return;
+    for (i = 0; i < answer->row_count; i++)
+        apply_tenure_row(fleet, &answer->rows[i], answer->now_ms);
+}
+
 static void
 on_member_row(void *user_data, const cs_store_answer *answer)
 {
@@ -238,10 +284,16 @@
     char name[sizeof(next->incarnation)];
     cs_row_range members = {
         .table = CS_TABLE_MEMBERS, .part = "", .from = name, .limit = 1};
+    cs_row_range tenures = {.table = CS_TABLE_TENURES, .part = CS_CELL_PART};
 
     former->next_read_us = now_us + READ_INTERVAL_US;
     if (!next)
         return;
+    if (!former->tenure_read_pending) {
+        former->tenure_read_pending = true;
+        store->read(store->self, &tenures, now_us + STORE_TIMEOUT_US,
+                    on_tenure_rows, call_create(fleet, NULL));
+    }
     if (!former->member_read_pending) {
         former->member_read_pending = true;
         g_strlcpy(name, next->incarnation, name_length(next->incarnation) + 1);
--- a/src/fleet/tenure.c
+++ b/src/fleet/tenure.c
@@ -152,7 +152,8 @@
     encode_lease(fleet, out);
 }
 
-/* Writes the epoch row; the store's clock shows store_ms at now_us. */
+/* Writes the epoch row. The store's clock has shown store_ms at now_us or
+   later. */
 static void
 encode_epoch(const cs_fleet *fleet, GByteArray *out, int64_t store_ms,
              int64_t now_us)
@@ -371,7 +372,7 @@
     fleet->acquire_sent_us = fleet_now(fleet).boot_us;
     fleet->store_clock_ms = rows->now_ms;
     note_former_holders(fleet, rows);
-    encode_epoch(fleet, epoch, rows->now_ms, fleet_now(fleet).boot_us);
+    encode_epoch(fleet, epoch, rows->now_ms, fleet->cell_read_sent_us);
     puts[0].value = epoch->data;
     puts[0].size_bytes = epoch->len;
     /* Also renews the lease, so that no other stand-by finds it expired. */
@@ -465,6 +466,7 @@
         begin_tenure(fleet, rows->epoch, rows->epoch_version);
         return;
     }
+    ended_tenure_publish(fleet, rows->now_ms, fleet->cell_read_sent_us);
     fleet->state->cell.epoch = rows->epoch;
     g_strlcpy(fleet->state->cell.holder, rows->holder,
               sizeof(fleet->state->cell.holder));
@@ -523,6 +525,7 @@
     if (fleet->cell_read_pending || now_us < fleet->next_cell_read_us)
         return;
     fleet->cell_read_pending = true;
+    fleet->cell_read_sent_us = now_us;
     fleet->next_cell_read_us =
         now_us + (cs_vm_is_candidate(&fleet->state->rank)
                       ? CELL_READ_INTERVAL_US
@@ -536,8 +539,12 @@
 {
     cs_log_event("cell-lost", "epoch %" PRIu64 ": %s", fleet->epoch, reason);
     fleet_increment_counter(fleet, "cs_cell_lost_total");
+    ended_tenure_note(fleet);
     fleet_reset(fleet);
     fleet->tenure = TENURE_FOLLOWING;
+    /* The next read tells the store's clock, which the row of the ended tenure
+       names. */
+    fleet->next_cell_read_us = 0;
     fleet->relayed_since_us = 0;
     /* A process that is stopping must not acquire the cell again. */
     fleet->release_requested = fleet->state->draining;
--- a/standins/fake_fleet.h
+++ b/standins/fake_fleet.h
@@ -34,6 +34,7 @@
                                         answered */
     double late_changes_share; /**< share of changes applied seconds later and
                             never answered */
+    double lost_changes_share; /**< share of changes that never arrive */
     bool workers_unreachable;  /**< orders to workers never arrive */
     bool peers_unreachable;    /**< messages from and to other VMs are lost */
     double late_orders_share;  /**< share of orders executed seconds later and
@@ -258,6 +259,13 @@
 /** Cuts or restores the network of a worker; its runs continue. */
 void fake_fleet_set_worker_disconnected(fake_fleet *deployment,
                                         uint32_t worker, bool cut);
+/**
+ * Cuts a worker off from the store, and from holders of a higher epoch than
+ * any that has ordered it so far, for a duration. The holder of that time
+ * reaches it, so that only it extends leases there.
+ */
+void fake_fleet_hide_worker(fake_fleet *deployment, uint32_t worker,
+                            int64_t us);
 /**
  * Starts a run on a worker by an order that no VM has sent, and lets the
  * worker list it at once.
--- a/standins/fake_fleet_store.c
+++ b/standins/fake_fleet_store.c
@@ -1037,7 +1037,9 @@
                                       call->vm->number % FAKE_ZONES,
                                       call->relay->number % FAKE_ZONES) &&
              !(faults->config_unanswered && call->table &&
-               strcmp(call->table, PLATFORM_CONFIG_TABLE) == 0)) {
+               strcmp(call->table, PLATFORM_CONFIG_TABLE) == 0) &&
+             !(writes &&
+               fake_random_bool(deployment, faults->lost_changes_share))) {
         if (writes &&
             fake_random_bool(deployment, faults->unanswered_changes_share))
             fake_schedule(deployment, at_us, execute_unanswered, call);
--- a/tests/test_former_holder.c
+++ b/tests/test_former_holder.c
@@ -127,6 +127,198 @@
                      CS_PROGRESS_COMPLETED);
 }
 
+/* Starts a job, freezes the holder, and loses workers. */
+static fake_fleet *
+create_with_frozen_holder(uint64_t seed, int64_t us)
+{
+    fake_fleet *deployment = create_small_deployment(seed);
+
+    start_job(deployment);
+    fake_fleet_freeze(deployment, (uint32_t)fake_fleet_holder(deployment), us);
+    lose_workers(deployment);
+    return deployment;
+}
+
+/*
+ * Guards against jobs that wait 21 s for tasks on workers that have gone while
+ * the holder stood still for 4 s: it knows after these that it was deposed.
+ */
+static void
+former_holder__one_that_wakes_is_not_waited_for(void **state)
+{
+    uint64_t seed;
+
+    for (seed = 1; seed <= 8; seed++) {
+        fake_fleet *deployment =
+            create_with_frozen_holder(seed, 4 * CS_SEC_US);
+        int64_t wakes_us = fake_fleet_now_us(deployment) + 4 * CS_SEC_US;
+
+        expect_restart(deployment, wakes_us, wakes_us + LEASE_US + NOTICE_US);
+        expect_job_completed(deployment);
+        fake_fleet_destroy(deployment);
+    }
+}
+
+/* Guards against the same wait for a holder whose zone was cut off. */
+static void
+former_holder__one_whose_zone_is_back_is_not_waited_for(void **state)
+{
+    uint64_t seed;
+
+    for (seed = 1; seed <= 8; seed++) {
+        fake_fleet *deployment = create_small_deployment(seed);
+        uint32_t zone = (uint32_t)fake_fleet_holder(deployment) % FAKE_ZONES;
+        int64_t back_us;
+
+        start_job(deployment);
+        fake_fleet_cut_zone(deployment, zone, true);
+        lose_workers(deployment);
+        fake_fleet_run(deployment, 5 * CS_SEC_US);
+        assert_int_equal(fake_fleet_start_count(deployment, JOB_ID),
+                         JOB_TASKS);
+        fake_fleet_cut_zone(deployment, zone, false);
+        back_us = fake_fleet_now_us(deployment);
+        /* It repeats its change to the store within a second. */
+        expect_restart(deployment, back_us,
+                       back_us + CS_SEC_US + LEASE_US + NOTICE_US);
+        expect_job_completed(deployment);
+        fake_fleet_destroy(deployment);
+    }
+}
+
+/* Guards against the same wait after two takeovers in a row, for the first of
+   two holders that both know that they were deposed. */
+static void
+former_holder__two_in_a_row_are_not_waited_for(void **state)
+{
+    uint64_t seed;
+
+    for (seed = 1; seed <= 8; seed++) {
+        fake_fleet *deployment =
+            create_with_frozen_holder(seed, 4 * CS_SEC_US);
+        uint32_t holder = run_to_takeover(deployment, 4, 1);
+        int64_t wakes_us = fake_fleet_now_us(deployment) + 4 * CS_SEC_US;
+
+        fake_fleet_freeze(deployment, holder, 4 * CS_SEC_US);
+        assert_int_not_equal(run_to_takeover(deployment, 4, 2), holder);
+        expect_restart(deployment, wakes_us, wakes_us + LEASE_US + NOTICE_US);
+        expect_job_completed(deployment);
+        fake_fleet_destroy(deployment);
+    }
+}
+
+/*
+ * Guards against a former holder that writes only once that its tenure has
+ * ended: its changes to the store are lost for 2 s, or carried out late, or
+ * the store refuses it and it reaches no peer.
+ */
+static void
+former_holder__row_is_written_until_the_store_confirms_it(void **state)
+{
+    const fake_vm_faults faults[] = {
+        {.lost_changes_share = 1},
+        {.late_changes_share = 1},
+        {.store_refuses = true, .peers_unreachable = true}};
+    const fake_vm_faults none = {0};
+    uint32_t i;
+
+    for (i = 0; i < G_N_ELEMENTS(faults); i++) {
+        fake_fleet *deployment = create_with_frozen_holder(1, 4 * CS_SEC_US);
+        int32_t holder = fake_fleet_holder(deployment);
+        int64_t end_us;
+
+        fake_fleet_run(deployment, 3900 * CS_MS_US);
+        fake_fleet_set_faults(deployment, holder, &faults[i]);
+        fake_fleet_run(deployment, 2100 * CS_MS_US);
+        fake_fleet_set_faults(deployment, holder, &none);
+        end_us = fake_fleet_now_us(deployment);
+        expect_restart(deployment, end_us,
+                       end_us + 2 * CS_SEC_US + LEASE_US + NOTICE_US);
+        expect_job_completed(deployment);
+        fake_fleet_destroy(deployment);
+    }
+}
+
+/*
+ * Guards against tasks that run twice because a former holder is taken for one
+ * that extends nothing: the leases that it has extended last, of workers that
+ * only it reached, have not ended when it learns that it was deposed.
+ */
+static void
+former_holder__its_last_leases_are_waited_for(void **state)
+{
+    uint64_t seed;
+
+    for (seed = 1; seed <= 12; seed++) {
+        /* Half of the deployments call their workers through executors. */
+        fake_fleet_settings settings = {.vms = 9,
+                                        .workers = 16,
+                                        .racks = 2,
+                                        .seed = seed,
+                                        .max_direct_workers = seed % 2 * 4,
+                                        .slow_clocks = true};
+        fake_fleet *deployment = create_deployment(&settings);
+        uint32_t zone = (uint32_t)fake_fleet_holder(deployment) % FAKE_ZONES;
+        uint32_t i;
+
+        start_job(deployment);
+        fake_fleet_cut_zone(deployment, zone, true);
+        fake_fleet_run(deployment, 9 * CS_SEC_US + (int64_t)seed * 83000);
+        for (i = zone; i < settings.workers; i += FAKE_ZONES)
+            fake_fleet_set_worker_disconnected(deployment, i, true);
+        fake_fleet_cut_zone(deployment, zone, false);
+        fake_fleet_run(deployment, 20 * CS_SEC_US);
+        for (i = zone; i < settings.workers; i += FAKE_ZONES)
+            fake_fleet_set_worker_disconnected(deployment, i, false);
+        expect_job_completed(deployment);
+        fake_fleet_destroy(deployment);
+    }
+}
+
+/* Kills all VMs but one, so that it acquires the cell. */
+static void
+let_acquire(fake_fleet *deployment, uint32_t vms, uint32_t vm)
+{
+    uint32_t i;
+
+    for (i = 0; i < vms; i++) {
+        if (i != vm)
+            fake_fleet_kill(deployment, i, 8 * CS_SEC_US);
+    }
+    fake_fleet_run(deployment, 12 * CS_SEC_US);
+    assert_int_equal(fake_fleet_holder(deployment), vm);
+}
+
+/*
+ * Guards against tasks that run twice because a process that holds the cell
+ * again, and is cut off with some workers, is taken for one that extends
+ * nothing: it had written so of its first tenure.
+ */
+static void
+former_holder__one_that_holds_the_cell_again_is_waited_for(void **state)
+{
+    uint64_t seed;
+
+    for (seed = 1; seed <= 4; seed++) {
+        fake_fleet_settings settings = {
+            .vms = 9, .workers = 16, .racks = 2, .seed = seed};
+        fake_fleet *deployment = create_deployment(&settings);
+        uint32_t vm = (uint32_t)fake_fleet_holder(deployment);
+
+        fake_fleet_freeze(deployment, vm, 4 * CS_SEC_US);
+        fake_fleet_run(deployment, 6 * CS_SEC_US);
+        assert_int_equal(fake_fleet_row_count(deployment, CS_TABLE_TENURES),
+                         1);
+        let_acquire(deployment, settings.vms, vm);
+        start_job(deployment);
+        fake_fleet_cut_zone(deployment, vm % FAKE_ZONES, true);
+        fake_fleet_run(deployment, 40 * CS_SEC_US);
+        fake_fleet_cut_zone(deployment, vm % FAKE_ZONES, false);
+        expect_job_completed(deployment);
+        fake_fleet_destroy(deployment);
+    }
+}
+
 /*
  * Guards against a wait of 21 s for the first of two holders in a row although
  * its VM runs a later process: only the last one was known by name.
@@ -209,6 +401,15 @@
 main(void)
 {
     const struct CMUnitTest tests[] = {
+        cmocka_unit_test(former_holder__one_that_wakes_is_not_waited_for),
+        cmocka_unit_test(
+            former_holder__one_whose_zone_is_back_is_not_waited_for),
+        cmocka_unit_test(former_holder__two_in_a_row_are_not_waited_for),
+        cmocka_unit_test(
+            former_holder__row_is_written_until_the_store_confirms_it),
+        cmocka_unit_test(former_holder__its_last_leases_are_waited_for),
+        cmocka_unit_test(
+            former_holder__one_that_holds_the_cell_again_is_waited_for),
         cmocka_unit_test(
             former_holder__earlier_ones_that_restart_are_not_waited_for),
         cmocka_unit_test(
