fleet: write the end of a tenure that never began

What callers saw: the same wait of 21 s, for a VM that had acquired the cell, was cut off from the answer and frozen, and never began its tenure.

Cause: such a process does not know that it has held the cell, so it had no tenure to end. It now remembers the epoch whose write got no answer. When the epoch row shows a higher one, it cannot begin that tenure any more (last_ended_epoch), and writes that it has ended, with no leases.

--- a/src/fleet/ended_tenure.c
+++ b/src/fleet/ended_tenure.c
@@ -46,6 +46,12 @@
     note(fleet, fleet->epoch, end_us);
 }
 
+void
+ended_tenure_note_unbegun(cs_fleet *fleet, uint64_t epoch)
+{
+    note(fleet, epoch, fleet_now(fleet).boot_us);
+}
+
 static void
 on_written(void *user_data, const cs_store_answer *answer)
 {
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -318,6 +318,8 @@
     uint64_t known_version; /* the highest of the store that an answer to this
                                tenure's reads and changes has shown */
     uint64_t last_ended_epoch; /* of this process's last ended tenure */
+    uint64_t unsure_epoch; /* that this process may have acquired: the write
+                              got no answer; 0 for none */
     struct ended_tenure ended_tenure;
     /* Stand-by. */
     bool cell_read_pending;
@@ -469,6 +471,9 @@
 /* ended_tenure.c */
 /* Notes that this process's tenure ends, before its state is dropped. */
 void ended_tenure_note(cs_fleet *fleet);
+/* Notes that this process will not begin a tenure that it may have acquired.
+ */
+void ended_tenure_note_unbegun(cs_fleet *fleet, uint64_t epoch);
 /*
  * Writes the ended tenure to the store if it is not there yet.
  * store_ms: the store's clock in the answer to a read
--- a/src/fleet/tenure.c
+++ b/src/fleet/tenure.c
@@ -285,6 +285,7 @@
 
     fleet_reset(fleet);
     fleet->tenure = TENURE_LOADING;
+    fleet->unsure_epoch = 0;
     fleet->epoch = epoch;
     fleet->epoch_version = version;
     fleet->next_renewal_us = 0;
@@ -311,6 +312,8 @@
     cs_log_event("cell-not-taken", "epoch %" PRIu64 ": %s", epoch,
                  cs_error_name(answer->code));
     fleet->tenure = TENURE_FOLLOWING;
+    if (answer->code == CS_E_OUTCOME_UNKNOWN)
+        fleet->unsure_epoch = epoch;
 }
 
 /* Notes who may still extend leases. */
@@ -454,6 +457,22 @@
     return fleet->rank_known_us != 0;
 }
 
+/* Handles rows by which an epoch that this process may have acquired is that
+   of another one, or is over. */
+static void
+settle_unsure_epoch(cs_fleet *fleet, const struct cell_rows *rows)
+{
+    uint64_t epoch = fleet->unsure_epoch;
+
+    if (!epoch || rows->epoch < epoch)
+        return;
+    fleet->unsure_epoch = 0;
+    if (rows->epoch == epoch)
+        return;
+    fleet->last_ended_epoch = MAX(fleet->last_ended_epoch, epoch);
+    ended_tenure_note_unbegun(fleet, epoch);
+}
+
 static void
 consider_takeover(cs_fleet *fleet, const struct cell_rows *rows)
 {
@@ -466,6 +485,7 @@
         begin_tenure(fleet, rows->epoch, rows->epoch_version);
         return;
     }
+    settle_unsure_epoch(fleet, rows);
     ended_tenure_publish(fleet, rows->now_ms, fleet->cell_read_sent_us);
     fleet->state->cell.epoch = rows->epoch;
     g_strlcpy(fleet->state->cell.holder, rows->holder,
--- a/tests/test_former_holder.c
+++ b/tests/test_former_holder.c
@@ -239,6 +239,37 @@
     }
 }
 
+/*
+ * Guards against a wait of 21 s for a VM that has acquired the cell without
+ * knowing it, as the answer to its write was lost, and was then frozen: it
+ * never began its tenure.
+ */
+static void
+former_holder__one_that_never_began_is_not_waited_for(void **state)
+{
+    fake_fleet *deployment = create_with_frozen_holder(1, 4 * CS_SEC_US);
+    fake_vm_faults faults = {.unanswered_changes_share = 1};
+    uint32_t second = run_to_takeover(deployment, 4, 1);
+    int64_t wakes_us;
+
+    /* Plays the same again, now with a lost answer. */
+    fake_fleet_destroy(deployment);
+    deployment = create_with_frozen_holder(1, 4 * CS_SEC_US);
+    fake_fleet_set_faults(deployment, (int32_t)second, &faults);
+    assert_int_equal(run_to_takeover(deployment, 4, 1), second);
+    assert_int_equal(fake_fleet_epoch(deployment, second), 1);
+    fake_fleet_freeze(deployment, second, 4 * CS_SEC_US);
+    wakes_us = fake_fleet_now_us(deployment) + 4 * CS_SEC_US;
+    faults.unanswered_changes_share = 0;
+    fake_fleet_set_faults(deployment, (int32_t)second, &faults);
+    assert_int_not_equal(run_to_takeover(deployment, 4, 2), second);
+    expect_restart(deployment, wakes_us, wakes_us + LEASE_US + NOTICE_US);
+    assert_int_equal(
+        fake_fleet_counter(deployment, second, "cs_cell_taken_total"), 0);
+    expect_job_completed(deployment);
+    fake_fleet_destroy(deployment);
+}
+
 /*
  * Guards against tasks that run twice because a former holder is taken for one
  * that extends nothing: the leases that it has extended last, of workers that
@@ -407,6 +438,8 @@
         cmocka_unit_test(former_holder__two_in_a_row_are_not_waited_for),
         cmocka_unit_test(
             former_holder__row_is_written_until_the_store_confirms_it),
+        cmocka_unit_test(
+            former_holder__one_that_never_began_is_not_waited_for),
         cmocka_unit_test(former_holder__its_last_leases_are_waited_for),
         cmocka_unit_test(
             former_holder__one_that_holds_the_cell_again_is_waited_for),
