soak: workers that only the former holder reaches

The stand-in can hide a worker from holders of higher epochs than it knows, and from the store, for a while. process-soak plays this for 5 to 40 of 100 workers, for 3 to 40 s, and lets one to three holders freeze or die in a row meanwhile (hide_workers).

--- a/scripts/soak/disturbances.py
+++ b/scripts/soak/disturbances.py
@@ -53,6 +53,7 @@
         "unanswered_orders": 4, "slow_orders": 4,
         "late_changes": 3, "unanswered_changes": 3, "store_outage": 2,
         "slow_store": 2, "crash_workers": 3, "expire_entries": 1,
+        "hide_workers": 4,
     }
 
     def __init__(self, deployment, options):
@@ -339,3 +340,17 @@
     def expire_entries(self):
         for _ in range(self.rng.randint(1, max(1, self.workers // 10))):
             self.control(expire_entry=self.rng.randrange(self.workers))
+
+    def hide_workers(self):
+        """Cuts workers off from the successors of the holder, which it reaches
+        on, and lets several holders fall: frozen ones extend leases once more
+        when they go on."""
+        for worker in self.rng.sample(range(self.workers), max(
+                1, int(self.workers * self.rng.uniform(0.05, 0.4)))):
+            self.control(hide_worker=worker,
+                         hidden_ms=self.rng.randint(3000, 40000))
+        at = 0
+        for _ in range(self.rng.randint(1, 3)):
+            self.after(at, self.freeze_holder if self.rng.random() < 0.7
+                       else self.kill_holder)
+            at += self.rng.uniform(1.8, 6)
--- a/scripts/soak/record.py
+++ b/scripts/soak/record.py
@@ -5,7 +5,8 @@
 import re
 
 CELL_EVENTS = ("cell-taken", "cell-loaded", "cell-lost", "cell-offered",
-               "former-holder-ended")
+               "former-holder-ended", "former-holder-wait", "tenure-written",
+               "tasks-lost")
 # Lines about the cell and the VMs within this time of a line of the task.
 AROUND_US = 20_000_000
 MAX_LINES = 400
--- a/standins/fake_fleet.c
+++ b/standins/fake_fleet.c
@@ -304,6 +304,7 @@
     struct fake_fleet_worker *worker = user_data;
 
     if (worker->up && !worker->disconnected &&
+        worker->deployment->now_us >= worker->hidden_until_us &&
         !worker->deployment->zone_cut[fake_worker_zone(worker)]) {
         worker->silent_intervals = 0;
         fake_fleet_worker_publish(worker);
@@ -816,6 +817,12 @@
                       deployment->workers[number].id);
 }
 
+void
+fake_fleet_hide_worker(fake_fleet *deployment, uint32_t number, int64_t us)
+{
+    deployment->workers[number].hidden_until_us = deployment->now_us + us;
+}
+
 bool
 fake_vm_is_frozen(const struct fake_vm *vm)
 {
--- a/standins/fake_fleet_control.c
+++ b/standins/fake_fleet_control.c
@@ -72,6 +72,10 @@
         fake_fleet_crash_worker(
             deployment, worker,
             json_integer_value(json_object_get(body, "down_ms")) * CS_MS_US);
+    if (get_worker(&worker, deployment, body, "hide_worker"))
+        fake_fleet_hide_worker(
+            deployment, worker,
+            json_integer_value(json_object_get(body, "hidden_ms")) * CS_MS_US);
 }
 
 static void
--- a/standins/fake_fleet_http.h
+++ b/standins/fake_fleet_http.h
@@ -42,6 +42,8 @@
  * - expire_entry: number of a worker whose entry is deleted once
  * - crash_worker, down_ms: number of a worker that crashes, and when it
  *   returns under the same address and id
+ * - hide_worker, hidden_ms: number of a worker, and for how long only the
+ *   holders that it knows reach it, see fake_fleet_hide_worker()
  */
 void fake_fleet_http_control(fake_fleet *deployment, cs_http_request *request);
 
--- a/standins/fake_fleet_internal.h
+++ b/standins/fake_fleet_internal.h
@@ -89,10 +89,11 @@
     char address[32];
     uint64_t incarnation_ms; /* wall clock at the start of the process */
     int64_t started_us;
-    double clock_rate;      /* of its steady clock, which counts its lease */
-    uint64_t highest_epoch; /* orders with a lower epoch are refused */
-    uint64_t next_sequence; /* of struct fake_ended_run */
-    int64_t lease_end_us;   /* 0 without a lease */
+    double clock_rate;       /* of its steady clock, which counts its lease */
+    uint64_t highest_epoch;  /* orders with a lower epoch are refused */
+    int64_t hidden_until_us; /* orders with a higher one are lost before */
+    uint64_t next_sequence;  /* of struct fake_ended_run */
+    int64_t lease_end_us;    /* 0 without a lease */
     bool up;
     bool disconnected;
     bool draining;
--- a/standins/fake_fleet_worker.c
+++ b/standins/fake_fleet_worker.c
@@ -739,7 +739,9 @@
     const fake_fleet *deployment = order->deployment;
     struct fake_fleet_worker *worker = find_order_worker(order);
 
-    if (!worker || !is_connected(order, worker))
+    if (!worker || !is_connected(order, worker) ||
+        (order->epoch > worker->highest_epoch &&
+         deployment->now_us < worker->hidden_until_us))
         return;
     /* An order is lost if its worker has restarted since it was sent. */
     if (worker->up && order->incarnation_ms &&
