fleet: say where the intervals of ended tenures come from

Comments only: the intervals of reads and writes, what happens beyond eight former holders, and a member's comment that was not a sentence.

--- a/src/fleet/ended_tenure.c
+++ b/src/fleet/ended_tenure.c
@@ -15,6 +15,7 @@
 /* Tenures share this number of rows, so that none need be removed. More than
    FORMER_HOLDERS_MAX, which are all that a successor looks for. */
 #define ROWS 16
+/* Between attempts: two within the interval in which a successor reads. */
 #define WRITE_INTERVAL_US (500 * CS_MS_US)
 #define KEY_BYTES 12
 #define RECORD_VERSION 1
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -271,7 +271,8 @@
                                   applied; 0 unknown */
 };
 
-/* Maximum number of former holders that a holder distinguishes. */
+/* Maximum number of former holders that a holder distinguishes. More takeovers
+   than these within the longest wait make the oldest two one unknown one. */
 #define FORMER_HOLDERS_MAX 8
 
 /* A process that has held the cell before. It may not know that it has lost
@@ -303,7 +304,7 @@
 /* The last ended tenure of this process, until it is in the store. */
 struct ended_tenure {
     uint64_t epoch;        /* 0 for none */
-    int64_t leases_end_us; /* all leases that it has extended have ended */
+    int64_t leases_end_us; /* its leases have ended by then */
     int64_t expires_us;    /* no successor waits for it after */
     int64_t next_write_us;
     uint64_t written_epoch; /* in the write that is in flight; 0 for none */
--- a/src/fleet/former_holder.c
+++ b/src/fleet/former_holder.c
@@ -12,6 +12,8 @@
 #include "corianderstair/members.h"
 #include "corianderstair/record.h"
 
+/* Of the rows that tell whether former holders have ended. It lengthens a wait
+   of one lease by a sixth at most, with leases of 6 s. */
 #define READ_INTERVAL_US CS_SEC_US
 /* Workers that are reached at all answer a new holder within this time. */
 #define FIRST_WAIT_LOG_US (2 * CS_SEC_US)
