Review: a guarantee is not kept against work that lasts

A job of another tenant whose subtasks last takes all runners that are idle. A job of priority 0 within its tenant's guarantee is then accepted and never begins, as work that lasts is never stopped.

--- a/review/lib-3/deployment.py
+++ b/review/lib-3/deployment.py
@@ -37,6 +37,7 @@
 STORE_S = 0.004
 HOST = "n.example"
 KEY = "d4a3hwrr6x73d3zji9n7"
+OTHER_KEY = "3hh2b9wu3fexd9dnn2ct"
 ZONES = ("palermo", "catania", "trapani")
 STATUS_TEXTS = {200: "OK", 400: "Bad Request", 403: "Forbidden",
                 404: "Not Found", 409: "Conflict", 410: "Gone",
@@ -549,7 +550,9 @@
             "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262144,
                        "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
             "tenants": [{"name": "kaje80", "apiKeys": [KEY], "priority": 1,
-                         "guaranteed": {"gpu": 72}}]})
+                         "guaranteed": {"gpu": 72}},
+                        {"name": "vuro17", "apiKeys": [OTHER_KEY],
+                         "priority": 1, "guaranteed": {"gpu": 72}}]})
 
     async def start(self):
         self.store = Store()
@@ -606,7 +609,8 @@
                          "%s" % (task, run, what, runner.id, life.number,
                                  detail))
 
-    async def call(self, vm, method, path, body=None, timeout_s=3.0):
+    async def call(self, vm, method, path, body=None, timeout_s=3.0,
+                   key=KEY):
         """Returns the status and the object, or None without an answer."""
         text = json.dumps(body).encode() if body is not None else b""
         sent = self.record.now()
@@ -622,7 +626,7 @@
                 "%s %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Token %s\r\n"
                 "X-Deadline-Ms: %d\r\nContent-Type: application/json\r\n"
                 "Content-Length: %d\r\nConnection: close\r\n\r\n" %
-                (method, path, HOST, KEY, int(timeout_s * 1000),
+                (method, path, HOST, key, int(timeout_s * 1000),
                  len(text))).encode() + text)
             message = await asyncio.wait_for(read_message(reader), timeout_s)
         except (OSError, asyncio.TimeoutError):
@@ -642,13 +646,14 @@
             return status, None
 
     async def submit(self, vm, job_id, steps, work, spec="text",
-                     prefix="/pule252/"):
+                     prefix="/pule252/", key=KEY):
         """Hands a job in as a client does, until it is accepted; work(task)
         returns the step, the seconds of work and how a run ends."""
         self.jobs[job_id] = work
         body = {"spec": spec, "steps": steps}
         for i in range(40):
-            answer = await self.call(vm, "POST", prefix + job_id, body)
+            answer = await self.call(vm, "POST", prefix + job_id, body,
+                                     key=key)
             if answer and answer[0] == 200:
                 return True
             await asyncio.sleep(0.25)
