Review: ports of the stand-ins that nothing else takes

The ports of the machines came from those that the kernel gives to connections, and were free for others until a machine listened. They are now chosen below that range, none twice in a deployment.

--- a/review/12/case.py
+++ b/review/12/case.py
@@ -66,6 +66,7 @@
     if trouble:
         if not held or \
                 case.open_runs(TASK)[0][1] == held["runner"].id:
+            case.record.line("the subtask went to the same runner again")
             return None
         await asyncio.sleep(DOWN_AFTER_S)
         held["runner"].crash()
--- a/review/lib-3/deployment.py
+++ b/review/lib-3/deployment.py
@@ -9,6 +9,7 @@
 import base64
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -455,13 +456,22 @@
         return answer if self.life is life else None
 
 
-def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind(("127.0.0.1", 0))
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
+def free_ports(count, taken):
+    """Returns ports that are free and not yet in taken, and adds them to it.
+    They lie below those that the kernel gives to connections, which could
+    otherwise take one before its VM listens on it."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(15000, 32000)
+        if port in taken:
+            continue
+        with socket.socket() as test:
+            try:
+                test.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        taken.add(port)
+        ports.append(port)
     return ports
 
 
@@ -472,7 +482,8 @@
         self.deployment = deployment
         self.zone = ZONES[number % len(ZONES)]
         self.name = "front-%s-%d" % (self.zone, number // len(ZONES) + 1)
-        self.front, self.ready, self.control, self.link = free_ports(4)
+        self.front, self.ready, self.control, self.link = free_ports(
+            4, deployment.ports)
         self.process = None
         self.store_port = 0
 
@@ -517,6 +528,11 @@
         self.deployment.record.line("VM %s started, process %d" %
                                     (self.name, self.process.pid))
 
+    def last_words(self):
+        path = os.path.join(self.deployment.folder, self.name + ".log")
+        with open(path, "rb") as file:
+            return file.read()[-200:].decode("utf-8", "replace").strip()
+
     def signal(self, number):
         if self.process and self.process.returncode is None:
             self.deployment.record.line("VM %s gets %s" % (
@@ -535,6 +551,7 @@
         self.runner_count = runner_count
         self.vms = []
         self.runners = []
+        self.ports = set()  # of the VMs
         self.jobs = {}
         self.events = []  # (time, what, task, run, runner, lifetime, detail)
         self.version = 0
@@ -749,6 +766,10 @@
         try:
             await deployment.start()
             if not await deployment.wait_ready():
+                for vm in deployment.vms:
+                    if vm.process.returncode is not None:
+                        deployment.record.line("VM %s has ended with %d: %s" % (
+                            vm.name, vm.process.returncode, vm.last_words()))
                 deployment.record.line("not ready")
                 return None
             return await asyncio.wait_for(case(deployment, trouble), limit_s)
