Stand-ins: a worker that crashes breaks its connections

Cause: the fake worker answered the heartbeats that waited for an end as it crashed, with the ends of its runs as lapsed. A process that has crashed answers nothing; its connections are reset, so that the caller knows at once and without a list.

Change: pending heartbeats to it end without an answer.

--- a/standins/fake_fleet.c
+++ b/standins/fake_fleet.c
@@ -788,6 +788,7 @@
     fake_observe(deployment, "worker-crashed", "worker %s", worker->id);
     fake_fleet_worker_lose_results(worker);
     worker->up = false;
+    fake_fleet_worker_cut_connections(worker);
     fake_fleet_worker_lapse_runs(worker);
     fake_schedule(deployment, deployment->now_us + down_us, restart_worker,
                   worker);
--- a/standins/fake_fleet_internal.h
+++ b/standins/fake_fleet_internal.h
@@ -259,6 +259,8 @@
 void fake_fleet_worker_publish(struct fake_fleet_worker *worker);
 /* Ends every run of the worker as lapsed, with the rest of its gang. */
 void fake_fleet_worker_lapse_runs(struct fake_fleet_worker *worker);
+/* Breaks the connections of the heartbeats that wait for an end. */
+void fake_fleet_worker_cut_connections(struct fake_fleet_worker *worker);
 /* Marks the unacknowledged results of the worker as lost, for the checker. */
 void fake_fleet_worker_lose_results(struct fake_fleet_worker *worker);
 
--- a/standins/fake_fleet_worker.c
+++ b/standins/fake_fleet_worker.c
@@ -295,6 +295,19 @@
     }
 }
 
+void
+fake_fleet_worker_cut_connections(struct fake_fleet_worker *worker)
+{
+    while (worker->waiting_heartbeats->len > 0) {
+        struct order *order = g_ptr_array_index(worker->waiting_heartbeats, 0);
+
+        g_ptr_array_remove_index(worker->waiting_heartbeats, 0);
+        order->is_waiting = false;
+        if (is_connected(order, worker))
+            send_code(order, CS_E_OUTCOME_UNKNOWN, CS_REFUSED_OTHER);
+    }
+}
+
 static void
 end_run(struct fake_fleet_worker *worker, struct fake_run *run,
         cs_run_outcome outcome)
