fleet: no other run beside a start that a worker may carry out late

Its first start had got no answer, was stopped on its worker and the task started elsewhere; the worker crashed, came back under its id, and the start was the first order that its new incarnation got.

Cause: the stop binds the incarnation that has answered it. The holder told the next one to refuse the start only once it knew of it, and a worker without tasks got no heartbeats, so that its end was not noticed. A successor knew nothing of such starts.

Change: the worker of a start without an answer is watched by heartbeats for as long as orders are known to be late. When it may have ended (another incarnation, or two failed heartbeats in a row) the task's run elsewhere is stopped, a gang as a whole; until the worker's incarnation refuses the start again, or its time has passed, the task is not placed and a recorded start is withheld. The record of the job names such starts with worker, incarnation and expiry on the store's clock; former builds ignore the item.

Why it works: a crash breaks the connection of the pending heartbeat, and the stop elsewhere takes 0.9 s at most, less than a worker needs to come back. A start that is listed has been carried out, and is no longer watched.

--- a/include/corianderstair/job_progress.h
+++ b/include/corianderstair/job_progress.h
@@ -60,6 +60,23 @@
                               owned */
 } cs_task_progress;
 
+/** Upper bound of the record of a cs_unsettled_start: an array of six integers
+    and a worker's id. */
+#define CS_UNSETTLED_START_BYTES_MAX 288
+
+/** A start that got no answer and may yet be carried out, by an incarnation of
+    its worker that does not refuse it. */
+typedef struct {
+    uint32_t occurrence; /**< of its task, as in cs_task_progress */
+    uint32_t step;
+    uint32_t index;
+    uint32_t run;
+    char *worker;            /**< that it was sent to; owned */
+    uint64_t incarnation_ms; /**< of the worker, that refuses the start */
+    int64_t expires_ms; /**< the store's clock; carried out by then if at all
+                         */
+} cs_unsettled_start;
+
 /**
  * A row with the progress of a job. The first row of a job has its id as key;
  * further ones, with more tasks, are named ID.1, ID.2 and so on, and their
@@ -71,6 +88,8 @@
     uint32_t row_tasks; /**< tasks of the job in each of its rows; 0: all of
                              them are in the first one */
     GArray *tasks; /**< of cs_task_progress; NULL if only the state was read */
+    GArray *unsettled; /**< of cs_unsettled_start, of the row's tasks; NULL as
+                            tasks */
 } cs_job_progress;
 
 /** Initializes the progress of a queued job without tasks. */
@@ -82,6 +101,10 @@
 void cs_job_progress_add(cs_job_progress *progress,
                          const cs_task_progress *task);
 
+/** Appends an unsettled start; its string is copied. */
+void cs_job_progress_add_unsettled(cs_job_progress *progress,
+                                   const cs_unsettled_start *start);
+
 /** @return whether a state is final */
 bool cs_progress_is_final(cs_progress_state state);
 
--- a/src/fleet/commit.c
+++ b/src/fleet/commit.c
@@ -315,7 +315,10 @@
     cs_counters_observe_ms(fleet->state->counters, "cs_commit_ms",
                            (fleet_now(fleet).boot_us - sent_us) / CS_MS_US);
     if (answer->code == 0) {
-        fleet->store_clock_ms = MAX(fleet->store_clock_ms, answer->now_ms);
+        if (answer->now_ms > fleet->store_clock_ms) {
+            fleet->store_clock_ms = answer->now_ms;
+            fleet->store_clock_read_us = fleet_now(fleet).boot_us;
+        }
         fleet->known_version = MAX(fleet->known_version, answer->version);
         complete_commit(fleet, answer->version);
         return;
--- a/src/fleet/cycle.c
+++ b/src/fleet/cycle.c
@@ -392,6 +392,7 @@
         g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
     build_cell(&cycle);
     held = unwanted_hold_tasks(fleet);
+    unsettled_hold_tasks(fleet, held);
     cycle_collect_candidates(&cycle);
     apply_reservations(&cycle);
     for (i = 0; i < cycle.candidates->len; i++)
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -12,6 +12,13 @@
     return cs_fleet_state_now(fleet->state);
 }
 
+int64_t
+fleet_store_clock_ms(const cs_fleet *fleet)
+{
+    return fleet->store_clock_ms +
+           (fleet_now(fleet).boot_us - fleet->store_clock_read_us) / CS_MS_US;
+}
+
 void
 fleet_increment_counter(const cs_fleet *fleet, const char *name)
 {
@@ -59,6 +66,7 @@
     fleet->queue_run_times =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     fleet->unwanted_tasks = unwanted_tasks_create();
+    fleet->unsettled_starts = unsettled_starts_create();
     fleet->stored_speeds =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     fleet->reserve = reserve_create();
@@ -91,6 +99,7 @@
     g_hash_table_destroy(fleet->queue_run_times);
     g_hash_table_destroy(fleet->stored_speeds);
     g_hash_table_destroy(fleet->unwanted_tasks);
+    g_hash_table_destroy(fleet->unsettled_starts);
     reserve_free(fleet->reserve);
     tombstones_free(fleet->tombstones);
 }
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -31,6 +31,13 @@
 #define STORE_TIMEOUT_US (900 * CS_MS_US)
 /* Maximum duration of an order to a worker. */
 #define ORDER_TIMEOUT_US (900 * CS_MS_US)
+/* Timeout of a heartbeat, counted from the end of the delay that it allows. */
+#define HEARTBEAT_TIMEOUT_US (700 * CS_MS_US)
+/* The same delay while starts on the worker are unsettled, so that a worker
+   that falls silent is noticed within 2.4 s: a stop takes up to 0.9 s more,
+   and workers are known to be silent for 3.6 s or longer when they start anew.
+ */
+#define UNSETTLED_WATCH_WAIT_MS 1000
 /* A holder extends leases, and starts tasks, for this long at most after it
    has sent the last renewal of its own lease that the store has confirmed. Its
    successor relies on that. */
@@ -118,7 +125,8 @@
                                 and by shorter pauses */
     int64_t quarantine_us;   /* length of the last quarantine; 0 none */
     cs_speed speed;          /* learned */
-    GArray *unsettled;       /* of struct unsettled_start */
+    uint32_t watched_starts; /* of struct unsettled_start, which may be carried
+                                out yet */
     GPtrArray *tasks;        /* of struct task, placed on the worker */
     GArray *unwanted_runs;   /* of struct unwanted_run */
     /* The names are last: a cycle reads all of the others of each worker. */
@@ -344,9 +352,10 @@
     int64_t loaded_us;       /* when the tenure had read all rows */
     struct former_holders former;
     uint64_t renewal_serial;
-    int64_t store_clock_ms;   /* the store's clock in its last answer */
-    GHashTable *jobs;         /* id to struct job; owns them */
-    GPtrArray *active_jobs;   /* of struct job that are not final */
+    int64_t store_clock_ms;      /* the store's clock in its last answer */
+    int64_t store_clock_read_us; /* when store_clock_ms was read */
+    GHashTable *jobs;            /* id to struct job; owns them */
+    GPtrArray *active_jobs;      /* of struct job that are not final */
     GPtrArray *final_jobs;    /* of struct job, in the order of their ends */
     GHashTable *workers;      /* id to struct worker; owns them */
     GPtrArray *worker_list;   /* of struct worker, by index */
@@ -355,7 +364,9 @@
     GHashTable *queue_run_times; /* queue name to struct queue_run_time */
     GHashTable *unwanted_tasks;  /* name to struct unwanted_task, of tasks with
                                     a struct unwanted_run on any worker */
-    GQueue dirty_rows;           /* of struct progress_row, to be written */
+    GHashTable *unsettled_starts; /* task name to GArray of struct
+                                     unsettled_start */
+    GQueue dirty_rows;            /* of struct progress_row, to be written */
     GQueue expired_jobs; /* of struct job, whose job row is to be removed */
     GQueue expired_progress; /* of struct job, whose job row was removed and
                                 whose progress rows are to be */
@@ -423,6 +434,9 @@
 
 /* fleet.c */
 cs_now fleet_now(const cs_fleet *fleet);
+/* Returns the store's clock, or an earlier time by as much as its last answer
+   took. */
+int64_t fleet_store_clock_ms(const cs_fleet *fleet);
 void fleet_increment_counter(const cs_fleet *fleet, const char *name);
 /* Drops all state of the tenure; answers still in flight become stale. */
 void fleet_reset(cs_fleet *fleet);
@@ -680,13 +694,33 @@
                    uint32_t run);
 
 /* unsettled.c */
-GArray *unsettled_starts_create(void);
+GHashTable *unsettled_starts_create(void);
 /* Notes the call of a start that has got no answer. */
 void unsettled_note(const struct call *call);
+/* Notes that a former holder may have sent the start of an adopted task, which
+   the worker has not listed. */
+void unsettled_note_adopted(cs_fleet *fleet, const struct task *task);
 /* Notes that a stop has succeeded, after which the start is refused. */
 void unsettled_settle(const struct call *call);
-/* Stops such runs on a worker that is another incarnation. */
-void unsettled_tick(cs_fleet *fleet, struct worker *worker, int64_t now_us);
+/* Notes that a start was carried out: an order is so once at most. */
+void unsettled_end(cs_fleet *fleet, const struct worker *worker,
+                   const char *name, uint32_t run);
+/* Returns whether a start of the task may be carried out by an incarnation
+   that would not refuse it, on another worker than that of the task. */
+bool unsettled_holds(const cs_fleet *fleet, const struct task *task);
+/* Holds such waiting tasks as unwanted_hold_tasks() does, and adds them to
+   held. */
+void unsettled_hold_tasks(cs_fleet *fleet, GPtrArray *held);
+/* Stops the other runs of such tasks, and tells other incarnations to refuse
+   their starts. */
+void unsettled_tick(cs_fleet *fleet);
+/* Adds the unsettled starts of a task to a record, and takes their size off
+   the bytes that are available there. */
+void unsettled_add_to_record(const cs_fleet *fleet, const struct task *task,
+                             cs_job_progress *progress, size_t *available);
+/* Restores one from the record of a former holder. */
+void unsettled_restore(cs_fleet *fleet, const char *job_id,
+                       const cs_unsettled_start *record);
 
 /* unwanted.c */
 GHashTable *unwanted_tasks_create(void);
--- a/src/fleet/heartbeat.c
+++ b/src/fleet/heartbeat.c
@@ -9,12 +9,13 @@
 
 /* A worker delays its answer for up to this long. */
 #define HEARTBEAT_WAIT_MS 2000
-/* Timeout of a heartbeat, counted from the end of that delay. */
-#define ANSWER_TIMEOUT_US (700 * CS_MS_US)
 /* Pause after a failed heartbeat to a worker with tasks. */
 #define RETRY_US (300 * CS_MS_US)
 /* The same for a worker without tasks, which is less urgent. */
 #define RETRY_IDLE_US (1000 * CS_MS_US)
+/* The same for a watched one, whose next incarnation is to be told soon which
+   starts it must refuse. The first failed heartbeat is repeated at once. */
+#define RETRY_WATCHED_US (100 * CS_MS_US)
 /* Between heartbeats to a worker whose ends are not recorded yet. */
 #define UNRECORDED_PAUSE_US (1000 * CS_MS_US)
 #define EXTEND_INTERVAL_US (2 * CS_SEC_US)
@@ -28,12 +29,20 @@
 #define OPEN_CONNECTIONS_SHARE_MAX 0.5
 #define WORKER_CONNECTIONS 4
 
+/* Returns whether it matters that the worker ends: a start there may be
+   carried out yet, by its next incarnation. */
+static bool
+is_watched(const struct worker *worker)
+{
+    return worker->watched_starts > 0;
+}
+
 static bool
 needs_heartbeat(const struct worker *worker)
 {
     if (!worker->address[0])
         return false;
-    if (worker->tasks->len > 0)
+    if (worker->tasks->len > 0 || is_watched(worker))
         return true;
     if (!worker->listed)
         return false;
@@ -59,6 +68,9 @@
 {
     struct task *task = job_find_task(fleet, end->task);
 
+    /* The stop of a run that was not there may be listed as well. */
+    if (end->outcome != CS_OUTCOME_STOPPED)
+        unsettled_end(fleet, worker, end->task, end->run);
     if (!task)
         return;
     if (end->run > task->run)
@@ -110,6 +122,7 @@
 {
     struct task *task = job_find_task(fleet, run->task);
 
+    unsettled_end(fleet, worker, run->task, run->run);
     if (!task || task->run != run->run || is_obsolete_run(task, worker)) {
         run_stop_unknown(fleet, worker, run->task, run->run);
         return;
@@ -149,10 +162,12 @@
 {
     switch (task->state) {
     case TASK_STARTING:
-        if (task->adopted)
+        if (task->adopted) {
             /* This tenure's epoch fences a delayed start of the former
-               holder's, so the run can no longer begin. */
+               holder's, so the run can no longer begin on this incarnation. */
+            unsettled_note_adopted(fleet, task);
             end_absent_task(fleet, task, CS_OUTCOME_LAPSED, sent_us);
+        }
         else if (task->start_unconfirmed)
             run_stop(fleet, task);
         return;
@@ -161,6 +176,8 @@
             end_absent_task(fleet, task, CS_OUTCOME_LAPSED, sent_us);
         return;
     case TASK_STOPPING:
+        if (task->adopted)
+            unsettled_note_adopted(fleet, task);
         if (task->adopted ||
             (task->stop_answered && task->stop_answered_us < sent_us))
             end_absent_task(fleet, task, CS_OUTCOME_STOPPED, sent_us);
@@ -234,7 +251,17 @@
     /* A worker with unacknowledged ends answers without delay, so pause. */
     if (worker->ends_processed > worker->ends_recorded &&
         now_us - worker->leases_extended_us < EXTEND_INTERVAL_US)
-        worker->next_heartbeat_us = now_us + UNRECORDED_PAUSE_US;
+        worker->next_heartbeat_us =
+            now_us +
+            (is_watched(worker) ? RETRY_WATCHED_US : UNRECORDED_PAUSE_US);
+}
+
+static int64_t
+retry_pause_us(const struct worker *worker)
+{
+    if (is_watched(worker))
+        return worker->failed_heartbeats > 0 ? RETRY_WATCHED_US : 0;
+    return worker->tasks->len > 0 ? RETRY_US : RETRY_IDLE_US;
 }
 
 static void
@@ -271,8 +298,7 @@
     }
     fleet_increment_counter(fleet, "cs_looks_failed_total");
     worker->next_heartbeat_us =
-        fleet_now(fleet).boot_us +
-        (worker->tasks->len > 0 ? RETRY_US : RETRY_IDLE_US);
+        fleet_now(fleet).boot_us + retry_pause_us(worker);
     worker->failed_heartbeats++;
     if (answer->code != CS_E_WORKER)
         return;
@@ -346,7 +372,8 @@
     }
     if (worker->ends_processed == worker->ends_recorded && worker->answered &&
         worker->failed_heartbeats == 0)
-        order.wait_ms = HEARTBEAT_WAIT_MS;
+        order.wait_ms =
+            is_watched(worker) ? UNSETTLED_WATCH_WAIT_MS : HEARTBEAT_WAIT_MS;
     call->ends_recorded = order.acknowledged_upto;
     call->incarnation_ms = worker->incarnation_ms;
     worker->heartbeat_pending = true;
@@ -355,7 +382,7 @@
         fleet->idle_heartbeats++;
     fleet_increment_counter(fleet, "cs_looks_total");
     port->heartbeat(port->self, &target, &order,
-                    now_us + order.wait_ms * CS_MS_US + ANSWER_TIMEOUT_US,
+                    now_us + order.wait_ms * CS_MS_US + HEARTBEAT_TIMEOUT_US,
                     on_heartbeat, call);
 }
 
@@ -372,7 +399,7 @@
     call->probe = true;
     fleet_increment_counter(fleet, "cs_looks_total");
     port->heartbeat(port->self, &target, &order,
-                    call->sent_us + ANSWER_TIMEOUT_US, on_heartbeat, call);
+                    call->sent_us + HEARTBEAT_TIMEOUT_US, on_heartbeat, call);
 }
 
 /* Returns the time by which the leases of a silent worker have surely ended. A
@@ -392,7 +419,7 @@
 check_leases_ended(cs_fleet *fleet, struct worker *worker, int64_t now_us)
 {
     if (now_us < leases_end_us(fleet, worker) ||
-        now_us - worker->last_answer_us < ANSWER_TIMEOUT_US)
+        now_us - worker->last_answer_us < HEARTBEAT_TIMEOUT_US)
         return;
     if (worker_count_started(worker) == 0 && worker->unwanted_runs->len == 0)
         return;
@@ -420,17 +447,17 @@
     int64_t now_us = fleet_now(fleet).boot_us;
     guint i;
 
+    unsettled_tick(fleet);
     for (i = 0; i < fleet->worker_list->len; i++) {
         struct worker *worker = g_ptr_array_index(fleet->worker_list, i);
 
         if (fleet->tenure != TENURE_HOLDING)
             return;
         retry_stops(fleet, worker, now_us);
-        unsettled_tick(fleet, worker, now_us);
         check_leases_ended(fleet, worker, now_us);
         if (!worker->heartbeat_pending &&
             now_us >= worker->next_heartbeat_us && needs_heartbeat(worker) &&
-            (!is_unverified(worker) ||
+            (!is_unverified(worker) || is_watched(worker) ||
              fleet->idle_heartbeats < IDLE_HEARTBEATS_MAX))
             send_heartbeat(fleet, worker, now_us);
     }
--- a/src/fleet/job.c
+++ b/src/fleet/job.c
@@ -295,6 +295,10 @@
     for (i = 0; i < progress->tasks->len; i++)
         restore_task(fleet, job,
                      &g_array_index(progress->tasks, cs_task_progress, i));
+    for (i = 0; i < progress->unsettled->len; i++)
+        unsettled_restore(
+            fleet, job->spec.id,
+            &g_array_index(progress->unsettled, cs_unsettled_start, i));
 }
 
 static void
--- a/src/fleet/progress.c
+++ b/src/fleet/progress.c
@@ -188,9 +188,10 @@
     return tasks;
 }
 
-/* Returns the bytes of a row that its tasks leave for checkpoints. */
+/* Returns the bytes of a row that its tasks leave for unsettled starts and
+   checkpoints. */
 static size_t
-bytes_for_checkpoints(const cs_fleet *fleet, const GPtrArray *tasks)
+bytes_available(const cs_fleet *fleet, const GPtrArray *tasks)
 {
     size_t used = ROW_HEADER_BYTES;
     size_t limit = progress_max_row_bytes(fleet);
@@ -226,11 +227,28 @@
     return task->checkpoint;
 }
 
+/* Adds the unsettled starts of the tasks, which precede the checkpoints. */
+static void
+add_unsettled(const cs_fleet *fleet, const GPtrArray *tasks,
+              cs_job_progress *progress, size_t *available)
+{
+    guint i;
+
+    if (g_hash_table_size(fleet->unsettled_starts) == 0)
+        return;
+    for (i = 0; i < tasks->len; i++) {
+        const struct task *task = g_ptr_array_index(tasks, i);
+
+        if (task->run > 0)
+            unsettled_add_to_record(fleet, task, progress, available);
+    }
+}
+
 void
 progress_encode(const cs_fleet *fleet, const struct progress_row *row,
                 const GPtrArray *tasks, GByteArray *out)
 {
-    size_t available = bytes_for_checkpoints(fleet, tasks);
+    size_t available = bytes_available(fleet, tasks);
     const struct job *job = row->job;
     cs_job_progress progress;
     guint i;
@@ -239,6 +257,7 @@
     progress.state = job->state;
     progress.ended_ms = job->ended_ms;
     progress.row_tasks = job->row_tasks;
+    add_unsettled(fleet, tasks, &progress, &available);
     for (i = 0; i < tasks->len; i++) {
         const struct task *task = g_ptr_array_index(tasks, i);
         cs_task_progress record = {.occurrence = task->step->occurrence,
--- a/src/fleet/run.c
+++ b/src/fleet/run.c
@@ -117,8 +117,14 @@
 
     if (answer->code)
         log_unconfirmed_start(call, answer);
-    if (is_outcome_unknown(answer))
+    /* A run that the worker has listed has been carried out. */
+    if (is_outcome_unknown(answer) && !(task && task->confirmed_us)) {
         unsettled_note(call);
+        /* A successor may not reach the worker, and then knows it only from
+           the record. */
+        if (task)
+            progress_set_task_dirty(fleet, task);
+    }
     if (!task)
         return;
     switch (answer->code) {
--- a/src/fleet/start_gate.c
+++ b/src/fleet/start_gate.c
@@ -2,8 +2,9 @@
  * Where and when tasks may start: not in an evacuated zone, nowhere while an
  * evacuation may have been missed, not on a worker whose incarnation has not
  * answered, and not while a worker lists a run of the task that is not wanted
- * there. Only starts are held back. Running work goes on, its leases are
- * extended and the cell is kept.
+ * there, or may yet carry out a start of it (unsettled.c). Only starts are
+ * held back. Running work goes on, its leases are extended and the cell is
+ * kept.
  */
 #include "fleet_internal.h"
 
@@ -72,7 +73,8 @@
     return task->state == TASK_RECORDING && task->recorded &&
            (is_overdue(fleet) || !start_gate_is_open(fleet) ||
             start_gate_is_closed_at(fleet, task->worker) ||
-            has_started_anew(task->worker) || unwanted_holds(fleet, task));
+            has_started_anew(task->worker) || unwanted_holds(fleet, task) ||
+            unsettled_holds(fleet, task));
 }
 
 static const char *
@@ -86,6 +88,8 @@
         return "the worker's incarnation has not answered yet";
     if (start_gate_is_closed_at(fleet, task->worker))
         return task->worker->zone;
+    if (unsettled_holds(fleet, task))
+        return "a late start of the task may be carried out elsewhere";
     return unwanted_holds(fleet, task)
                ? "a worker lists another run of the task"
                : "another member of its gang is withheld";
--- a/src/fleet/status.c
+++ b/src/fleet/status.c
@@ -124,6 +124,9 @@
         if (step->tasks[i].state == TASK_WAITING &&
             unwanted_holds(fleet, &step->tasks[i]))
             return "a worker still lists a run that is being stopped";
+        if (step->tasks[i].state == TASK_WAITING &&
+            unsettled_holds(fleet, &step->tasks[i]))
+            return "a worker may still carry out a late start";
     }
     if (!job_queue(fleet, job))
         return "the configuration does not have its queue";
--- a/src/fleet/tenure.c
+++ b/src/fleet/tenure.c
@@ -374,6 +374,7 @@
     fleet->epoch = rows->epoch + 1;
     fleet->acquire_sent_us = fleet_now(fleet).boot_us;
     fleet->store_clock_ms = rows->now_ms;
+    fleet->store_clock_read_us = fleet->acquire_sent_us;
     note_former_holders(fleet, rows);
     encode_epoch(fleet, epoch, rows->now_ms, fleet->cell_read_sent_us);
     puts[0].value = epoch->data;
--- a/src/fleet/worker.c
+++ b/src/fleet/worker.c
@@ -46,7 +46,6 @@
     worker->remaining_ms = -1;
     worker->rack = worker_rack_number(fleet, "");
     worker->tasks = g_ptr_array_new();
-    worker->unsettled = unsettled_starts_create();
     worker->unwanted_runs =
         g_array_new(FALSE, FALSE, sizeof(struct unwanted_run));
     g_hash_table_insert(fleet->workers, worker->id, worker);
@@ -61,7 +60,6 @@
 
     g_ptr_array_free(worker->tasks, TRUE);
     g_array_free(worker->unwanted_runs, TRUE);
-    g_array_free(worker->unsettled, TRUE);
     g_strfreev(worker->labels);
     g_free(worker);
 }
--- a/src/model/job_progress.c
+++ b/src/model/job_progress.c
@@ -6,6 +6,7 @@
 
 #define RECORD_VERSION 1
 #define TASK_FIELDS 8
+#define UNSETTLED_FIELDS 7
 
 void
 cs_job_part_name(char out[CS_JOB_PART_BYTES], uint32_t number)
@@ -31,6 +32,14 @@
     g_free(task->checkpoint_data);
 }
 
+static void
+clear_unsettled(gpointer data)
+{
+    cs_unsettled_start *start = data;
+
+    g_free(start->worker);
+}
+
 void
 cs_job_progress_init(cs_job_progress *progress)
 {
@@ -39,6 +48,8 @@
     progress->row_tasks = 0;
     progress->tasks = g_array_new(FALSE, TRUE, sizeof(cs_task_progress));
     g_array_set_clear_func(progress->tasks, clear_task);
+    progress->unsettled = g_array_new(FALSE, TRUE, sizeof(cs_unsettled_start));
+    g_array_set_clear_func(progress->unsettled, clear_unsettled);
 }
 
 void
@@ -46,7 +57,10 @@
 {
     if (progress->tasks)
         g_array_free(progress->tasks, TRUE);
+    if (progress->unsettled)
+        g_array_free(progress->unsettled, TRUE);
     progress->tasks = NULL;
+    progress->unsettled = NULL;
 }
 
 void
@@ -60,6 +74,16 @@
     g_array_append_val(progress->tasks, copy);
 }
 
+void
+cs_job_progress_add_unsettled(cs_job_progress *progress,
+                              const cs_unsettled_start *start)
+{
+    cs_unsettled_start copy = *start;
+
+    copy.worker = g_strdup(start->worker);
+    g_array_append_val(progress->unsettled, copy);
+}
+
 bool
 cs_progress_is_final(cs_progress_state state)
 {
@@ -89,6 +113,19 @@
     cs_record_pack_text(packer, task->checkpoint_data);
 }
 
+static void
+encode_unsettled(msgpack_packer *packer, const cs_unsettled_start *start)
+{
+    msgpack_pack_array(packer, UNSETTLED_FIELDS);
+    msgpack_pack_uint32(packer, start->occurrence);
+    msgpack_pack_uint32(packer, start->step);
+    msgpack_pack_uint32(packer, start->index);
+    msgpack_pack_uint32(packer, start->run);
+    cs_record_pack_text(packer, start->worker);
+    msgpack_pack_uint64(packer, start->incarnation_ms);
+    msgpack_pack_int64(packer, start->expires_ms);
+}
+
 void
 cs_job_progress_encode(GByteArray *out, const cs_job_progress *progress)
 {
@@ -96,7 +133,7 @@
     guint i;
 
     cs_record_packer_init(&packer, out);
-    msgpack_pack_array(&packer, 5);
+    msgpack_pack_array(&packer, progress->unsettled->len > 0 ? 6 : 5);
     msgpack_pack_int64(&packer, RECORD_VERSION);
     msgpack_pack_int64(&packer, progress->state);
     msgpack_pack_int64(&packer, progress->ended_ms);
@@ -105,6 +142,12 @@
         encode_task(&packer,
                     &g_array_index(progress->tasks, cs_task_progress, i));
     msgpack_pack_uint32(&packer, progress->row_tasks);
+    if (progress->unsettled->len == 0)
+        return;
+    msgpack_pack_array(&packer, progress->unsettled->len);
+    for (i = 0; i < progress->unsettled->len; i++)
+        encode_unsettled(&packer, &g_array_index(progress->unsettled,
+                                                 cs_unsettled_start, i));
 }
 
 static void
@@ -126,6 +169,25 @@
     *failed = *failed || reader.failed;
 }
 
+static void
+decode_unsettled(cs_job_progress *out, const msgpack_object *object,
+                 bool *failed)
+{
+    cs_unsettled_start start = {0};
+    cs_record_reader reader;
+
+    cs_record_reader_init(&reader, object);
+    start.occurrence = (uint32_t)cs_record_read_int(&reader);
+    start.step = (uint32_t)cs_record_read_int(&reader);
+    start.index = (uint32_t)cs_record_read_int(&reader);
+    start.run = (uint32_t)cs_record_read_int(&reader);
+    start.worker = cs_record_dup_text(&reader);
+    start.incarnation_ms = (uint64_t)cs_record_read_int(&reader);
+    start.expires_ms = cs_record_read_int(&reader);
+    g_array_append_val(out->unsettled, start);
+    *failed = *failed || reader.failed;
+}
+
 static bool
 decode_fields(cs_job_progress *out, cs_record_reader *reader)
 {
@@ -148,6 +210,14 @@
     /* Records of older versions end here. */
     if (!reader->failed && reader->next < reader->count)
         out->row_tasks = (uint32_t)cs_record_read_int(reader);
+    /* So do those without unsettled starts. */
+    list = !reader->failed && reader->next < reader->count
+               ? cs_record_read_item(reader)
+               : NULL;
+    if (list && list->type != MSGPACK_OBJECT_ARRAY)
+        return false;
+    for (i = 0; list && i < list->via.array.size; i++)
+        decode_unsettled(out, &list->via.array.ptr[i], &reader->failed);
     return !reader->failed;
 }
 
