fleet: a late start refused only once a list without its run has come

Callers could see: a task at two workers at once, for as long as a stop takes. The next incarnation of a worker carries a late start out, is told to stop it and answers; the task was placed again at once, while the run there was still being stopped.

Cause: the answer to a stop was taken for the proof that the run cannot begin. It is so only if the run had not begun before.

Change: a heartbeat that is sent after the stop's answer has to list the worker's runs without it. It is sent at once.

--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -121,14 +121,14 @@
     uint32_t failed_heartbeats;    /* consecutive */
     uint32_t consecutive_failures; /* of runs of different jobs */
     char last_failed_job[CS_JOB_ID_BYTES];
-    int64_t paused_until_us; /* gets no new tasks before; set by quarantines
-                                and by shorter pauses */
-    int64_t quarantine_us;   /* length of the last quarantine; 0 none */
-    cs_speed speed;          /* learned */
-    uint32_t watched_starts; /* of struct unsettled_start, which may be carried
-                                out yet */
-    GPtrArray *tasks;        /* of struct task, placed on the worker */
-    GArray *unwanted_runs;   /* of struct unwanted_run */
+    int64_t paused_until_us;   /* gets no new tasks before; set by quarantines
+                                  and by shorter pauses */
+    int64_t quarantine_us;     /* length of the last quarantine; 0 none */
+    cs_speed speed;            /* learned */
+    uint32_t unsettled_starts; /* number of struct unsettled_start */
+    uint32_t watched_starts;   /* of them those that may be carried out yet */
+    GPtrArray *tasks;          /* of struct task, placed on the worker */
+    GArray *unwanted_runs;     /* of struct unwanted_run */
     /* The names are last: a cycle reads all of the others of each worker. */
     char address[48];
     char id[CS_JOB_NAME_BYTES];
@@ -702,9 +702,13 @@
 void unsettled_note_adopted(cs_fleet *fleet, const struct task *task);
 /* Notes that a stop has succeeded, after which the start is refused. */
 void unsettled_settle(const struct call *call);
+/* Handles an answer to a heartbeat sent at a time. Runs that were stopped
+   before and are not listed cannot begin any more. */
+void unsettled_confirm_stops(cs_fleet *fleet, const struct worker *worker,
+                             int64_t sent_us);
 /* Notes that a start was carried out: an order is so once at most. */
-void unsettled_end(cs_fleet *fleet, const struct worker *worker,
-                   const char *name, uint32_t run);
+void unsettled_end(cs_fleet *fleet, struct worker *worker, const char *name,
+                   uint32_t run);
 /* Returns whether a start of the task may be carried out by an incarnation
    that would not refuse it, on another worker than that of the task. */
 bool unsettled_holds(const cs_fleet *fleet, const struct task *task);
--- a/src/fleet/heartbeat.c
+++ b/src/fleet/heartbeat.c
@@ -243,6 +243,7 @@
     for (i = 0; i < answer->run_count; i++)
         process_run(fleet, worker, &answer->runs[i], heartbeat, now_us);
     unwanted_forget(fleet, worker, sent_us);
+    unsettled_confirm_stops(fleet, worker, sent_us);
     /* A run that is neither listed as present nor among the first ends may
        have ended as well; a later answer lists it. */
     if (answer->ended_run_count < CS_WORKER_ENDS_MAX)
--- a/src/fleet/unsettled.c
+++ b/src/fleet/unsettled.c
@@ -45,10 +45,13 @@
     uint32_t run;
     uint64_t incarnation_ms; /* the newest one that is known to refuse it, or
                                 that it was sent to */
-    int64_t sent_us;         /* at the latest */
-    int64_t stop_sent_us;    /* 0 not yet */
-    bool watched;            /* counts in worker->watched_starts */
-    bool accepted;           /* the last prospect that was logged */
+    uint64_t stopped_incarnation_ms; /* the newest one that has answered a stop
+                                        of the run */
+    int64_t stopped_us;              /* when it did so */
+    int64_t sent_us;                 /* at the latest */
+    int64_t stop_sent_us;            /* 0 not yet */
+    bool watched;                    /* counts in worker->watched_starts */
+    bool accepted;                   /* the last prospect that was logged */
 };
 
 static void
@@ -95,6 +98,7 @@
     }
     added.watched = true;
     added.worker->watched_starts++;
+    added.worker->unsettled_starts++;
     g_array_append_val(starts, added);
     fleet_increment_counter(fleet, "cs_starts_unsettled_total");
 }
@@ -139,25 +143,55 @@
     struct unsettled_start *start =
         find_start(call->fleet, call->worker, call->task, call->run);
 
-    if (start)
-        start->incarnation_ms =
-            MAX(start->incarnation_ms, call->incarnation_ms);
+    if (!start || call->incarnation_ms <= start->incarnation_ms)
+        return;
+    /* The run may have begun before, and takes a while to stop. */
+    start->stopped_incarnation_ms = call->incarnation_ms;
+    start->stopped_us = fleet_now(call->fleet).boot_us;
+    heartbeat_probe(call->fleet, call->worker);
+}
+
+void
+unsettled_confirm_stops(cs_fleet *fleet, const struct worker *worker,
+                        int64_t sent_us)
+{
+    GHashTableIter iter;
+    gpointer value;
+    guint i;
+
+    if (worker->unsettled_starts == 0)
+        return;
+    g_hash_table_iter_init(&iter, fleet->unsettled_starts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const GArray *starts = value;
+
+        for (i = 0; i < starts->len; i++) {
+            struct unsettled_start *start =
+                &g_array_index(starts, struct unsettled_start, i);
+
+            if (start->worker == worker &&
+                start->stopped_incarnation_ms == worker->incarnation_ms &&
+                start->stopped_us <= sent_us)
+                start->incarnation_ms = worker->incarnation_ms;
+        }
+    }
 }
 
 void
-unsettled_end(cs_fleet *fleet, const struct worker *worker, const char *name,
+unsettled_end(cs_fleet *fleet, struct worker *worker, const char *name,
               uint32_t run)
 {
     struct unsettled_start *start;
     GArray *starts;
 
-    if (worker->watched_starts == 0)
+    if (worker->unsettled_starts == 0)
         return;
     start = find_start(fleet, worker, name, run);
     if (!start)
         return;
     starts = g_hash_table_lookup(fleet->unsettled_starts, name);
     unwatch(start);
+    worker->unsettled_starts--;
     g_array_remove_index_fast(
         starts,
         (guint)(start - (struct unsettled_start *)(void *)starts->data));
@@ -324,10 +358,13 @@
         stop_on_new_incarnation(fleet, name, start, now_us);
         if (now_us - start->sent_us > LATE_ORDER_MAX_US)
             unwatch(start);
-        if (now_us - start->sent_us > REFUSE_US)
+        if (now_us - start->sent_us > REFUSE_US) {
+            start->worker->unsettled_starts--;
             g_array_remove_index_fast(starts, i);
-        else
+        }
+        else {
             i++;
+        }
     }
     return starts->len > 0;
 }
--- a/tests/test_late_starts.c
+++ b/tests/test_late_starts.c
@@ -107,7 +107,6 @@
         fake_fleet_run(late.deployment, CS_MS_US);
     late.worker = find_worker(late.deployment, 0);
     late.sent_us = fake_fleet_now_us(late.deployment);
-    fake_fleet_run(late.deployment, 100 * CS_MS_US);
     set_orders_late(late.deployment, false, 0);
     fake_fleet_evacuate(late.deployment, late.worker % FAKE_ZONES, true);
     return late;
@@ -316,7 +315,6 @@
         late.worker = workers[carried_out];
         if (carried_out == 1)
             late.sent_us = fake_fleet_now_us(late.deployment);
-        fake_fleet_run(late.deployment, 100 * CS_MS_US);
         set_orders_late(late.deployment, false, 0);
         fake_fleet_evacuate(late.deployment, workers[1] % FAKE_ZONES, true);
         run_until_task_runs(&late);
