fleet: a start without an answer is looked for at once

Callers saw: a task whose start got no answer began elsewhere 2 to 5 s later, and a run whose answer alone was lost was known 1 to 2 s late.

Cause: the heartbeat that was to tell waited for the end of a run for up to 2 s, as all do. A list that is sent as the stop is answered did not count either.

Change: a heartbeat that does not wait follows the timeout of the order at once.

--- a/src/fleet/heartbeat.c
+++ b/src/fleet/heartbeat.c
@@ -179,7 +179,7 @@
         if (task->adopted)
             unsettled_note_adopted(fleet, task);
         if (task->adopted ||
-            (task->stop_answered && task->stop_answered_us < sent_us))
+            (task->stop_answered && task->stop_answered_us <= sent_us))
             end_absent_task(fleet, task, CS_OUTCOME_STOPPED, sent_us);
         return;
     case TASK_WAITING:
--- a/src/fleet/run.c
+++ b/src/fleet/run.c
@@ -144,9 +144,11 @@
         requeue_task(fleet, task);
         return;
     default:
-        /* The run may exist, now or later. The next heartbeat shows. */
+        /* The run may exist, now or later. A heartbeat that waits for an end
+           would tell seconds later. */
         task->start_unconfirmed = true;
         pause_worker(fleet, task->worker, UNREACHED_PAUSE_US);
+        heartbeat_probe(fleet, task->worker);
         task->worker->next_heartbeat_us = 0;
         return;
     }
--- a/tests/test_late_starts.c
+++ b/tests/test_late_starts.c
@@ -30,6 +30,9 @@
    then. */
 #define MOVED_US (5 * CS_SEC_US)
 
+/* An order is answered by then, if it is. */
+#define ORDER_TIMEOUT_US (900 * CS_MS_US)
+
 struct late_start {
     fake_fleet *deployment;
     int64_t sent_us;
@@ -396,6 +399,19 @@
     expect_completed_once(&late);
 }
 
+/* Guards against a task that waits for seconds to be started elsewhere, as the
+   heartbeat that would tell waits for the end of a run. */
+static void
+late_starts__task_moves_soon_after_its_start_got_no_answer(void **state)
+{
+    struct late_start late = begin(1, LATE_US, false);
+
+    run_until_task_runs(&late);
+    assert_in_range(fake_fleet_now_us(late.deployment) - late.sent_us, 0,
+                    ORDER_TIMEOUT_US + 300 * CS_MS_US);
+    expect_completed_once(&late);
+}
+
 int
 main(void)
 {
@@ -417,6 +433,8 @@
         cmocka_unit_test(
             late_starts__task_waits_until_the_next_incarnation_refuses),
         cmocka_unit_test(late_starts__task_does_not_wait_for_good),
+        cmocka_unit_test(
+            late_starts__task_moves_soon_after_its_start_got_no_answer),
         cmocka_unit_test(late_starts__run_goes_on_while_the_worker_lives),
     };
 
