fleet: a job waits until a worker has begun one of its tasks

Cause: a job counted as begun from the moment that an order of one of its tasks was sent, and nothing took that back when workers rejected the order, were not reached, or never carried it out. A successor took each job with a recorded run for one that has begun. The state was set with the first placement.

Change: a job has begun when a worker answers a start, or lists a run or an end of one of its tasks; it stays so. Without such evidence it is shown as queued again when its last placed task is released. The record tells a successor as far as it is written anyway; a successor counts a job with adopted tasks as begun until their workers have told, so that a queue of running jobs is not told to wait meanwhile. Log event job-begun.

--- a/include/corianderstair/job_progress.h
+++ b/include/corianderstair/job_progress.h
@@ -88,6 +88,8 @@
     uint32_t row_tasks; /**< tasks of the job in each of its rows; 0: all of
                              them are in the first one */
     GArray *tasks; /**< of cs_task_progress; NULL if only the state was read */
+    bool has_begun;    /**< a run of one of the job's tasks is known to have
+                            begun; it may have without */
     GArray *unsettled; /**< of cs_unsettled_start, of the row's tasks; NULL as
                             tasks */
 } cs_job_progress;
--- a/src/fleet/cycle.c
+++ b/src/fleet/cycle.c
@@ -297,11 +297,14 @@
 static void
 observe_lateness(cs_fleet *fleet, const struct candidate *candidate)
 {
-    if (candidate->step->job->state == CS_PROGRESS_QUEUED &&
+    struct job *job = candidate->step->job;
+
+    if (job->state == CS_PROGRESS_QUEUED && !job->lateness_observed &&
         cycle_counts_for_zone(candidate))
         cs_zone_lag_add_placed(&fleet->ledger->zones, candidate->zone,
                                candidate->queue->priority,
                                candidate->lateness);
+    job->lateness_observed = true;
 }
 
 static void
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -159,7 +159,8 @@
     bool speed_sampled;     /* its progress has counted for the worker's speed
                                already */
     bool urgent;            /* placed for a queue of priority 0 */
-    bool adopted;           /* taken over from a former holder's record */
+    bool adopted;           /* taken over from a former holder's record; no
+                               answer has listed the run yet */
     bool start_unconfirmed; /* the call to start it had an unknown outcome */
     bool stop_pending;      /* a stop is in flight */
     bool stop_answered;
@@ -230,8 +231,10 @@
                               until the holder has room for its tasks */
     uint32_t steps_done;   /* of all occurrences */
     uint32_t active_tasks; /* placed on workers */
-    bool has_started;      /* a start of one of its tasks was sent */
-    uint32_t max_attempts; /* see job_terms.c, as the next two */
+    bool has_begun;        /* a worker has begun a run of one of its tasks */
+    uint32_t unverified_tasks; /* adopted ones; their runs may have begun */
+    bool lateness_observed;    /* at the first placement of a task */
+    uint32_t max_attempts;     /* see job_terms.c, as the next two */
     uint32_t priority;
     bool has_queue; /* in the configuration that was applied last */
 };
@@ -595,6 +598,13 @@
 /* Returns whether all steps that the step depends on are done. */
 bool job_step_is_ready(const struct job *job, const struct step *step);
 bool job_is_final(const struct job *job);
+/* Notes that a worker has answered the start of one of the job's runs, or
+   lists it or its end. The job does not wait from then on, whatever becomes of
+   the run. */
+void job_note_begun(cs_fleet *fleet, struct job *job);
+/* Returns whether no task of the job has begun. Adopted tasks count as begun
+   until their workers have told. */
+bool job_is_waiting(const struct job *job);
 /* Returns the length of job->steps: the steps of all occurrences. */
 uint32_t job_total_steps(const struct job *job);
 /* Queues the final jobs past their retention for removal. */
@@ -649,6 +659,9 @@
 /* task.c */
 void task_place(cs_fleet *fleet, struct task *task, struct worker *worker,
                 uint32_t run);
+/* Notes that the worker of an adopted task has told whether its run is there.
+ */
+void task_set_verified(struct task *task);
 /* Takes the task off its worker and lets it wait again. */
 void task_release(cs_fleet *fleet, struct task *task);
 /* Handles the end of the task's newest run. reason: for the log */
--- a/src/fleet/heartbeat.c
+++ b/src/fleet/heartbeat.c
@@ -73,6 +73,7 @@
         unsettled_end(fleet, worker, end->task, end->run);
     if (!task)
         return;
+    job_note_begun(fleet, task->step->job);
     if (end->run > task->run)
         task->highest_listed_run = MAX(task->highest_listed_run, end->run);
     if (task->worker == worker && task->run == end->run) {
@@ -123,6 +124,8 @@
     struct task *task = job_find_task(fleet, run->task);
 
     unsettled_end(fleet, worker, run->task, run->run);
+    if (task)
+        job_note_begun(fleet, task->step->job);
     if (!task || task->run != run->run || is_obsolete_run(task, worker)) {
         run_stop_unknown(fleet, worker, run->task, run->run);
         return;
@@ -136,7 +139,7 @@
     if (task->state == TASK_STARTING) {
         task->state = TASK_RUNNING;
         task->start_unconfirmed = false;
-        task->adopted = false;
+        task_set_verified(task);
     }
     if (task->confirmed_us == 0)
         task->confirmed_us = now_us;
--- a/src/fleet/job.c
+++ b/src/fleet/job.c
@@ -49,6 +49,24 @@
     return cs_progress_is_final(job->state);
 }
 
+void
+job_note_begun(cs_fleet *fleet, struct job *job)
+{
+    if (job->has_begun)
+        return;
+    job->has_begun = true;
+    cs_log_event("job-begun",
+                 "job %s queue %s, accepted %" PRId64 " ms before",
+                 job->spec.id, job->spec.queue,
+                 fleet_now(fleet).wall_us / CS_MS_US - job->spec.accepted_ms);
+}
+
+bool
+job_is_waiting(const struct job *job)
+{
+    return !job->has_begun && job->unverified_tasks == 0;
+}
+
 uint32_t
 job_total_steps(const struct job *job)
 {
@@ -249,7 +267,9 @@
         return;
     task->failures = record->failures;
     task_set_checkpoint(task, record->checkpoint_data);
-    job->has_started = true;
+    /* Refused starts have run numbers, too. */
+    job->has_begun = job->has_begun || record->done || record->failures > 0 ||
+                     record->checkpoint_data[0];
     if (record->worker[0])
         task_place(fleet, task, worker_get(fleet, record->worker),
                    record->run);
@@ -258,6 +278,7 @@
     if (record->worker[0]) {
         task->state = job_is_final(job) ? TASK_STOPPING : TASK_STARTING;
         task->adopted = true;
+        job->unverified_tasks++;
         task->partial = true;
         task->started_us = fleet_now(fleet).boot_us;
     }
@@ -292,6 +313,7 @@
 {
     guint i;
 
+    job->has_begun = job->has_begun || progress->has_begun;
     for (i = 0; i < progress->tasks->len; i++)
         restore_task(fleet, job,
                      &g_array_index(progress->tasks, cs_task_progress, i));
--- a/src/fleet/progress.c
+++ b/src/fleet/progress.c
@@ -255,6 +255,7 @@
 
     cs_job_progress_init(&progress);
     progress.state = job->state;
+    progress.has_begun = job->has_begun;
     progress.ended_ms = job->ended_ms;
     progress.row_tasks = job->row_tasks;
     add_unsettled(fleet, tasks, &progress, &available);
--- a/src/fleet/run.c
+++ b/src/fleet/run.c
@@ -76,6 +76,7 @@
 {
     int64_t now_us = fleet_now(fleet).boot_us;
 
+    job_note_begun(fleet, task->step->job);
     if (task->state == TASK_STARTING)
         task->state = TASK_RUNNING;
     task->confirmed_us = now_us;
@@ -204,7 +205,6 @@
     order.task = call->task;
     task->state = TASK_STARTING;
     task->started_us = now_us;
-    task->step->job->has_started = true;
     fleet_increment_counter(fleet, "cs_starts_total");
     port->start(port->self, &target, &order, now_us + ORDER_TIMEOUT_US,
                 on_start_answer, call);
--- a/src/fleet/task.c
+++ b/src/fleet/task.c
@@ -67,6 +67,14 @@
     g_ptr_array_add(worker->tasks, task);
 }
 
+void
+task_set_verified(struct task *task)
+{
+    if (task->adopted)
+        task->step->job->unverified_tasks--;
+    task->adopted = false;
+}
+
 static void
 detach(cs_fleet *fleet, struct task *task)
 {
@@ -80,6 +88,7 @@
             task->step->spec->demand.accelerators;
     task->urgent = false;
     task->worker = NULL;
+    task_set_verified(task);
     task->step->job->active_tasks--;
     progress_set_task_dirty(fleet, task);
     fleet->cycle_requested = true;
@@ -88,9 +97,16 @@
 void
 task_release(cs_fleet *fleet, struct task *task)
 {
+    struct job *job = task->step->job;
+
     detach(fleet, task);
     task->state = TASK_WAITING;
     task->step->waiting_count++;
+    if (job->state == CS_PROGRESS_RUNNING && job->active_tasks == 0 &&
+        job_is_waiting(job)) {
+        job->state = CS_PROGRESS_QUEUED;
+        progress_set_dirty(fleet, job);
+    }
 }
 
 uint32_t
--- a/src/fleet/tenure.c
+++ b/src/fleet/tenure.c
@@ -87,7 +87,7 @@
     }
 }
 
-/* Counts by queue the jobs of which no task has started. */
+/* Counts by queue the jobs of which no task has begun. */
 static void
 count_waiting_jobs(cs_fleet *fleet)
 {
@@ -99,7 +99,7 @@
         const struct job *job = g_ptr_array_index(fleet->active_jobs, i);
         guint count;
 
-        if (job->has_started)
+        if (!job_is_waiting(job))
             continue;
         count =
             GPOINTER_TO_UINT(g_hash_table_lookup(waiting, job->spec.queue));
--- a/src/model/job_progress.c
+++ b/src/model/job_progress.c
@@ -46,6 +46,7 @@
     progress->state = CS_PROGRESS_QUEUED;
     progress->ended_ms = 0;
     progress->row_tasks = 0;
+    progress->has_begun = false;
     progress->tasks = g_array_new(FALSE, TRUE, sizeof(cs_task_progress));
     g_array_set_clear_func(progress->tasks, clear_task);
     progress->unsettled = g_array_new(FALSE, TRUE, sizeof(cs_unsettled_start));
@@ -129,11 +130,12 @@
 void
 cs_job_progress_encode(GByteArray *out, const cs_job_progress *progress)
 {
+    bool has_options = progress->unsettled->len > 0 || progress->has_begun;
     msgpack_packer packer;
     guint i;
 
     cs_record_packer_init(&packer, out);
-    msgpack_pack_array(&packer, progress->unsettled->len > 0 ? 6 : 5);
+    msgpack_pack_array(&packer, has_options ? 7 : 5);
     msgpack_pack_int64(&packer, RECORD_VERSION);
     msgpack_pack_int64(&packer, progress->state);
     msgpack_pack_int64(&packer, progress->ended_ms);
@@ -142,12 +144,13 @@
         encode_task(&packer,
                     &g_array_index(progress->tasks, cs_task_progress, i));
     msgpack_pack_uint32(&packer, progress->row_tasks);
-    if (progress->unsettled->len == 0)
+    if (!has_options)
         return;
     msgpack_pack_array(&packer, progress->unsettled->len);
     for (i = 0; i < progress->unsettled->len; i++)
         encode_unsettled(&packer, &g_array_index(progress->unsettled,
                                                  cs_unsettled_start, i));
+    msgpack_pack_int64(&packer, progress->has_begun);
 }
 
 static void
@@ -210,7 +213,7 @@
     /* Records of older versions end here. */
     if (!reader->failed && reader->next < reader->count)
         out->row_tasks = (uint32_t)cs_record_read_int(reader);
-    /* So do those without unsettled starts. */
+    /* So do those of jobs that have not begun and without unsettled starts. */
     list = !reader->failed && reader->next < reader->count
                ? cs_record_read_item(reader)
                : NULL;
@@ -218,6 +221,8 @@
         return false;
     for (i = 0; list && i < list->via.array.size; i++)
         decode_unsettled(out, &list->via.array.ptr[i], &reader->failed);
+    if (!reader->failed && reader->next < reader->count)
+        out->has_begun = cs_record_read_int(reader) != 0;
     return !reader->failed;
 }
 
--- a/standins/fake_fleet.c
+++ b/standins/fake_fleet.c
@@ -858,6 +858,13 @@
     deployment->workers[worker].failing = failing;
 }
 
+void
+fake_fleet_set_worker_unhealthy(fake_fleet *deployment, uint32_t worker,
+                                bool unhealthy)
+{
+    deployment->workers[worker].unhealthy = unhealthy;
+}
+
 void
 fake_fleet_set_speed(fake_fleet *deployment, uint32_t worker, double speed)
 {
--- a/standins/fake_fleet.h
+++ b/standins/fake_fleet.h
@@ -284,6 +284,10 @@
 /** Sets whether every run on a worker fails. */
 void fake_fleet_set_worker_failing(fake_fleet *deployment, uint32_t worker,
                                    bool failing);
+/** Sets whether a worker is unhealthy: it cannot serve orders to start a run,
+    and does nothing then. */
+void fake_fleet_set_worker_unhealthy(fake_fleet *deployment, uint32_t worker,
+                                     bool unhealthy);
 /** Sets a worker's speed; tasks at speed 2 take half their run_ms. */
 void fake_fleet_set_speed(fake_fleet *deployment, uint32_t worker,
                           double speed);
--- a/standins/fake_fleet_internal.h
+++ b/standins/fake_fleet_internal.h
@@ -97,7 +97,8 @@
     bool up;
     bool disconnected;
     bool draining;
-    bool failing; /* every run fails */
+    bool failing;   /* every run fails */
+    bool unhealthy; /* every start is rejected */
     double speed;
     uint64_t entry_sequence;       /* "seq" of its entry in the store */
     uint32_t silent_intervals;     /* since it last wrote its entry */
--- a/standins/fake_fleet_worker.c
+++ b/standins/fake_fleet_worker.c
@@ -575,6 +575,10 @@
     char id[CS_JOB_ID_BYTES];
     char **parts;
 
+    if (worker->unhealthy) {
+        send_code(order, CS_E_OVERLOAD, CS_REFUSED_OTHER);
+        return;
+    }
     if (run && run->run == order->run) {
         extend_lease(worker, order->lease_end_ms);
         send_answer(order, &answer);
