tests: a soak of late starts, crashes, takeovers and rejected starts

The stand-in's crash breaks the connections of all orders that wait for an answer now, also of those that are late; only heartbeats that waited for an end were before. Tests of late starts delay the start alone.

--- a/standins/fake_fleet.c
+++ b/standins/fake_fleet.c
@@ -188,6 +188,31 @@
     vm->fleet = cs_fleet_create(&vm->state);
 }
 
+void *
+fake_pending_call_next(const struct fake_vm *vm, fake_event_fn abort_call,
+                       uint64_t *sequence)
+{
+    const struct fake_pending_call *next = NULL;
+    void *next_call = NULL;
+    GHashTableIter iter;
+    gpointer call;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, vm->pending_calls);
+    while (g_hash_table_iter_next(&iter, &call, &value)) {
+        const struct fake_pending_call *pending = value;
+
+        if (pending->abort != abort_call || pending->sequence <= *sequence ||
+            (next && next->sequence < pending->sequence))
+            continue;
+        next = pending;
+        next_call = call;
+    }
+    if (next)
+        *sequence = next->sequence;
+    return next_call;
+}
+
 void
 fake_pending_call_add(struct fake_vm *vm, void *call, fake_event_fn abort_call)
 {
--- a/standins/fake_fleet_internal.h
+++ b/standins/fake_fleet_internal.h
@@ -214,6 +214,10 @@
 
 /* fake_fleet.c */
 cs_now fake_vm_now(void *user_data); /* takes a struct fake_vm */
+/* Returns the VM's first call with this function behind a number, and sets
+   that to the call's; NULL if there is none. */
+void *fake_pending_call_next(const struct fake_vm *vm,
+                             fake_event_fn abort_call, uint64_t *sequence);
 /* Registers a call of a VM, to be aborted when the VM's process ends. */
 void fake_pending_call_add(struct fake_vm *vm, void *call,
                            fake_event_fn abort_call);
@@ -260,7 +264,7 @@
 void fake_fleet_worker_publish(struct fake_fleet_worker *worker);
 /* Ends every run of the worker as lapsed, with the rest of its gang. */
 void fake_fleet_worker_lapse_runs(struct fake_fleet_worker *worker);
-/* Breaks the connections of the heartbeats that wait for an end. */
+/* Breaks the worker's connections: orders that wait for an answer get none. */
 void fake_fleet_worker_cut_connections(struct fake_fleet_worker *worker);
 /* Marks the unacknowledged results of the worker as lost, for the checker. */
 void fake_fleet_worker_lose_results(struct fake_fleet_worker *worker);
--- a/standins/fake_fleet_worker.c
+++ b/standins/fake_fleet_worker.c
@@ -295,19 +295,6 @@
     }
 }
 
-void
-fake_fleet_worker_cut_connections(struct fake_fleet_worker *worker)
-{
-    while (worker->waiting_heartbeats->len > 0) {
-        struct order *order = g_ptr_array_index(worker->waiting_heartbeats, 0);
-
-        g_ptr_array_remove_index(worker->waiting_heartbeats, 0);
-        order->is_waiting = false;
-        if (is_connected(order, worker))
-            send_code(order, CS_E_OUTCOME_UNKNOWN, CS_REFUSED_OTHER);
-    }
-}
-
 static void
 end_run(struct fake_fleet_worker *worker, struct fake_run *run,
         cs_run_outcome outcome)
@@ -875,6 +862,34 @@
     deliver_answer(user_data, &answer);
 }
 
+/* Ends an order as its connection breaks. */
+static void
+cut_order(struct order *order, struct fake_fleet_worker *worker)
+{
+    if (find_order_worker(order) != worker || !is_connected(order, worker))
+        return;
+    if (order->is_waiting)
+        g_ptr_array_remove(worker->waiting_heartbeats, order);
+    order->is_waiting = false;
+    send_code(order, CS_E_OUTCOME_UNKNOWN, CS_REFUSED_OTHER);
+}
+
+void
+fake_fleet_worker_cut_connections(struct fake_fleet_worker *worker)
+{
+    fake_fleet *deployment = worker->deployment;
+    uint32_t i;
+
+    for (i = 0; i < deployment->vm_count; i++) {
+        uint64_t sequence = 0;
+        struct order *order;
+
+        while ((order = fake_pending_call_next(&deployment->vms[i],
+                                               abort_order, &sequence)))
+            cut_order(order, worker);
+    }
+}
+
 static struct order *
 order_new(struct fake_vm *vm, order_type type, const cs_worker_target *target,
           int64_t deadline_us, cs_worker_done done, void *user_data)
--- a/tests/test_late_starts.c
+++ b/tests/test_late_starts.c
@@ -412,6 +412,119 @@
     expect_completed_once(&late);
 }
 
+/* Workers that crash are back after this long; those that fall silent after
+   the longest time. */
+#define SOAK_DOWN_MIN_MS 1500
+#define SOAK_DOWN_MAX_MS 4500
+/* Longer than an order is late, so that no late start meets a task that is
+   done: nothing can prevent that. */
+#define SOAK_RUN_MS 15000
+#define SOAK_JOBS 30
+#define SOAK_SEEDS 20
+
+static void
+submit_soak_job(fake_fleet *deployment, GRand *random, uint32_t number)
+{
+    bool gang = g_rand_boolean(random);
+    fake_job job;
+
+    fake_job_init(&job, 0x100 + number,
+                  (uint32_t)g_rand_int_range(random, 0, 4),
+                  (uint32_t)g_rand_int_range(random, 1, 5), 4, SOAK_RUN_MS);
+    job.spec.steps[0].gang = gang;
+    fake_fleet_submit(deployment, (uint32_t)g_rand_int_range(random, 0, 4),
+                      &job, NULL);
+}
+
+static void
+inject_soak_fault(fake_fleet *deployment, GRand *random)
+{
+    fake_vm_faults faults = {.late_orders_share =
+                                 g_rand_double_range(random, 0, 0.5)};
+    uint32_t worker = (uint32_t)g_rand_int_range(random, 0, WORKERS);
+
+    switch (g_rand_int_range(random, 0, 8)) {
+    case 0:
+        if (holder(deployment) >= 0)
+            fake_fleet_kill(deployment, (uint32_t)holder(deployment),
+                            CS_SEC_US);
+        break;
+    case 1:
+        fake_fleet_set_faults(deployment, -1, &faults);
+        break;
+    case 2:
+        fake_fleet_set_worker_unhealthy(deployment, worker,
+                                        g_rand_boolean(random));
+        break;
+    default:
+        fake_fleet_crash_worker(
+            deployment, worker,
+            g_rand_int_range(random, SOAK_DOWN_MIN_MS, SOAK_DOWN_MAX_MS) *
+                CS_MS_US);
+        break;
+    }
+}
+
+static void
+soak(uint32_t seed)
+{
+    GRand *random = g_rand_new_with_seed(seed);
+    fake_fleet_settings settings = {.vms = 4,
+                                    .workers = WORKERS,
+                                    .racks = 2,
+                                    .seed = seed,
+                                    .late_orders_outlive_workers = true};
+    fake_fleet *deployment = fake_fleet_create(&settings);
+    fake_vm_faults none = {0};
+    uint32_t i;
+
+    fake_fleet_run(deployment, 3 * CS_SEC_US);
+    for (i = 0; i < SOAK_JOBS; i++) {
+        submit_soak_job(deployment, random, i);
+        inject_soak_fault(deployment, random);
+        fake_fleet_run(deployment,
+                       g_rand_int_range(random, 200, 2500) * CS_MS_US);
+        if (fake_fleet_violation(deployment))
+            fail_msg("seed %u: %s", seed, fake_fleet_violation(deployment));
+    }
+    fake_fleet_set_faults(deployment, -1, &none);
+    for (i = 0; i < WORKERS; i++)
+        fake_fleet_set_worker_unhealthy(deployment, i, false);
+    fake_fleet_run(deployment, 400 * CS_SEC_US);
+    if (fake_fleet_violation(deployment))
+        fail_msg("seed %u: %s", seed, fake_fleet_violation(deployment));
+    for (i = 0; i < SOAK_JOBS; i++) {
+        char id[17];
+
+        g_snprintf(id, sizeof(id), "%016x", 0x100 + i);
+        if (fake_fleet_job_state(deployment, id) >= 0 &&
+            fake_fleet_job_state(deployment, id) != CS_PROGRESS_COMPLETED)
+            fail_msg("seed %u: job %s is in state %d", seed, id,
+                     fake_fleet_job_state(deployment, id));
+    }
+    fake_fleet_destroy(deployment);
+    g_rand_free(random);
+}
+
+/* Guards against two runs of a task at once, and a task that waits for good,
+   whatever comes together: late starts, crashes, takeovers and rejected
+   starts. CS_SOAK_SEED plays one seed, CS_SOAK_SEEDS the first ones. */
+static void
+late_starts__random_crashes_run_tasks_once(void **state)
+{
+    const char *single_seed = g_getenv("CS_SOAK_SEED");
+    const char *count = g_getenv("CS_SOAK_SEEDS");
+    uint32_t seeds = count ? (uint32_t)atoi(count) : SOAK_SEEDS;
+    uint32_t seed;
+
+    if (single_seed) {
+        soak((uint32_t)atoi(single_seed));
+        return;
+    }
+    for (seed = 1; seed <= seeds; seed++)
+        soak(seed);
+}
+
 int
 main(void)
 {
@@ -436,9 +549,12 @@
         cmocka_unit_test(
             late_starts__task_moves_soon_after_its_start_got_no_answer),
         cmocka_unit_test(late_starts__run_goes_on_while_the_worker_lives),
+        cmocka_unit_test(late_starts__random_crashes_run_tasks_once),
     };
 
     if (!g_getenv("CS_TEST_LOG"))
         cs_log_silence();
+    if (g_getenv("CS_SOAK_SEED") || g_getenv("CS_SOAK_SEEDS"))
+        cmocka_set_test_filter("*random_crashes*");
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
