http: a client that sends before it reads gets the refusal of its body

Callers saw: the connection reset instead of 413, where they sent a body that is too large whole before they read the answer. process__oversized_body_is_rejected failed so once (a sanitized run beside seven other tests).

Cause: while the server waits for the client to take the answer and close, it dropped bytes up to the limit of a body and then closed with bytes unread, which resets the connection.

Change: beyond the limit it reads no more, and waits for the client to close, within the 2 s and the number of connections as before.

Evidence: http__client_that_sends_before_it_reads_is_not_reset had ECONNRESET without the change; 17 of 17 tests of test_http pass with it.

--- a/src/http/connection.c
+++ b/src/http/connection.c
@@ -479,6 +479,21 @@
     }
 }
 
+/*
+ * Stops to read beyond the limit. A reset would let the client lose the answer
+ * that it may not have read yet; it has until the time limit of the state, or
+ * closes before.
+ */
+static void
+stop_dropping(struct connection *connection)
+{
+    if (connection->state == CONNECTION_CLOSING)
+        poller_watch(connection->server->poller, &connection->poll,
+                     EPOLLRDHUP);
+    else
+        connection_close(connection);
+}
+
 /* Reads and drops bytes, up to a limit. */
 static void
 drop_input(struct connection *connection, int64_t max_bytes)
@@ -493,10 +508,14 @@
             (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR))
             return;
         connection->dropped_bytes += MAX(size, 0);
-        if (size <= 0 || connection->dropped_bytes > max_bytes) {
+        if (size <= 0) {
             connection_close(connection);
             return;
         }
+        if (connection->dropped_bytes > max_bytes) {
+            stop_dropping(connection);
+            return;
+        }
     }
 }
 
@@ -543,7 +562,7 @@
     bool writes = connection->state == CONNECTION_WRITING ||
                   connection->state == CONNECTION_STREAMING;
 
-    if (events & (EPOLLERR | EPOLLHUP))
+    if (events & (EPOLLERR | EPOLLHUP | EPOLLRDHUP))
         connection_close(connection);
     else if (writes && (events & EPOLLOUT))
         connection_write(connection);
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -1,5 +1,6 @@
 /* Tests what the HTTP client reports of a call, and how it uses its
    connections. */
+#include <errno.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -648,6 +649,40 @@
     silent_dispose(&responder);
 }
 
+/* Guards against a client that gets no answer to a body that is too large: it
+   sends all of it before it reads, and the connection is reset meanwhile,
+   which some clients take for the end without an answer. */
+static void
+http__client_that_sends_before_it_reads_is_not_reset(void **state)
+{
+    char *body = g_strnfill(300 * 1024, 'x');
+    struct fixture fixture;
+    char answer[64] = "";
+    size_t sent = 0;
+    uint32_t i;
+    int fd;
+
+    fixture_init(&fixture);
+    cs_http_server_set_body_limit(fixture.server, 64 * 1024);
+    fd = connect_to(cs_http_server_port(fixture.server));
+    send_text(fd, "POST /x HTTP/1.1\r\nHost: h\r\n"
+                  "Content-Length: 307200\r\n\r\n");
+    for (i = 0; i < 300; i++) {
+        ssize_t size = send(fd, body + sent, MIN(strlen(body) - sent, 4096),
+                            MSG_DONTWAIT | MSG_NOSIGNAL);
+
+        assert_true(size >= 0 || errno == EAGAIN);
+        sent += (size_t)MAX(size, 0);
+        count_iterations(1);
+    }
+    assert_true(recv(fd, answer, sizeof(answer) - 1, MSG_DONTWAIT) > 0);
+    answer[strlen("HTTP/1.1 413")] = '\0';
+    assert_string_equal(answer, "HTTP/1.1 413");
+    close(fd);
+    fixture_dispose(&fixture);
+    g_free(body);
+}
+
 /* Guards against connections that serve one request and then no other, because
    reading was stopped for the first. */
 static void
@@ -953,6 +988,7 @@
             http__client_is_destroyed_after_a_reused_connection_timed_out),
         cmocka_unit_test(http__caller_that_leaves_does_not_hold_up_calls),
         cmocka_unit_test(http__body_is_delivered_while_the_loop_is_busy),
+        cmocka_unit_test(http__client_that_sends_before_it_reads_is_not_reset),
         cmocka_unit_test(http__connection_serves_further_requests),
         cmocka_unit_test(http__pipelined_requests_do_not_hang_the_process),
         cmocka_unit_test(
