--- a/src/fleet/heartbeat.c
+++ b/src/fleet/heartbeat.c
@@ -68,7 +68,7 @@
 {
     struct task *task = job_find_task(fleet, end->task);
 
-    /* The stop of a run that was not there may be listed as well. */
+    /* A run that was stopped need not have been there. */
     if (end->outcome != CS_OUTCOME_STOPPED)
         unsettled_end(fleet, worker, end->task, end->run);
     if (!task)
