fleet: the look for a start without an answer is not sent from a callback

A process that ends fails its open calls, among them starts; the callback of one sent a heartbeat, which nothing ended any more.

Cause: "a start without an answer is looked for at once" sends it from there.

Change: the callback asks for it, and the next turn of the heartbeats sends it.

Evidence: both tests pass sanitized with the change, test_late_starts with the soak and test_waiting_jobs as well.

--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -99,6 +99,9 @@
                                 of former holders */
     bool heartbeat_pending;
     bool idle_heartbeat; /* the pending one counts in fleet->idle_heartbeats */
+    /* An extra heartbeat is due. It is not sent from the callback of a call,
+       which may end with the process. */
+    bool probe_requested;
     int64_t next_heartbeat_us;
     int64_t last_answer_us;     /* of a successful heartbeat */
     int64_t clock_ms;           /* the worker's clock at clock_read_us; -1
--- a/src/fleet/heartbeat.c
+++ b/src/fleet/heartbeat.c
@@ -401,6 +401,7 @@
     struct call *call = call_create(fleet, worker);
 
     call->probe = true;
+    worker->probe_requested = false;
     fleet_increment_counter(fleet, "cs_looks_total");
     port->heartbeat(port->self, &target, &order,
                     call->sent_us + HEARTBEAT_TIMEOUT_US, on_heartbeat, call);
@@ -459,6 +460,8 @@
             return;
         retry_stops(fleet, worker, now_us);
         check_leases_ended(fleet, worker, now_us);
+        if (worker->probe_requested)
+            heartbeat_probe(fleet, worker);
         if (!worker->heartbeat_pending &&
             now_us >= worker->next_heartbeat_us && needs_heartbeat(worker) &&
             (!is_unverified(worker) || is_watched(worker) ||
--- a/src/fleet/run.c
+++ b/src/fleet/run.c
@@ -149,7 +149,7 @@
            would tell seconds later. */
         task->start_unconfirmed = true;
         pause_worker(fleet, task->worker, UNREACHED_PAUSE_US);
-        heartbeat_probe(fleet, task->worker);
+        task->worker->probe_requested = true;
         task->worker->next_heartbeat_us = 0;
         return;
     }
