--- a/tests/test_fleet_runs.c
+++ b/tests/test_fleet_runs.c
@@ -419,8 +419,8 @@
  * Guards against a start without an answer that is carried out after its
  * worker has come back as another incarnation under the same id, while the
  * task runs elsewhere: the worker was given up, or the run was stopped there
- * before the crash. The holder needs a moment to learn of the new incarnation;
- * nothing prevents a start within that time.
+ * before the crash. test_late_starts.c has starts that arrive before the
+ * holder knows of the new incarnation.
  */
 static void
 fleet_runs__late_start_is_refused_by_the_next_incarnation(void **state)
