fleet: log the workers whose tasks wait for a former holder

former-holder-wait told how many tasks and workers wait, but not which, so that a wait for workers of a zone that is cut off could not be told from one for workers that have left. former-holder-workers names them with zone, entry and notice; cs_tasks_behind_former_holders is the number of tasks now.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -123,6 +123,7 @@
     fleet->starts_held = false;
     fleet->deferred_steps = 0;
     *fleet->deferred_gauge = 0;
+    *fleet->former_gauge = 0;
     fleet->terms_version = 0;
     *cs_fleet_state_counter(fleet->state, "cs_jobs_without_queue") = 0;
     *cs_fleet_state_counter(fleet->state, "cs_tombstones") = 0;
@@ -138,6 +139,8 @@
     fleet->created_us = fleet_now(fleet).boot_us;
     fleet->max_tasks = job_max_tasks(state->settings.memory_bytes);
     fleet->deferred_gauge = cs_fleet_state_counter(state, "cs_steps_deferred");
+    fleet->former_gauge =
+        cs_fleet_state_counter(state, "cs_tasks_behind_former_holders");
     create_tables(fleet);
     fleet->ledger = ledger_create();
     feeds_init(fleet);
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -396,6 +396,7 @@
     uint64_t max_tasks;      /* that the memory of the VM has room for */
     uint32_t deferred_steps; /* due, but without room, at the last check */
     int64_t *deferred_gauge;
+    int64_t *former_gauge;      /* tasks that wait for former holders */
     int64_t last_submission_ms; /* when the newest job was accepted */
     uint64_t terms_version; /* of the configuration that the jobs' terms are
                                from; 0 none yet */
--- a/src/fleet/former_holder.c
+++ b/src/fleet/former_holder.c
@@ -18,6 +18,8 @@
 /* Workers that are reached at all answer a new holder within this time. */
 #define FIRST_WAIT_LOG_US (2 * CS_SEC_US)
 #define WAIT_LOG_INTERVAL_US (5 * CS_SEC_US)
+/* A line of the log holds 511 bytes, of which an entry takes up to 140. */
+#define WORKER_LIST_BYTES_MAX 320
 
 /* Returns the length of the VM's name in an incarnation, see
    cs_fleet_state_init(). */
@@ -309,12 +311,36 @@
 struct unfenced {
     guint workers;
     guint tasks;
+    GString *list;          /* of the workers, for the log; NULL for none */
+    guint unlisted_workers; /* that do not fit into it */
 };
 
-static struct unfenced
-count_unfenced(const cs_fleet *fleet)
+/* Names a worker, and what tells whether a former holder may reach it. */
+static void
+append_worker(const cs_fleet *fleet, struct unfenced *waiting,
+              const struct worker *worker)
+{
+    int64_t now_us = fleet_now(fleet).boot_us;
+
+    if (waiting->list->len > WORKER_LIST_BYTES_MAX) {
+        waiting->unlisted_workers++;
+        return;
+    }
+    g_string_append_printf(waiting->list, "%s%s in %s, %u tasks, %s",
+                           waiting->list->len ? "; " : "", worker->id,
+                           worker->zone[0] ? worker->zone : "unknown zone",
+                           worker->tasks->len,
+                           worker->listed ? "listed" : "not listed");
+    if (worker->draining)
+        g_string_append_printf(
+            waiting->list,
+            ", draining, %" PRId64 " ms left %" PRId64 " ms ago",
+            worker->remaining_ms, (now_us - worker->drain_seen_us) / CS_MS_US);
+}
+
+static void
+count_unfenced(const cs_fleet *fleet, struct unfenced *waiting)
 {
-    struct unfenced count = {0};
     guint i;
 
     for (i = 0; i < fleet->worker_list->len; i++) {
@@ -322,10 +348,23 @@
 
         if (worker->fenced || worker->tasks->len == 0)
             continue;
-        count.workers++;
-        count.tasks += worker->tasks->len;
+        waiting->workers++;
+        waiting->tasks += worker->tasks->len;
+        if (waiting->list)
+            append_worker(fleet, waiting, worker);
     }
-    return count;
+}
+
+/* Logs which workers wait for former holders. */
+static void
+log_workers(const cs_fleet *fleet)
+{
+    struct unfenced waiting = {.list = g_string_new(NULL)};
+
+    count_unfenced(fleet, &waiting);
+    cs_log_event("former-holder-workers", "epoch %" PRIu64 ": %s; %u more",
+                 fleet->epoch, waiting.list->str, waiting.unlisted_workers);
+    g_string_free(waiting.list, TRUE);
 }
 
 /* Logs what waits for former holders, for whom, and until when. */
@@ -354,6 +393,7 @@
         waiting->tasks, waiting->workers, (end_us - now_us) / CS_MS_US,
         fleet->epoch, fleet->former.count, names->str);
     g_string_free(names, TRUE);
+    log_workers(fleet);
 }
 
 void
@@ -361,12 +401,16 @@
 {
     const struct former_holders *former = &fleet->former;
     int64_t now_us = fleet_now(fleet).boot_us;
-    struct unfenced waiting;
+    struct unfenced waiting = {0};
 
-    if (now_us >= former_holder_leases_end_us(fleet) ||
-        now_us < MIN(former->next_read_us, former->next_log_us))
+    if (now_us >= former_holder_leases_end_us(fleet)) {
+        *fleet->former_gauge = 0;
+        return;
+    }
+    if (now_us < MIN(former->next_read_us, former->next_log_us))
         return;
-    waiting = count_unfenced(fleet);
+    count_unfenced(fleet, &waiting);
+    *fleet->former_gauge = waiting.tasks;
     if (waiting.tasks == 0)
         return;
     if (now_us >= former->next_log_us)
