fleet: a successor waits for a former holder for no longer than finish_s

Cause: a successor gives up a silent worker once the former holder can no longer have extended its leases, 15 s and a lease of 6 s after its last renewal. That is longer than the platform's bound for work to run again, finish_s (14 s). A VM that is gone for good neither writes that its tenure has ended nor runs a later process, which alone shorten the wait.

Change: how long leases last after the last renewal is derived from finish_s, less 1 s to see the renewal and to start the tasks, and stated in the epoch row. The holder extends no lease that would end later, and a successor waits for that time, whatever its own settings are; rows of former builds state none, and stand for 15 s and a lease as before. It works for workers that have left, crashed or are cut off, and for several holders in a row, as each row tells the ends of those before it.

Tests: one_that_is_gone_is_waited_for_no_longer_than_the_bound and two_that_are_gone_are_waited_for_no_longer fail with the former time (started after 27.9 s, bound 20.9 s). its_row_tells_how_long_to_wait finds tasks that run twice where a successor counts with its own settings, or takes a row without the time for one with it. leases_outlast_its_process and oldest_of_many_is_waited_for guard what no test did: they fail without the lease after a later process of the VM, and where the older of two merged former holders is dropped.

--- a/include/corianderstair/vm_settings.h
+++ b/include/corianderstair/vm_settings.h
@@ -21,6 +21,9 @@
     int64_t config_apply_ms; /**< until a new configuration is in force */
     int64_t restore_ms;      /**< work that a resumed run has to repeat */
     int64_t retention_ms;    /**< how long ended jobs can be queried */
+    /** Until a task that a fault has ended runs again, if there is room for
+       it; 0 if the settings do not state it. */
+    int64_t restart_ms;
     /** Until no task is started in an evacuated zone. */
     int64_t evacuate_ms;
     bool evacuate_given; /**< the settings contain evacuate_ms */
--- a/scripts/soak/deployment.py
+++ b/scripts/soak/deployment.py
@@ -15,7 +15,8 @@
 PORT_RANGE = [7010, 7015]
 # Bounds of the settings, as in tests/test_process.c.
 BOUNDS = {"holdMaxMs": 6000, "stopMs": 900, "gangMs": 3000, "graceS": 6,
-          "configApplyMs": 2000, "status_s": 120, "early_ms": 250}
+          "configApplyMs": 2000, "status_s": 120, "early_ms": 250,
+          "finish_s": 14}
 GRACE_S = BOUNDS["graceS"]
 STOP_MS = 800  # that the runs need, below stopMs
 CONTROL_ATTEMPTS = 5
--- a/src/fleet/change.c
+++ b/src/fleet/change.c
@@ -280,7 +280,7 @@
     fleet->commit.has_lease = true;
     /* A successor does not wait for a holder that has released the cell. */
     if (fleet->release_requested)
-        fleet->extend_until_us = 0;
+        extension_end(fleet);
 }
 
 /* Returns whether the row of the shares was due. */
--- a/src/fleet/commit.c
+++ b/src/fleet/commit.c
@@ -170,8 +170,7 @@
     if (commit->has_lease) {
         fleet->last_renewal_us = now_us;
         if (!fleet->release_requested)
-            fleet->extend_until_us =
-                commit->first_attempt_us + EXTEND_WITHOUT_STORE_US;
+            extension_renew(fleet, commit->first_attempt_us);
         fleet->next_renewal_us = now_us + RENEWAL_INTERVAL_US;
     }
     commit_reset(commit);
--- a/src/fleet/ended_tenure.c
+++ b/src/fleet/ended_tenure.c
@@ -28,8 +28,7 @@
 
     ended->epoch = epoch;
     ended->leases_end_us = leases_end_us;
-    ended->expires_us =
-        worker_lease_end_us(fleet, now_us + EXTEND_WITHOUT_STORE_US);
+    ended->expires_us = now_us + extension_longest_us(fleet);
     ended->next_write_us = now_us;
 }
 
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -38,10 +38,6 @@
    and workers are known to be silent for 3.6 s or longer when they start anew.
  */
 #define UNSETTLED_WATCH_WAIT_MS 1000
-/* A holder extends leases, and starts tasks, for this long at most after it
-   has sent the last renewal of its own lease that the store has confirmed. Its
-   successor relies on that. */
-#define EXTEND_WITHOUT_STORE_US (15 * CS_SEC_US)
 
 typedef enum {
     TENURE_FOLLOWING, /* stand-by: another process or none holds the cell */
@@ -353,7 +349,10 @@
                                  does not */
     int64_t next_renewal_us;
     int64_t last_renewal_us; /* of the lease, as confirmed by the store */
-    int64_t extend_until_us; /* extends leases and starts tasks before */
+    int64_t leases_last_us;  /* after a renewal of the cell's lease, at most;
+                                as the epoch row of the tenure states it */
+    int64_t leases_due_us;   /* all leases that the tenure extends, or starts
+                                tasks with, end by then; 0 it does neither */
     int64_t acquire_sent_us; /* when the cell was last to be acquired */
     int64_t loaded_us;       /* when the tenure had read all rows */
     struct former_holders former;
@@ -460,6 +459,30 @@
 void tenure_hand_over(cs_fleet *fleet, const char *reason);
 void tenure_encode_lease(cs_fleet *fleet, GByteArray *out);
 
+/* extension.c */
+/* Returns the longest time, after the last renewal of the cell's lease, until
+   all leases of a tenure have ended. That of tenures that do not state it. */
+int64_t extension_longest_us(const cs_fleet *fleet);
+/* Returns the time for a tenure that is to be acquired. */
+int64_t extension_choose_us(const cs_fleet *fleet);
+/*
+ * Begins a tenure.
+ * renewed_us: when the call was sent that has acquired the cell
+ * leases_last_us: what the epoch row states
+ */
+void extension_begin(cs_fleet *fleet, int64_t renewed_us,
+                     int64_t leases_last_us);
+/* Notes that the store has confirmed a renewal that was sent at renewed_us. */
+void extension_renew(cs_fleet *fleet, int64_t renewed_us);
+/* Notes that the tenure extends no leases from now on. */
+void extension_end(cs_fleet *fleet);
+/* Returns whether leases may be extended now, and tasks be started. */
+bool extension_is_allowed(const cs_fleet *fleet);
+/* Packs the time into the epoch row. */
+void extension_encode(msgpack_packer *packer, int64_t leases_last_us);
+/* Reads it from there. Returns whether it is valid. */
+bool extension_decode(int64_t *leases_last_us, const msgpack_object *item);
+
 /* former_holder.c */
 /* Drops what was noted of former holders. */
 void former_holder_reset(cs_fleet *fleet);
--- a/src/fleet/former_holder.c
+++ b/src/fleet/former_holder.c
@@ -2,7 +2,7 @@
  * The processes that held the cell before this one. One that is cut off from
  * the store, or was frozen, may not know that it has lost the cell and extend
  * leases of workers that have not answered its successor. Without further
- * knowledge it does so until EXTEND_WITHOUT_STORE_US after its last renewal.
+ * knowledge these have ended when its epoch row says, see extension.c.
  * The wait for it ends sooner once it has written that its tenure has ended,
  * see ended_tenure.c, or its VM is known to run a later process. The epoch row
  * carries the former holders over takeovers that follow one another, each
--- a/src/fleet/heartbeat.c
+++ b/src/fleet/heartbeat.c
@@ -314,10 +314,10 @@
 
 /* Returns whether a heartbeat may extend the worker's leases. */
 static bool
-may_extend(const cs_fleet *fleet, const struct worker *worker, int64_t now_us)
+may_extend(const cs_fleet *fleet, const struct worker *worker)
 {
     return worker->tasks->len > 0 && worker->clock_ms >= 0 &&
-           worker->failed_heartbeats == 0 && now_us < fleet->extend_until_us;
+           worker->failed_heartbeats == 0 && extension_is_allowed(fleet);
 }
 
 /* Returns whether the worker has no tasks and is not known to answer. */
@@ -368,7 +368,7 @@
         .epoch = fleet->epoch, .acknowledged_upto = acknowledged_upto(worker)};
     struct call *call = call_create(fleet, worker);
 
-    if (may_extend(fleet, worker, now_us)) {
+    if (may_extend(fleet, worker)) {
         order.lease_end_ms = worker_clock_ms(worker, now_us) +
                              fleet->state->settings.bounds.worker_lease_ms;
         worker_extend_lease_end(worker, order.lease_end_ms);
--- a/src/fleet/start_gate.c
+++ b/src/fleet/start_gate.c
@@ -55,7 +55,7 @@
 static bool
 is_overdue(const cs_fleet *fleet)
 {
-    return fleet_now(fleet).boot_us >= fleet->extend_until_us;
+    return !extension_is_allowed(fleet);
 }
 
 /* Returns whether the worker has started anew since the run was placed. Until
--- a/src/fleet/tenure.c
+++ b/src/fleet/tenure.c
@@ -55,6 +55,8 @@
                                lack */
     struct former_record older[FORMER_HOLDERS_MAX];
     uint32_t older_count;
+    int64_t leases_last_us; /* see extension.c; 0 if the row of a former build
+                               does not state it */
     uint64_t lease_version;
     bool released;
     int64_t renewed_ms; /* store's clock at the last renewal; 0 unknown */
@@ -163,7 +165,7 @@
     msgpack_packer packer;
 
     cs_record_packer_init(&packer, out);
-    msgpack_pack_array(&packer, 5);
+    msgpack_pack_array(&packer, 6);
     msgpack_pack_int64(&packer, RECORD_VERSION);
     msgpack_pack_uint64(&packer, fleet->epoch);
     cs_record_pack_text(&packer, fleet->state->incarnation);
@@ -172,6 +174,7 @@
                      ? store_ms + (older_until_us - now_us) / CS_MS_US + 1
                      : 0);
     former_holder_encode(fleet, &packer, store_ms, now_us);
+    extension_encode(&packer, fleet->leases_last_us);
 }
 
 static bool
@@ -186,12 +189,16 @@
     out->epoch = (uint64_t)cs_record_read_int(reader);
     cs_record_read_text(reader, out->holder, sizeof(out->holder));
     out->older_until_ms = -1;
-    /* Records of older versions end here, or after the next item. */
+    /* Records of older versions end here, or after one of the next items. */
     if (!reader->failed && reader->next < reader->count)
         out->older_until_ms = cs_record_read_int(reader);
     if (!reader->failed && reader->next < reader->count)
         out->older_known = former_holder_decode(out->older, &out->older_count,
                                                 cs_record_read_item(reader));
+    if (!reader->failed && reader->next < reader->count)
+        valid = extension_decode(&out->leases_last_us,
+                                 cs_record_read_item(reader)) &&
+                valid;
     valid = valid && !reader->failed;
     cs_record_close(&record);
     out->epoch_version = row->version;
@@ -279,7 +286,8 @@
 }
 
 static void
-begin_tenure(cs_fleet *fleet, uint64_t epoch, uint64_t version)
+begin_tenure(cs_fleet *fleet, uint64_t epoch, uint64_t version,
+             int64_t leases_last_us)
 {
     cs_cell_view *cell = &fleet->state->cell;
 
@@ -290,10 +298,13 @@
     fleet->epoch_version = version;
     fleet->next_renewal_us = 0;
     fleet->last_renewal_us = fleet_now(fleet).boot_us;
-    fleet->extend_until_us = fleet->acquire_sent_us + EXTEND_WITHOUT_STORE_US;
+    extension_begin(fleet, fleet->acquire_sent_us, leases_last_us);
     cell->epoch = epoch;
     g_strlcpy(cell->holder, fleet->state->incarnation, sizeof(cell->holder));
-    cs_log_event("cell-taken", "epoch %" PRIu64, epoch);
+    cs_log_event("cell-taken",
+                 "epoch %" PRIu64 ", leases end within %" PRId64
+                 " ms of a renewal",
+                 epoch, leases_last_us / CS_MS_US);
     fleet_increment_counter(fleet, "cs_cell_taken_total");
 }
 
@@ -305,7 +316,7 @@
 
     cs_fleet_state_record_store_answer(fleet->state, answer->code);
     if (answer->code == 0) {
-        begin_tenure(fleet, epoch, answer->version);
+        begin_tenure(fleet, epoch, answer->version, fleet->leases_last_us);
         return;
     }
     /* If the answer was lost, the next read of the rows shows the holder. */
@@ -336,18 +347,19 @@
                           now_us + left_ms * CS_MS_US, false);
     }
     if (!rows->older_known) {
-        int64_t until_us = now_us + EXTEND_WITHOUT_STORE_US;
+        int64_t end_us = now_us + extension_longest_us(fleet);
 
         if (rows->older_until_ms >= 0)
-            until_us =
-                now_us + (rows->older_until_ms - rows->now_ms) * CS_MS_US;
-        former_holder_add(fleet, "", 0, worker_lease_end_us(fleet, until_us),
-                          false);
+            end_us = worker_lease_end_us(
+                fleet,
+                now_us + (rows->older_until_ms - rows->now_ms) * CS_MS_US);
+        former_holder_add(fleet, "", 0, end_us, false);
     }
-    former_holder_add(
-        fleet, rows->holder, rows->epoch,
-        worker_lease_end_us(fleet, silent_since_us + EXTEND_WITHOUT_STORE_US),
-        rows->released);
+    former_holder_add(fleet, rows->holder, rows->epoch,
+                      silent_since_us + (rows->leases_last_us
+                                             ? rows->leases_last_us
+                                             : extension_longest_us(fleet)),
+                      rows->released);
 }
 
 static void
@@ -376,6 +388,7 @@
     fleet->store_clock_ms = rows->now_ms;
     fleet->store_clock_read_us = fleet->acquire_sent_us;
     note_former_holders(fleet, rows);
+    fleet->leases_last_us = extension_choose_us(fleet);
     encode_epoch(fleet, epoch, rows->now_ms, fleet->cell_read_sent_us);
     puts[0].value = epoch->data;
     puts[0].size_bytes = epoch->len;
@@ -483,7 +496,8 @@
     /* An attempt to acquire the cell whose answer was lost has succeeded. */
     if (rows->epoch_version && rows->epoch > fleet->last_ended_epoch &&
         strcmp(rows->holder, fleet->state->incarnation) == 0) {
-        begin_tenure(fleet, rows->epoch, rows->epoch_version);
+        begin_tenure(fleet, rows->epoch, rows->epoch_version,
+                     rows->leases_last_us);
         return;
     }
     settle_unsure_epoch(fleet, rows);
--- a/standins/fake_fleet.c
+++ b/standins/fake_fleet.c
@@ -17,6 +17,8 @@
 #define ENTRY_INTERVAL_US (1500 * CS_MS_US)
 #define ENTRY_EXPIRY_INTERVALS 3
 #define DEFAULT_ROW_BYTES 65536
+/* Bound of the VMs' settings, as on the users' platform. */
+#define RESTART_BOUND_MS 14000
 #define CALL_TIMEOUT_US (3 * CS_SEC_US)
 /* Time between a stop request and the earliest end of the process. */
 #define MIN_DRAIN_TIME_US (3 * CS_SEC_US)
@@ -157,6 +159,9 @@
                    .grace_ms = 6000,
                    .config_apply_ms = vm->deployment->config_apply_ms,
                    .restore_ms = 600,
+                   .restart_ms = vm->deployment->restart_not_given
+                                     ? 0
+                                     : RESTART_BOUND_MS,
                    .evacuate_ms = FAKE_EVACUATE_MS,
                    .evacuate_given = !vm->deployment->evacuate_not_given,
                    .retention_ms = 120000}};
@@ -357,10 +362,17 @@
 
 void
 fake_fleet_put_cell_row(fake_fleet *deployment, const char *key,
-                        const char *text)
+                        const void *value, size_t size_bytes)
 {
-    fake_store_put(deployment, CS_TABLE_CELL, CS_CELL_PART, key, text,
-                   strlen(text));
+    fake_store_put(deployment, CS_TABLE_CELL, CS_CELL_PART, key, value,
+                   size_bytes);
+}
+
+void
+fake_fleet_set_restart_given(fake_fleet *deployment, uint32_t vm, bool given)
+{
+    deployment->vms[vm].state.settings.bounds.restart_ms =
+        given ? RESTART_BOUND_MS : 0;
 }
 
 /* Returns the organisations after the first, as items of a JSON list. */
@@ -560,6 +572,7 @@
     deployment->store_reads_per_s = settings->store_reads_per_s;
     deployment->feed_rows_max = settings->feed_rows_max;
     deployment->memory_bytes = settings->memory_bytes;
+    deployment->restart_not_given = settings->restart_not_given;
     deployment->evacuate_not_given = settings->evacuate_not_given;
     deployment->late_orders_outlive_workers =
         settings->late_orders_outlive_workers;
--- a/standins/fake_fleet.h
+++ b/standins/fake_fleet.h
@@ -97,6 +97,9 @@
     bool late_orders_outlive_workers;
     /** The VMs' settings do not contain the bound of evacuations. */
     bool evacuate_not_given;
+    /** The VMs' settings do not contain the bound of restarts, 14 s, as those
+        of former builds do not. */
+    bool restart_not_given;
     /** Number of zones of the workers, at most FAKE_WORKER_ZONES_MAX; 0 means
         FAKE_ZONES. */
     uint32_t worker_zones;
@@ -202,7 +205,12 @@
 void fake_fleet_merge_progress(fake_fleet *deployment, const char *id);
 /** Overwrites a row of the cell's part in the store. */
 void fake_fleet_put_cell_row(fake_fleet *deployment, const char *key,
-                             const char *text);
+                             const void *value, size_t size_bytes);
+/** Rewrites the row of the cell's epoch as a former build wrote it. */
+void fake_fleet_put_former_epoch_row(fake_fleet *deployment);
+/** Changes the settings of a VM to contain the bound of restarts, or not. */
+void fake_fleet_set_restart_given(fake_fleet *deployment, uint32_t vm,
+                                  bool given);
 /** Writes the configuration to the store under a version number. */
 void fake_fleet_configure(fake_fleet *deployment, uint64_t version);
 
--- a/standins/fake_fleet_internal.h
+++ b/standins/fake_fleet_internal.h
@@ -195,6 +195,7 @@
     int64_t row_bytes;
     int64_t memory_bytes;
     bool evacuate_not_given;
+    bool restart_not_given;
     bool late_orders_outlive_workers;
     bool shutting_down;               /* messages are freed, not delivered */
     uint64_t call_count;              /* store changes and worker orders */
--- a/standins/fake_fleet_store.c
+++ b/standins/fake_fleet_store.c
@@ -8,6 +8,7 @@
 #include "fake_fleet_internal.h"
 
 #include "config.h"
+#include "corianderstair/record.h"
 
 #define STORE_LATENCY_US (4 * CS_MS_US)
 #define MAX_CHANGE_ROWS 100
@@ -236,6 +237,30 @@
     g_byte_array_unref(value);
 }
 
+/* Number of items of the row before the time that leases last. */
+#define FORMER_EPOCH_ITEMS 5
+
+void
+fake_fleet_put_former_epoch_row(fake_fleet *deployment)
+{
+    const struct fake_row *row =
+        fake_store_get(deployment, CS_TABLE_CELL, CS_CELL_PART, "epoch");
+    GByteArray *value = g_byte_array_new();
+    cs_packed_record record;
+    msgpack_packer packer;
+    uint32_t i;
+
+    cs_record_open(&record, row->value->data, row->value->len);
+    cs_record_packer_init(&packer, value);
+    msgpack_pack_array(&packer, FORMER_EPOCH_ITEMS);
+    for (i = 0; i < FORMER_EPOCH_ITEMS; i++)
+        msgpack_pack_object(&packer, *cs_record_read_item(&record.reader));
+    cs_record_close(&record);
+    fake_store_put(deployment, CS_TABLE_CELL, CS_CELL_PART, "epoch",
+                   value->data, value->len);
+    g_byte_array_unref(value);
+}
+
 uint32_t
 fake_fleet_row_count(const fake_fleet *deployment, const char *table)
 {
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -713,13 +713,19 @@
 /* Kills the holder while a worker with a task is cut off. Returns after how
    many seconds the task is started elsewhere. */
 static uint32_t
-measure_restart_s(int64_t holder_down_us)
+measure_restart_s(int64_t holder_down_us, bool bound_given)
 {
-    fake_fleet *deployment = create_deployment(42);
+    fake_fleet_settings settings = {.vms = 4,
+                                    .workers = 16,
+                                    .racks = 2,
+                                    .seed = 42,
+                                    .restart_not_given = !bound_given};
+    fake_fleet *deployment = fake_fleet_create(&settings);
     uint32_t seconds = 0;
     fake_job job;
     int32_t reply;
 
+    fake_fleet_run(deployment, 2 * CS_SEC_US);
     fake_job_init(&job, 1, 2, 8, 8, 60 * 1000);
     fake_fleet_submit(deployment, 0, &job, &reply);
     fake_fleet_run(deployment, 2 * CS_SEC_US);
@@ -743,8 +749,10 @@
 static void
 fleet__former_holder_is_waited_for_until_its_vm_restarts(void **state)
 {
-    assert_in_range(measure_restart_s(CS_SEC_US), 6, 11);
-    assert_in_range(measure_restart_s(300 * CS_SEC_US), 20, 24);
+    assert_in_range(measure_restart_s(CS_SEC_US, false), 6, 11);
+    assert_in_range(measure_restart_s(300 * CS_SEC_US, false), 20, 24);
+    assert_in_range(measure_restart_s(CS_SEC_US, true), 6, 11);
+    assert_in_range(measure_restart_s(300 * CS_SEC_US, true), 6, 14);
 }
 
 /*
@@ -1517,7 +1525,7 @@
     fake_fleet_run(deployment, CS_SEC_US);
     holder = kill_with_row_in_flight(deployment);
     fake_fleet_run(deployment, 100 * CS_MS_US);
-    fake_fleet_put_cell_row(deployment, "shares", "\x94\x01\x02\x92\xa2t1");
+    fake_fleet_put_cell_row(deployment, "shares", "\x94\x01\x02\x92\xa2t1", 7);
     fake_fleet_run(deployment, 4 * CS_SEC_US);
     assert_int_not_equal(fake_fleet_holder(deployment), -1);
     assert_int_not_equal(fake_fleet_holder(deployment), holder);
@@ -1543,11 +1551,11 @@
 
     kill_with_row_in_flight(deployment);
     fake_fleet_run(deployment, 100 * CS_MS_US);
-    /* Version 1, a negative time without zero bytes, which would end the text,
-       no organisations, no zones. */
+    /* Version 1, a negative time, no organisations, no zones. */
     fake_fleet_put_cell_row(deployment, "shares",
                             "\x94\x01\xd3\x80\x01\x01\x01\x01\x01\x01\x01"
-                            "\x90\x90");
+                            "\x90\x90",
+                            13);
     fake_fleet_run(deployment, 4 * CS_SEC_US);
     assert_int_not_equal(fake_fleet_holder(deployment), -1);
     assert_int_equal(
--- a/tests/test_former_holder.c
+++ b/tests/test_former_holder.c
@@ -7,6 +7,7 @@
 #include "corianderstair/errors.h"
 #include "corianderstair/job_progress.h"
 #include "corianderstair/log.h"
+#include "corianderstair/record.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
@@ -15,6 +16,8 @@
 
 #define JOB_ID "0000000000000001"
 #define JOB_TASKS 10
+/* Bound of the fakes' settings within which lost tasks run again. */
+#define RESTART_US (14 * CS_SEC_US)
 /* The lease of the settings, 6 s, on a clock that is 2% slow. */
 #define LEASE_US (6300 * CS_MS_US)
 /* A new holder looks for rows of former ones each second. */
@@ -428,6 +431,196 @@
     }
 }
 
+/* Lets every third worker announce that it leaves, and go. */
+static void
+let_workers_leave(fake_fleet *deployment)
+{
+    uint32_t i;
+
+    for (i = 0; i < 16; i += 3)
+        fake_fleet_drain_worker(deployment, i);
+    fake_fleet_run(deployment, 1900 * CS_MS_US);
+    lose_workers(deployment);
+}
+
+/*
+ * Guards against jobs that wait 17 s for tasks on workers that have left, as
+ * the holder's VM was removed for good at the same time and nobody writes that
+ * its tenure has ended.
+ */
+static void
+former_holder__one_that_is_gone_is_waited_for_no_longer_than_the_bound(
+    void **state)
+{
+    uint64_t seed;
+
+    for (seed = 1; seed <= 12; seed++) {
+        fake_fleet *deployment = create_small_deployment(seed);
+        int64_t gone_us;
+
+        start_job(deployment);
+        if (seed % 2)
+            let_workers_leave(deployment);
+        else
+            lose_workers(deployment);
+        fake_fleet_kill(deployment, (uint32_t)fake_fleet_holder(deployment),
+                        3600 * CS_SEC_US);
+        gone_us = fake_fleet_now_us(deployment);
+        expect_restart(deployment, gone_us, gone_us + RESTART_US);
+        expect_job_completed(deployment);
+        fake_fleet_destroy(deployment);
+    }
+}
+
+/* Guards against the same wait for the first of two holders that are removed
+   one after the other. */
+static void
+former_holder__two_that_are_gone_are_waited_for_no_longer(void **state)
+{
+    uint64_t seed;
+
+    for (seed = 1; seed <= 8; seed++) {
+        fake_fleet *deployment = create_small_deployment(seed);
+        int64_t gone_us;
+
+        start_job(deployment);
+        fake_fleet_kill(deployment, (uint32_t)fake_fleet_holder(deployment),
+                        3600 * CS_SEC_US);
+        lose_workers(deployment);
+        fake_fleet_kill(deployment, run_to_takeover(deployment, 4, 1),
+                        3600 * CS_SEC_US);
+        gone_us = fake_fleet_now_us(deployment);
+        expect_restart(deployment, gone_us, gone_us + RESTART_US);
+        expect_job_completed(deployment);
+        fake_fleet_destroy(deployment);
+    }
+}
+
+/*
+ * Guards against tasks that run twice because a successor counts with its own
+ * settings and not with what the former holder's row states, or does not: that
+ * holder, cut off with some workers, extends their leases for longer.
+ */
+static void
+former_holder__its_row_tells_how_long_to_wait(void **state)
+{
+    uint64_t seed;
+
+    for (seed = 1; seed <= 16; seed++) {
+        fake_fleet_settings settings = {.vms = 9,
+                                        .workers = 16,
+                                        .racks = 2,
+                                        .seed = seed,
+                                        .max_direct_workers = seed % 2 * 4,
+                                        .slow_clocks = true,
+                                        .restart_not_given = true};
+        fake_fleet *deployment = create_deployment(&settings);
+        uint32_t zone = (uint32_t)fake_fleet_holder(deployment) % FAKE_ZONES;
+        uint32_t i;
+
+        for (i = 0; i < settings.vms; i++)
+            fake_fleet_set_restart_given(deployment, i, true);
+        start_job(deployment);
+        fake_fleet_cut_zone(deployment, zone, true);
+        if (seed % 4 >= 2)
+            fake_fleet_put_former_epoch_row(deployment);
+        fake_fleet_run(deployment, (12 + (int64_t)seed) * CS_SEC_US);
+        fake_fleet_cut_zone(deployment, zone, false);
+        expect_job_completed(deployment);
+        fake_fleet_destroy(deployment);
+    }
+}
+
+/*
+ * Guards against tasks that run twice because a holder whose VM runs a later
+ * process is taken for one whose leases have ended with it: it has extended
+ * them, on workers that only it reached, until it was killed.
+ */
+static void
+former_holder__leases_outlast_its_process(void **state)
+{
+    uint64_t seed;
+
+    for (seed = 1; seed <= 12; seed++) {
+        fake_fleet_settings settings = {.vms = 9,
+                                        .workers = 16,
+                                        .racks = 2,
+                                        .seed = seed,
+                                        .slow_clocks = true};
+        fake_fleet *deployment = create_deployment(&settings);
+        uint32_t holder = (uint32_t)fake_fleet_holder(deployment);
+        uint32_t zone = holder % FAKE_ZONES;
+        uint32_t i;
+
+        start_job(deployment);
+        fake_fleet_cut_zone(deployment, zone, true);
+        fake_fleet_run(deployment, 6 * CS_SEC_US + (int64_t)seed * 41000);
+        for (i = zone; i < settings.workers; i += FAKE_ZONES)
+            fake_fleet_set_worker_disconnected(deployment, i, true);
+        fake_fleet_kill(deployment, holder, 200 * CS_MS_US);
+        fake_fleet_cut_zone(deployment, zone, false);
+        fake_fleet_run(deployment, 20 * CS_SEC_US);
+        for (i = zone; i < settings.workers; i += FAKE_ZONES)
+            fake_fleet_set_worker_disconnected(deployment, i, false);
+        expect_job_completed(deployment);
+        fake_fleet_destroy(deployment);
+    }
+}
+
+/* Number of former holders that a row of the epoch names. */
+#define FORMER_HOLDERS 8
+
+/* Writes a row of the epoch by which the oldest of several former holders
+   extends leases until oldest_end_us. */
+static void
+put_former_holders(fake_fleet *deployment, uint64_t epoch,
+                   int64_t oldest_end_us)
+{
+    int64_t now_ms = fake_fleet_now_us(deployment) / CS_MS_US;
+    GByteArray *value = g_byte_array_new();
+    msgpack_packer packer;
+    uint32_t i;
+
+    cs_record_packer_init(&packer, value);
+    msgpack_pack_array(&packer, 5);
+    msgpack_pack_int64(&packer, 1);
+    msgpack_pack_uint64(&packer, epoch);
+    cs_record_pack_text(&packer, "vm-gone-1");
+    msgpack_pack_int64(&packer, 0);
+    msgpack_pack_array(&packer, FORMER_HOLDERS);
+    for (i = 0; i < FORMER_HOLDERS; i++) {
+        msgpack_pack_array(&packer, 3);
+        cs_record_pack_text(&packer, "vm-former-1");
+        msgpack_pack_uint64(&packer, i + 1);
+        msgpack_pack_int64(&packer,
+                           i == 0 ? oldest_end_us / CS_MS_US : now_ms + 8000);
+    }
+    fake_fleet_put_cell_row(deployment, "epoch", value->data, value->len);
+    g_byte_array_unref(value);
+}
+
+/*
+ * Guards against tasks that run twice because the oldest of more former
+ * holders than a row has room for is dropped although the leases that it
+ * extends last longest.
+ */
+static void
+former_holder__oldest_of_many_is_waited_for(void **state)
+{
+    fake_fleet *deployment = create_small_deployment(1);
+    int64_t end_us;
+
+    start_job(deployment);
+    fake_fleet_kill(deployment, (uint32_t)fake_fleet_holder(deployment),
+                    3600 * CS_SEC_US);
+    lose_workers(deployment);
+    end_us = fake_fleet_now_us(deployment) + 40 * CS_SEC_US;
+    put_former_holders(deployment, FORMER_HOLDERS + 1, end_us);
+    expect_restart(deployment, end_us, end_us + NOTICE_US);
+    expect_job_completed(deployment);
+    fake_fleet_destroy(deployment);
+}
+
 int
 main(void)
 {
@@ -447,6 +640,13 @@
             former_holder__earlier_ones_that_restart_are_not_waited_for),
         cmocka_unit_test(
             former_holder__tasks_run_once_after_takeovers_in_a_row),
+        cmocka_unit_test(
+            former_holder__one_that_is_gone_is_waited_for_no_longer_than_the_bound),
+        cmocka_unit_test(
+            former_holder__two_that_are_gone_are_waited_for_no_longer),
+        cmocka_unit_test(former_holder__its_row_tells_how_long_to_wait),
+        cmocka_unit_test(former_holder__leases_outlast_its_process),
+        cmocka_unit_test(former_holder__oldest_of_many_is_waited_for),
     };
 
     if (!g_getenv("CS_TEST_LOG"))
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -439,6 +439,22 @@
     assert_int_equal(settings.bounds.evacuate_ms, 5000);
 }
 
+/* Guards against a deployment whose bound for work to run again is ignored. */
+static void
+platform__bound_of_restarts_is_optional(void **state)
+{
+    GString *text = g_string_new(valid_settings);
+    cs_vm_settings settings;
+
+    assert_int_equal(platform_settings_decode(&settings, text->str), 0);
+    assert_int_equal(settings.bounds.restart_ms, 0);
+    g_string_insert(text, (gssize)(text->len - strlen("}}")),
+                    ",\"finish_s\":14");
+    assert_int_equal(platform_settings_decode(&settings, text->str), 0);
+    assert_int_equal(settings.bounds.restart_ms, 14000);
+    g_string_free(text, TRUE);
+}
+
 /* Guards against a deployment whose own bound for evacuations is ignored. */
 static void
 platform__bound_of_evacuations_is_optional(void **state)
@@ -553,6 +569,7 @@
         cmocka_unit_test(platform__values_of_a_job_are_limited),
         cmocka_unit_test(platform__settings_are_decoded),
         cmocka_unit_test(platform__bound_of_evacuations_is_optional),
+        cmocka_unit_test(platform__bound_of_restarts_is_optional),
         cmocka_unit_test(platform__invalid_settings_name_the_field),
     };
 
