fleet: the removal of an ended job spares a newer one of its id

Callers saw, or would have: a job that was accepted is unknown, or does not run until another VM takes the cell; a submission that arrives late is accepted although its cancel was answered. Found by reading; the id must be used again after the retention of the ended job.

Cause: the holder took every row of an id for that of the job that it knew. A removal that failed on its condition was repeated with the version of the row that it had found, and the feed's row of a newer job gave its version to the ended one and was dropped.

Change: a row is that of a job if it names the same time of acceptance and is no tombstone. Otherwise the ended job's row is gone; its progress is removed, and the newer job is added after that. The removal moves to src/fleet/job_removal.c.

--- a/src/fleet/commit.c
+++ b/src/fleet/commit.c
@@ -160,11 +160,8 @@
 
         row->version = 0;
     }
-    for (i = 0; i < commit->expired_jobs->len; i++) {
-        const struct job *job = g_ptr_array_index(commit->expired_jobs, i);
-
-        g_hash_table_remove(fleet->jobs, job->spec.id);
-    }
+    for (i = 0; i < commit->expired_jobs->len; i++)
+        job_remove(fleet, g_ptr_array_index(commit->expired_jobs, i));
     if (commit->covers_ends)
         mark_ends_recorded(fleet);
     if (commit->has_lease) {
--- a/src/fleet/feeds.c
+++ b/src/fleet/feeds.c
@@ -52,13 +52,23 @@
         cs_job_spec_dispose(&spec);
         return;
     }
+    if (job && !job_is_of_row(job, &spec) &&
+        (job_is_final(job) || row->version <= job->row_version)) {
+        job_note_newer(fleet, job, &spec, row->version);
+        return;
+    }
     cancelled = spec.cancelled;
     /* job_cancel() sets it again, also for a new job. */
     spec.cancelled = false;
-    if (job)
+    if (job) {
+        /* The row of an active job was removed by another writer, and its id
+           accepted again: to callers it is one job. */
+        job->spec.accepted_ms = spec.accepted_ms;
         cs_job_spec_dispose(&spec);
-    else
+    }
+    else {
         job = job_add(fleet, &spec);
+    }
     job->row_version = MAX(job->row_version, row->version);
     if (cancelled)
         job_cancel(fleet, job);
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -60,6 +60,7 @@
 struct step;
 struct advice;
 struct ledger;
+struct newer_job;
 struct reserve;
 struct tombstones;
 
@@ -235,7 +236,9 @@
     bool lateness_observed;    /* at the first placement of a task */
     uint32_t max_attempts;     /* see job_terms.c, as the next two */
     uint32_t priority;
-    bool has_queue; /* in the configuration that was applied last */
+    bool has_queue;          /* in the configuration that was applied last */
+    struct newer_job *newer; /* accepted under the same id after this ended
+                                one was removed; NULL for none */
 };
 
 /* The change to the store that is being written. */
@@ -634,15 +637,27 @@
 bool job_is_waiting(const struct job *job);
 /* Returns the length of job->steps: the steps of all occurrences. */
 uint32_t job_total_steps(const struct job *job);
-/* Queues the final jobs past their retention for removal. */
-void job_queue_expired(cs_fleet *fleet);
-/* Removes the row of the next expired job unless a removal is in flight. */
-void job_remove_expired(cs_fleet *fleet);
 /* Returns the task with the name that task_name() gives it, or NULL. */
 struct task *job_find_task(cs_fleet *fleet, const char *name);
 /* Writes a task's name to out, a buffer of TASK_NAME_BYTES. */
 void task_name(char *out, const struct task *task);
 
+/* job_removal.c */
+/* Queues the final jobs past their retention for removal. */
+void job_queue_expired(cs_fleet *fleet);
+/* Removes the row of the next expired job unless a removal is in flight. */
+void job_remove_expired(cs_fleet *fleet);
+/* Returns whether a row of the job's id is that of this job. */
+bool job_is_of_row(const struct job *job, const cs_job_spec *spec);
+/* Notes another job of the same id, to be added once an ended job is removed.
+   Takes ownership of what spec owns. */
+void job_note_newer(cs_fleet *fleet, struct job *job, cs_job_spec *spec,
+                    uint64_t row_version);
+/* Frees an ended job whose rows are removed, and adds the newer one of its id,
+   if any. */
+void job_remove(cs_fleet *fleet, struct job *job);
+void newer_job_free(struct newer_job *newer);
+
 /* job_terms.c */
 /* Sets the terms of a new job. */
 void job_terms_init(const cs_fleet *fleet, struct job *job);
--- a/src/fleet/job.c
+++ b/src/fleet/job.c
@@ -119,6 +119,7 @@
         step_free(job->steps[i]);
     g_free(job->steps);
     g_free(job->rows);
+    newer_job_free(job->newer);
     cs_job_spec_dispose(&job->spec);
     g_free(job);
 }
@@ -443,95 +444,6 @@
         job_update(fleet, g_ptr_array_index(fleet->active_jobs, i));
 }
 
-void
-job_queue_expired(cs_fleet *fleet)
-{
-    int64_t now_ms = fleet_now(fleet).wall_us / CS_MS_US;
-    int64_t retention_ms = cs_fleet_state_retention_ms(fleet->state);
-
-    while (fleet->final_jobs->len > 0) {
-        struct job *job = g_ptr_array_index(fleet->final_jobs, 0);
-
-        if (now_ms - job->ended_ms < retention_ms || job->active_tasks > 0 ||
-            !progress_is_recorded(job))
-            return;
-        g_ptr_array_remove_index(fleet->final_jobs, 0);
-        g_queue_push_tail(&fleet->expired_jobs, job);
-    }
-}
-
-/* Returns the version of the job's row in the answer to a failed removal; 0 if
-   it is gone. */
-static uint64_t
-current_version(const cs_store_answer *answer)
-{
-    return answer->row_count > 0 && !answer->rows[0].deleted
-               ? answer->rows[0].version
-               : 0;
-}
-
-static void
-note_removed(cs_fleet *fleet, struct job *job, uint64_t version)
-{
-    cs_log_event("job-removed",
-                 "job %s, ended %" PRId64 " ms ago, store at version %" PRIu64,
-                 job->spec.id,
-                 fleet_now(fleet).wall_us / CS_MS_US - job->ended_ms, version);
-    g_queue_push_tail(&fleet->expired_progress, job);
-}
-
-/*
- * The job row is removed before the progress rows, because a job without
- * progress would run again. One change cannot remove both, as all rows of a
- * change share a part of the store.
- */
-static void
-on_row_removed(void *user_data, const cs_store_answer *answer)
-{
-    struct call *call = user_data;
-    cs_fleet *fleet = call->fleet;
-    bool stale = call_is_stale(call);
-    struct job *job;
-
-    g_free(call);
-    if (stale)
-        return;
-    fleet->job_removal_pending = false;
-    job = g_queue_peek_head(&fleet->expired_jobs);
-    /* A caller may have cancelled the ended job, which rewrites its row. */
-    if (answer->code == CS_E_CONFLICT)
-        job->row_version = current_version(answer);
-    if (answer->code == 0 ||
-        (answer->code == CS_E_CONFLICT && job->row_version == 0)) {
-        g_queue_pop_head(&fleet->expired_jobs);
-        note_removed(fleet, job, answer->version);
-    }
-}
-
-void
-job_remove_expired(cs_fleet *fleet)
-{
-    const cs_store_port *store = fleet->state->ports.store;
-    const struct job *job = g_queue_peek_head(&fleet->expired_jobs);
-    char part[CS_JOB_PART_BYTES];
-    cs_row row = {.table = CS_TABLE_JOBS, .part = part};
-    /* An attempt that is carried out late must not remove a newer row. */
-    cs_row_change change = {.conditions = &row,
-                            .condition_count = 1,
-                            .removals = &row,
-                            .removal_count = 1};
-
-    if (!job || fleet->job_removal_pending)
-        return;
-    fleet->job_removal_pending = true;
-    row.key = job->spec.id;
-    row.version = job->row_version;
-    cs_job_part(part, job->spec.id);
-    store->change(store->self, &change,
-                  fleet_now(fleet).boot_us + STORE_TIMEOUT_US, on_row_removed,
-                  call_create(fleet, NULL));
-}
-
 void
 task_name(char *out, const struct task *task)
 {
