fleet: tasks that last may run on a quarantined worker where there is no other room

Cause: each failed run of another job doubles a worker's quarantine, so that six at one moment put it aside for 30 s. It was limited to 2 s only where no other worker is of the same kind, whether the others had room or not.

Change: where no usable worker has room for a task that lasts, a quarantined one is its last resort 2 s after that worker's last failure. Such tasks have no attempts that a failure uses up. Quarantines and all other tasks are as before.

--- a/src/fleet/cycle.c
+++ b/src/fleet/cycle.c
@@ -316,6 +316,46 @@
     g_array_append_val(cycle->failed_requests, failed);
 }
 
+/* Lets quarantined workers be used, or not. Returns whether there are any. */
+static bool
+use_last_resort(struct cycle *cycle, bool used)
+{
+    const GPtrArray *list = cycle->fleet->worker_list;
+    bool any = false;
+    guint i;
+
+    for (i = 0; i < list->len; i++) {
+        if (!worker_is_last_resort(cycle->fleet, g_ptr_array_index(list, i)))
+            continue;
+        cycle->cell.workers[i].usable = used;
+        any = true;
+    }
+    return any;
+}
+
+/*
+ * Places tasks that last on quarantined workers. They have no attempts that a
+ * failure uses up, and must run again within seconds wherever there is room.
+ * Returns the number of tasks placed.
+ */
+static uint32_t
+place_as_last_resort(struct cycle *cycle, const struct candidate *candidate,
+                     const cs_binpack_request *request, uint32_t *workers)
+{
+    double duration_s = reserve_duration_s(cycle, candidate);
+    uint32_t placed;
+
+    if (!candidate->step->spec->perpetual || !use_last_resort(cycle, true))
+        return 0;
+    reserve_withhold(cycle, candidate->step, duration_s);
+    placed = cs_binpack_place(workers, &cycle->cell, request);
+    reserve_restore(cycle);
+    use_last_resort(cycle, false);
+    if (placed > 0)
+        fleet_increment_counter(cycle->fleet, "cs_last_resort_used_total");
+    return placed;
+}
+
 /* Places a step without preemption. Returns the number of tasks placed. */
 static uint32_t
 try_place(struct cycle *cycle, const struct candidate *candidate,
@@ -357,8 +397,6 @@
     if (placed > 0) {
         reduce_reservation(step, workers, placed);
         cycle_apply_reservation(cycle, step, true);
-        observe_lateness(cycle->fleet, candidate);
-        place_tasks(cycle, step, workers, placed);
     }
     else if (had_reservation) {
         cycle_apply_reservation(cycle, step, true);
@@ -369,6 +407,12 @@
               step->waiting_count == step->spec->task_count)) {
         cycle_preempt(cycle, candidate, &request);
     }
+    if (placed == 0 && !step->reserved_workers)
+        placed = place_as_last_resort(cycle, candidate, &request, workers);
+    if (placed > 0) {
+        observe_lateness(cycle->fleet, candidate);
+        place_tasks(cycle, step, workers, placed);
+    }
     if (request.allowed && step->waiting_count > 0) {
         reserve_withhold(cycle, step, reserve_duration_s(cycle, candidate));
         cycle_request_advice(cycle, candidate, &request);
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -121,14 +121,15 @@
     uint32_t failed_heartbeats;    /* consecutive */
     uint32_t consecutive_failures; /* of runs of different jobs */
     char last_failed_job[CS_JOB_ID_BYTES];
-    int64_t paused_until_us;   /* gets no new tasks before; set by quarantines
-                                  and by shorter pauses */
-    int64_t quarantine_us;     /* length of the last quarantine; 0 none */
-    cs_speed speed;            /* learned */
-    uint32_t unsettled_starts; /* number of struct unsettled_start */
-    uint32_t watched_starts;   /* of them those that may be carried out yet */
-    GPtrArray *tasks;          /* of struct task, placed on the worker */
-    GArray *unwanted_runs;     /* of struct unwanted_run */
+    int64_t paused_until_us;      /* gets no new tasks before */
+    int64_t quarantine_us;        /* length of the last quarantine; 0 none */
+    int64_t quarantined_until_us; /* gets new tasks only as a last resort */
+    int64_t last_failure_us;      /* of a run */
+    cs_speed speed;               /* learned */
+    uint32_t unsettled_starts;    /* number of struct unsettled_start */
+    uint32_t watched_starts; /* of them those that may be carried out yet */
+    GPtrArray *tasks;        /* of struct task, placed on the worker */
+    GArray *unwanted_runs;   /* of struct unwanted_run */
     /* The names are last: a cycle reads all of the others of each worker. */
     char address[48];
     char id[CS_JOB_NAME_BYTES];
@@ -563,6 +564,9 @@
 bool worker_is_expected(const cs_fleet *fleet, const struct worker *worker);
 /* Returns whether the worker may get new tasks. */
 bool worker_is_usable(const cs_fleet *fleet, const struct worker *worker);
+/* Returns whether the worker is quarantined and may get tasks that last, if
+   there is no room for them elsewhere. */
+bool worker_is_last_resort(const cs_fleet *fleet, const struct worker *worker);
 /* Returns the estimated time on the worker's clock; -1 if unknown. */
 int64_t worker_clock_ms(const struct worker *worker, int64_t now_us);
 /* Accounts for leases that an order lets last to until_ms of its clock. */
--- a/src/fleet/worker.c
+++ b/src/fleet/worker.c
@@ -15,7 +15,8 @@
 #define QUARANTINE_FIRST_US (3 * CS_SEC_US)
 #define QUARANTINE_MAX_US (30 * CS_SEC_US)
 /* The longest quarantine of a worker that no other one can stand in for: a
-   step that has capacity has to run within 3 s. */
+   step that has capacity has to run within 3 s. After the last failure, it is
+   as long for tasks that last and have no room elsewhere. */
 #define QUARANTINE_WITHOUT_SUBSTITUTE_US (2 * CS_SEC_US)
 /* Labels of a worker that count; the platform's workers have two. */
 #define LABELS_MAX 16
@@ -266,6 +267,7 @@
     worker->next_heartbeat_us = 0;
     worker->consecutive_failures = 0;
     worker->paused_until_us = 0;
+    worker->quarantined_until_us = 0;
     memset(&worker->speed, 0, sizeof(worker->speed));
 }
 
@@ -378,8 +380,9 @@
            !start_gate_is_closed_at(fleet, worker);
 }
 
-bool
-worker_is_usable(const cs_fleet *fleet, const struct worker *worker)
+/* Returns whether the worker answers and takes tasks, its failures aside. */
+static bool
+is_serving(const cs_fleet *fleet, const struct worker *worker)
 {
     int64_t now_us = fleet_now(fleet).boot_us;
 
@@ -395,6 +398,24 @@
            now_us - worker->last_answer_us < ANSWER_AGE_MAX_US;
 }
 
+bool
+worker_is_usable(const cs_fleet *fleet, const struct worker *worker)
+{
+    return fleet_now(fleet).boot_us >= worker->quarantined_until_us &&
+           is_serving(fleet, worker);
+}
+
+bool
+worker_is_last_resort(const cs_fleet *fleet, const struct worker *worker)
+{
+    int64_t now_us = fleet_now(fleet).boot_us;
+
+    return now_us < worker->quarantined_until_us &&
+           now_us - worker->last_failure_us >=
+               QUARANTINE_WITHOUT_SUBSTITUTE_US &&
+           is_serving(fleet, worker);
+}
+
 int64_t
 worker_clock_ms(const struct worker *worker, int64_t now_us)
 {
@@ -450,6 +471,7 @@
 worker_record_failure(cs_fleet *fleet, struct worker *worker,
                       const char *job_id)
 {
+    worker->last_failure_us = fleet_now(fleet).boot_us;
     if (strcmp(worker->last_failed_job, job_id) == 0)
         return;
     g_strlcpy(worker->last_failed_job, job_id,
@@ -464,7 +486,8 @@
     if (!has_substitute(fleet, worker))
         worker->quarantine_us =
             MIN(worker->quarantine_us, QUARANTINE_WITHOUT_SUBSTITUTE_US);
-    worker->paused_until_us = fleet_now(fleet).boot_us + worker->quarantine_us;
+    worker->quarantined_until_us =
+        worker->last_failure_us + worker->quarantine_us;
     cs_log_event("worker-aside",
                  "worker %s is quarantined for %" PRId64
                  " ms after %u consecutive failures",
--- a/standins/fake_fleet.h
+++ b/standins/fake_fleet.h
@@ -292,6 +292,8 @@
 /** Sets whether every run on a worker fails. */
 void fake_fleet_set_worker_failing(fake_fleet *deployment, uint32_t worker,
                                    bool failing);
+/** Lets all runs on a worker fail now. */
+void fake_fleet_fail_runs(fake_fleet *deployment, uint32_t worker);
 /** Sets whether a worker is unhealthy: it cannot serve orders to start a run,
     and does nothing then. */
 void fake_fleet_set_worker_unhealthy(fake_fleet *deployment, uint32_t worker,
--- a/standins/fake_fleet_worker.c
+++ b/standins/fake_fleet_worker.c
@@ -476,6 +476,16 @@
     return false;
 }
 
+void
+fake_fleet_fail_runs(fake_fleet *deployment, uint32_t worker)
+{
+    struct fake_fleet_worker *target = &deployment->workers[worker];
+
+    while (target->runs->len > 0)
+        end_run_or_gang(target, g_ptr_array_index(target->runs, 0),
+                        CS_OUTCOME_FAILED);
+}
+
 void
 fake_fleet_worker_advance(struct fake_fleet_worker *worker)
 {
