--- a/tests/test_former_holder.c
+++ b/tests/test_former_holder.c
@@ -74,6 +74,16 @@
         fake_fleet_crash_worker(deployment, i, 3600 * CS_SEC_US);
 }
 
+/* Cuts or restores the network of the 16 workers that are in a zone. */
+static void
+disconnect_workers(fake_fleet *deployment, uint32_t zone, bool cut)
+{
+    uint32_t i;
+
+    for (i = zone; i < 16; i += FAKE_ZONES)
+        fake_fleet_set_worker_disconnected(deployment, i, cut);
+}
+
 /* Returns the VM that holds the cell according to another one. */
 static uint32_t
 holder_known_to(const fake_fleet *deployment, uint32_t vm)
@@ -293,17 +303,14 @@
                                         .slow_clocks = true};
         fake_fleet *deployment = create_deployment(&settings);
         uint32_t zone = (uint32_t)fake_fleet_holder(deployment) % FAKE_ZONES;
-        uint32_t i;
 
         start_job(deployment);
         fake_fleet_cut_zone(deployment, zone, true);
         fake_fleet_run(deployment, 9 * CS_SEC_US + (int64_t)seed * 83000);
-        for (i = zone; i < settings.workers; i += FAKE_ZONES)
-            fake_fleet_set_worker_disconnected(deployment, i, true);
+        disconnect_workers(deployment, zone, true);
         fake_fleet_cut_zone(deployment, zone, false);
         fake_fleet_run(deployment, 20 * CS_SEC_US);
-        for (i = zone; i < settings.workers; i += FAKE_ZONES)
-            fake_fleet_set_worker_disconnected(deployment, i, false);
+        disconnect_workers(deployment, zone, false);
         expect_job_completed(deployment);
         fake_fleet_destroy(deployment);
     }
@@ -550,18 +557,15 @@
         fake_fleet *deployment = create_deployment(&settings);
         uint32_t holder = (uint32_t)fake_fleet_holder(deployment);
         uint32_t zone = holder % FAKE_ZONES;
-        uint32_t i;
 
         start_job(deployment);
         fake_fleet_cut_zone(deployment, zone, true);
         fake_fleet_run(deployment, 6 * CS_SEC_US + (int64_t)seed * 41000);
-        for (i = zone; i < settings.workers; i += FAKE_ZONES)
-            fake_fleet_set_worker_disconnected(deployment, i, true);
+        disconnect_workers(deployment, zone, true);
         fake_fleet_kill(deployment, holder, 200 * CS_MS_US);
         fake_fleet_cut_zone(deployment, zone, false);
         fake_fleet_run(deployment, 20 * CS_SEC_US);
-        for (i = zone; i < settings.workers; i += FAKE_ZONES)
-            fake_fleet_set_worker_disconnected(deployment, i, false);
+        disconnect_workers(deployment, zone, false);
         expect_job_completed(deployment);
         fake_fleet_destroy(deployment);
     }
