fleet: a guaranteed job has work that lasts stopped

Cause: no task that lasts was a victim of preemption, not even of a guaranteed claim that may stop work at any loss (preempt-declined, no-victims).

Change: such tasks are victims of guaranteed claims of a higher priority that have waited for 1 s, except those of steps that state how many tasks may be unavailable. Other claims stop none, as before.

--- a/src/fleet/cycle_preempt.c
+++ b/src/fleet/cycle_preempt.c
@@ -26,7 +26,8 @@
     int64_t started_us;
     double work; /* core-seconds that a stop would lose by task_stop_loss() */
     uint32_t priority;
-    bool stoppable; /* it is neither perpetual nor of an ended job */
+    bool stoppable; /* it is of no ended job, and its step states no bound of
+                       unavailable tasks */
 };
 
 struct running_task {
@@ -120,12 +121,12 @@
 {
     const struct step *step = task->step;
     const cs_queue_config *queue = job_queue(cycle->fleet, step->job);
-    struct running_group group = {.step = step,
-                                  .priority = step->job->priority,
-                                  .stoppable = queue &&
-                                               !step->spec->perpetual &&
-                                               !job_is_final(step->job),
-                                  .victim.checkpoint = step->spec->checkpoint};
+    struct running_group group = {
+        .step = step,
+        .priority = step->job->priority,
+        .stoppable = queue && step->spec->max_unavailable == 0 &&
+                     !job_is_final(step->job),
+        .victim.checkpoint = step->spec->checkpoint};
     uint32_t i;
 
     if (queue) {
@@ -282,6 +283,10 @@
         return false;
     if (cs_preempt_is_forced(&search->claim))
         return true;
+    /* Others use idle accelerators with work that lasts as well, but lose it
+       only to a guarantee that nothing else would meet in time. */
+    if (group->step->spec->perpetual)
+        return false;
     if (cs_preempt_ends_first(&group->victim, &search->costs))
         return false;
     return search->claim.guaranteed ||
