--- a/src/fleet/former_holder.c
+++ b/src/fleet/former_holder.c
@@ -311,8 +311,8 @@
 struct unfenced {
     guint workers;
     guint tasks;
-    GString *list;          /* of the workers, for the log; NULL for none */
-    guint unlisted_workers; /* that do not fit into it */
+    GString *list;         /* of the workers, for the log; NULL for none */
+    guint omitted_workers; /* that do not fit into it */
 };
 
 /* Names a worker, and what tells whether a former holder may reach it. */
@@ -323,7 +323,7 @@
     int64_t now_us = fleet_now(fleet).boot_us;
 
     if (waiting->list->len > WORKER_LIST_BYTES_MAX) {
-        waiting->unlisted_workers++;
+        waiting->omitted_workers++;
         return;
     }
     g_string_append_printf(waiting->list, "%s%s in %s, %u tasks, %s",
@@ -363,7 +363,7 @@
 
     count_unfenced(fleet, &waiting);
     cs_log_event("former-holder-workers", "epoch %" PRIu64 ": %s; %u more",
-                 fleet->epoch, waiting.list->str, waiting.unlisted_workers);
+                 fleet->epoch, waiting.list->str, waiting.omitted_workers);
     g_string_free(waiting.list, TRUE);
 }
 
